Add the design page, the core package and the interfaces of the others

Cause: the repository was empty; work on several packages in parallel needs one design and fixed interfaces first. Ruled out: a connection share per proxy, a platform lease per database and a replicated store of our own; docs/design.md section 2 gives the reasons. Conclusion: the packages can be written against these headers.

--- /dev/null
+++ b/cmake/Package.cmake
@@ -0,0 +1,36 @@
+# Declares the static library kumquatbank_<name> from packages/<name>/src and, when packages/<name>/tests
+# holds sources, one CppUTest program registered with ctest.
+# Usage: kumquatbank_package(<name> DEPENDS <targets...>)
+function(kumquatbank_package name)
+    cmake_parse_arguments(ARG "" "" "DEPENDS" ${ARGN})
+    file(GLOB sources CONFIGURE_DEPENDS src/*.cpp)
+    if(NOT sources)
+        # Headers only: the package's sources are not written yet.
+        add_library(kumquatbank_${name} INTERFACE)
+        target_include_directories(kumquatbank_${name} INTERFACE include)
+        target_link_libraries(kumquatbank_${name} INTERFACE ${ARG_DEPENDS} Threads::Threads)
+        return()
+    endif()
+    add_library(kumquatbank_${name} STATIC ${sources})
+    target_include_directories(kumquatbank_${name} PUBLIC include PRIVATE src)
+    target_link_libraries(kumquatbank_${name} PUBLIC ${ARG_DEPENDS} Threads::Threads)
+
+    file(GLOB tests CONFIGURE_DEPENDS tests/*.cpp)
+    if(tests)
+        kumquatbank_test(${name}_tests SOURCES ${tests} DEPENDS kumquatbank_${name})
+    endif()
+endfunction()
+
+# Declares one CppUTest program that ctest runs.
+# Usage: kumquatbank_test(<name> SOURCES <files...> DEPENDS <targets...> [TIMEOUT <seconds>])
+function(kumquatbank_test name)
+    cmake_parse_arguments(ARG "" "TIMEOUT" "SOURCES;DEPENDS" ${ARGN})
+    if(NOT ARG_TIMEOUT)
+        set(ARG_TIMEOUT 60)
+    endif()
+    add_executable(${name} ${ARG_SOURCES} ${PROJECT_SOURCE_DIR}/cmake/TestMain.cpp)
+    target_include_directories(${name} PRIVATE ${CMAKE_CURRENT_SOURCE_DIR}/src)
+    target_link_libraries(${name} PRIVATE ${ARG_DEPENDS} PkgConfig::CPPUTEST)
+    add_test(NAME ${name} COMMAND ${name} -v)
+    set_tests_properties(${name} PROPERTIES TIMEOUT ${ARG_TIMEOUT})
+endfunction()
--- /dev/null
+++ b/packages/admission/include/kumquatbank/admission/admission.h
@@ -0,0 +1,7 @@
+#pragma once
+
+/// Umbrella header of the admission package: ranks, floors, limits and retry budgets.
+
+#include "kumquatbank/admission/AdmissionController.h"
+#include "kumquatbank/admission/EntryLimiter.h"
+#include "kumquatbank/admission/RetryBudget.h"
--- /dev/null
+++ b/packages/causes/include/kumquatbank/causes/causes.h
@@ -0,0 +1,7 @@
+#pragma once
+
+/// Umbrella header of the causes package: who and what was behind refusals and delays.
+
+#include "kumquatbank/causes/CauseFlusher.h"
+#include "kumquatbank/causes/CauseLedger.h"
+#include "kumquatbank/causes/CauseRow.h"
--- /dev/null
+++ b/packages/membership/include/kumquatbank/membership/Membership.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include "kumquatbank/catalogue/catalogue.h"
+#include "kumquatbank/membership/Member.h"
+#include "kumquatbank/platform/platform.h"
+#include "kumquatbank/transport/transport.h"
+
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <vector>
+
+namespace kumquatbank {
+
+/// Timing and bootstrap of a Membership.
+struct MembershipOptions {
+    HostIdentity self;
+    std::vector<HostAddress> seeds;
+    Milliseconds gossipInterval { 1000 };
+    Milliseconds probeTimeout { 500 };
+    Milliseconds suspicionTime { 2000 };
+    Milliseconds hostListInterval { 5000 }; ///< Read by relays only.
+    std::size_t relaysPerPlace = 2;
+    std::size_t pushFanout = 4;
+};
+
+/// The member table of this process and the gossip that keeps it and the catalogue up to date. Thread-safe.
+class Membership {
+public:
+    Membership(MembershipOptions options, Catalogue& catalogue, PeerClient& peers, PlatformClient& platform);
+    ~Membership();
+    Membership(const Membership&) = delete;
+    Membership& operator=(const Membership&) = delete;
+
+    /// Joins through the seeds and starts the gossip, relay and push threads. Does not wait for a peer.
+    void start();
+    void stop();
+
+    /// Answers Exchange, CataloguePush, IndirectProbe and Snapshot messages of other processes.
+    nlohmann::json handle(const PeerMessage& message);
+
+    /// Tells the peers that this process takes no new duties.
+    void announceLeaving();
+
+    /// True once a peer or the platform has supplied a catalogue.
+    bool isSynchronized() const;
+
+    std::vector<Member> members() const; ///< Includes this process.
+    std::vector<HostIdentity> holderCandidates(const DatabaseDefinition& database) const; ///< Best first.
+
+    /// True when the host list, as spread by the relays, says that the endpoint is leaving.
+    bool isEndpointLeaving(const HostAddress& endpoint) const;
+
+    nlohmann::json state() const; ///< For the state dump.
+
+private:
+    class Impl;
+    std::unique_ptr<Impl> m_impl;
+};
+
+} // namespace kumquatbank
