Add the proxy process: settings, routing to holders, operators' HTTP interface

Cause: nothing yet joined callers, peers and database groups. Ruled out: routing by a table spread between processes; the holder order follows from the member table alone, so no message is needed to agree on it.

--- a/packages/membership/include/kumquatbank/membership/Membership.h
+++ b/packages/membership/include/kumquatbank/membership/Membership.h
@@ -41,6 +41,9 @@
     /// Tells the peers that this process takes no new duties.
     void announceLeaving();
 
+    /// Tells the failure detector that a direct call to @p peer failed; it probes that peer next.
+    void reportUnreachable(const HostAddress& peer);
+
     /// True once a peer or the platform has supplied a catalogue.
     bool isSynchronized() const;
 
--- /dev/null
+++ b/packages/proxy/src/ForwardMessage.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "kumquatbank/core/core.h"
+
+#include <nlohmann/json.hpp>
+#include <string>
+#include <vector>
+
+namespace kumquatbank {
+
+/// A caller's request on its way to the holder.
+struct ForwardMessage {
+    CallerRequest request;
+    unsigned hopCount = 0;
+    std::vector<HostAddress> unreachable; ///< Better candidates that could not be reached.
+    std::vector<HostAddress> declined; ///< Better candidates that cannot claim the database.
+};
+
+/// The response to a ForwardMessage.
+struct ForwardReply {
+    Result<CallerAnswer> answer;
+    bool hasDeclined = false; ///< The sender of this reply cannot claim the database; try the next candidate.
+    bool isLinkFailure = false; ///< Made up locally: the peer did not reply. Not sent.
+};
+
+nlohmann::json encodeForward(const ForwardMessage& message);
+
+/// NotRun/BadRequest for a message that cannot be read.
+Result<ForwardMessage> decodeForward(const nlohmann::json& json);
+
+nlohmann::json encodeReply(const ForwardReply& reply);
+
+/// A reply that cannot be read is MayHaveRun/Internal.
+ForwardReply decodeReply(const nlohmann::json& json);
+
+} // namespace kumquatbank
--- /dev/null
+++ b/packages/proxy/src/RequestResolver.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "ServiceIndex.h"
+#include "kumquatbank/catalogue/catalogue.h"
+
+#include <memory>
+#include <optional>
+
+namespace kumquatbank {
+
+/// A request together with what the catalogue says of it.
+struct ResolvedRequest {
+    CallerRequest request; ///< Its transaction id is the group's own, without the holder's address.
+    std::shared_ptr<const CatalogueEntry> entry;
+    std::shared_ptr<const DatabaseDefinition> database;
+    SessionToken session;
+    ServiceIndex::Position position;
+    std::optional<HostAddress> transactionHost; ///< Process that holds the request's open transaction.
+};
+
+/// Checks requests against the catalogue. Thread-safe.
+class RequestResolver {
+public:
+    RequestResolver(const Catalogue& catalogue, std::string deployment);
+
+    /// NotRun when the entry or database is unknown, the entry does not allow the request, or the session
+    /// token or transaction id cannot be used.
+    Result<ResolvedRequest> resolve(const CallerRequest& request);
+
+    /// Transaction id for callers: the holder's address and the group's own id.
+    static std::string qualifyTransaction(const HostAddress& holder, const std::string& transaction);
+
+private:
+    const Catalogue& m_catalogue;
+    const std::string m_deployment;
+    ServiceIndex m_serviceIndex;
+};
+
+} // namespace kumquatbank
--- a/packages/transport/include/kumquatbank/transport/PeerMessage.h
+++ b/packages/transport/include/kumquatbank/transport/PeerMessage.h
@@ -13,6 +13,8 @@
     CataloguePush, ///< New catalogue changes.
     IndirectProbe, ///< Asks whether a third process answers.
     Snapshot, ///< Catalogue and members for a new process.
+    Ping, ///< Answered at once.
+    Inspect, ///< State dump or causes query of an operator.
 };
 
 /// A request between two proxy processes; the response is a JSON body alone.
