--- a/packages/causes/include/kumquatbank/causes/CauseFlusher.h
+++ b/packages/causes/include/kumquatbank/causes/CauseFlusher.h
@@ -8,8 +8,8 @@
 
 namespace kumquatbank {
 
-/// Writes the ledger to the platform: one object per hour and process run, named
-/// "<hour as Unix seconds>-<ip:port>-<incarnation>", replaced in place. Owns one thread.
+/// Writes the ledger to the platform: one object per hour and process run, replaced in place. Also removes
+/// objects older than a day. Owns one thread.
 class CauseFlusher {
 public:
     /// @param hostCount current number of hosts; the interval is max(10 s, hosts / 20 s).
--- a/packages/causes/include/kumquatbank/causes/CauseLedger.h
+++ b/packages/causes/include/kumquatbank/causes/CauseLedger.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "kumquatbank/causes/CauseRow.h"
+#include "kumquatbank/causes/CauseObject.h"
 
 #include <memory>
 #include <vector>
@@ -22,6 +22,19 @@
     /// Rows with from <= minute < to, ordered by minute and key.
     std::vector<CauseRow> rows(WallTime from, WallTime to) const;
 
+    /// One hour as it was when it was read.
+    struct Hour {
+        CauseHour start;
+        std::uint64_t changeCount = 0; ///< Changes to this hour so far.
+        std::vector<CauseRow> rows;
+    };
+
+    /// Hours with changes since their last markSaved().
+    std::vector<Hour> unsavedHours() const;
+
+    /// Notes that @p hour is on the platform as it was read.
+    void markSaved(const Hour& hour);
+
 private:
     class Impl;
     std::unique_ptr<Impl> m_impl;
--- a/packages/causes/include/kumquatbank/causes/causes.h
+++ b/packages/causes/include/kumquatbank/causes/causes.h
@@ -4,4 +4,6 @@
 
 #include "kumquatbank/causes/CauseFlusher.h"
 #include "kumquatbank/causes/CauseLedger.h"
+#include "kumquatbank/causes/CauseObject.h"
+#include "kumquatbank/causes/CauseReport.h"
 #include "kumquatbank/causes/CauseRow.h"
