--- a/packages/transport/include/kumquatbank/transport/HttpServer.h
+++ b/packages/transport/include/kumquatbank/transport/HttpServer.h
@@ -10,7 +10,7 @@
 
 /// Limits of an HttpServer.
 struct HttpServerOptions {
-    unsigned minThreads = 8;
+    unsigned minThreads = 256; ///< Started at once: cxxtools adds threads at about 250 a second only.
     unsigned maxThreads = 256; ///< Requests answered at the same time; further ones wait in the socket.
     Milliseconds keepAlive { 600'000 }; ///< Idle connections are closed after this time.
 };
--- a/packages/transport/include/kumquatbank/transport/PeerClient.h
+++ b/packages/transport/include/kumquatbank/transport/PeerClient.h
@@ -23,7 +23,7 @@
     /// As call(), but over a new connection that is closed afterwards.
     Result<nlohmann::json> callFresh(const HostAddress& peer, const PeerMessage& message, Milliseconds timeout);
 
-    /// Closes connections unused for @p idle. @return how many stay open.
+    /// Closes connections that were lost or are unused for @p idle. @return how many stay open.
     std::size_t closeIdle(Milliseconds idle);
 
     /// Bytes sent and received so far in messages other than Forward.
