--- a/tools/standins/database/DatabaseStandIn.h
+++ b/tools/standins/database/DatabaseStandIn.h
@@ -34,6 +34,7 @@
     void stop();
 
     const HostAddress& address() const { return m_options.address; }
+    const HostAddress& controlAddress() const { return m_options.control; }
 
     /// Runs one command of the control port: {"fault": ...} or {"command": "dump" | "status"}.
     nlohmann::json control(const nlohmann::json& command);
