Add the holder's side of a database group

Cause: the design gives one process per database group all connections, the claim and the promotions; the package held only its public header.

DatabaseGroup::reclaim() lets the owner end the pause after a lost claim when the new holder is dead.

Ruled out: one control connection per purpose. The spare connection of the limit would be used up and a second process could no longer probe or claim, so probes, claims and promotions share one. Fencing an isolated primary that still answers the holder: its log may be the greatest and it would be promoted again, so it is left out and repaired later.

--- a/packages/group/include/kumquatbank/group/DatabaseGroup.h
+++ b/packages/group/include/kumquatbank/group/DatabaseGroup.h
@@ -35,7 +35,7 @@
     bool isLeaving = false;
     Term promisedTerm = 0;
     LogPosition position;
-    Milliseconds lag { 0 }; ///< Age of the replica's data by this process's clock.
+    Milliseconds lag { 0 }; ///< Age of the replica's data by this process's clock; the maximum if unknown.
 };
 
 /// The holder's side of one database group: claim, connections, probes, routing, confirmation, promotion and
@@ -60,6 +60,10 @@
     /// Peer address of the process that superseded this one's claim; empty if none is known.
     std::string knownHolder() const;
 
+    /// Permits a new claim at once instead of 2 s after the last one was superseded. Call it when the process
+    /// named by knownHolder() is known to be dead.
+    void reclaim();
+
     /// Runs one request to its final answer. @p index and @p count place this database in its service, for the
     /// entry's limits. NotRun/NotHolder when this process does not hold the group.
     Result<CallerAnswer> run(const CallerRequest& request, const CatalogueEntry& entry, const SessionToken& session,
--- /dev/null
+++ b/packages/group/src/Endpoint.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include "EndpointPool.h"
+#include "EndpointProber.h"
+#include "ReplicaWatcher.h"
+#include "RequestTrace.h"
+#include "RetryPolicy.h"
+#include "kumquatbank/group/DatabaseGroup.h"
+
+namespace kumquatbank {
+
+/// A connection of an endpoint and the right to use it. The connection is given back first.
+struct OccupiedConnection {
+    AdmissionTicket ticket;
+    EndpointPool::Lease lease;
+};
+
+/// Everything the holder keeps for one slot: connections, prober, watcher, queue and retry budget.
+class Endpoint {
+public:
+    /// @param index place of the slot in the definition, its index in the GroupView.
+    Endpoint(std::size_t index, SlotDefinition definition, unsigned connectionLimit,
+        const DatabaseGroupOptions& options, const ClaimNumber& claim, GroupView& view,
+        const std::function<bool()>& isHolder);
+
+    void start();
+    void stop();
+
+    /// Passes admission control and takes a connection. Every failure is NotRun.
+    Result<OccupiedConnection> occupy(const CatalogueEntry& entry, const Deadline& deadline, RequestTrace& trace);
+
+    const SlotDefinition& definition() const { return m_definition; }
+    EndpointControl& control() { return m_control; }
+    EndpointPool& pool() { return m_pool; }
+    AdmissionController& admission() { return m_admission; }
+    RetryPolicy& retries() { return m_retries; }
+    EndpointProber& prober() { return m_prober; }
+
+    nlohmann::json state() const;
+
+private:
+    const SlotDefinition m_definition;
+    EndpointControl m_control;
+    EndpointControl m_watchControl;
+    EndpointPool m_pool;
+    AdmissionController m_admission;
+    RetryPolicy m_retries;
+    EndpointProber m_prober;
+    ReplicaWatcher m_watcher;
+};
+
+using Endpoints = std::vector<std::unique_ptr<Endpoint>>;
+
+} // namespace kumquatbank
--- /dev/null
+++ b/packages/group/src/EndpointProber.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "EndpointControl.h"
+#include "EndpointPool.h"
+#include "GroupView.h"
+
+#include <functional>
+#include <thread>
+
+namespace kumquatbank {
+
+/// Timing of an EndpointProber.
+struct ProbeTiming {
+    Milliseconds interval { 250 };
+    Milliseconds timeout { 500 };
+};
+
+/// Probes one endpoint with `status`. A failed probe is repeated on a fresh connection before the endpoint is
+/// suspected; when the fresh one works, the pool's connections hang and are replaced.
+class EndpointProber {
+public:
+    /// @param isHolder tells whether the control connection stays open between probes.
+    /// @param isLeaving second source of leaving notices for this endpoint.
+    EndpointProber(std::size_t slot, EndpointControl& control, EndpointPool& pool, GroupView& view,
+        ProbeTiming timing, std::function<bool()> isHolder, std::function<bool()> isLeaving);
+
+    void start();
+    void stop();
+
+    /// Probes at once instead of at the next tick.
+    void probeSoon();
+
+private:
+    void run(const std::stop_token& stop);
+    void probe();
+    bool apply(const nlohmann::json& status, TimePoint sentAt);
+
+    const std::size_t m_slot;
+    EndpointControl& m_control;
+    EndpointPool& m_pool;
+    GroupView& m_view;
+    const ProbeTiming m_timing;
+    const std::function<bool()> m_isHolder;
+    const std::function<bool()> m_isLeaving;
+    unsigned m_failedFreshProbes = 0;
+    std::mutex m_mutex;
+    std::condition_variable_any m_wake;
+    bool m_isProbeDue = false;
+    std::jthread m_thread;
+};
+
+} // namespace kumquatbank
--- /dev/null
+++ b/packages/group/src/GroupParts.cpp
@@ -0,0 +1,186 @@
+#include "GroupParts.h"
+
+#include <algorithm>
+
+namespace kumquatbank {
+
+namespace {
+
+    // Longest wait for a claim in progress; a claim takes a few round trips and at most one call timeout.
+    constexpr Milliseconds claimWait { 2000 };
+
+    // A superseded process does not claim for this time, so an earlier repetition finds the same holder.
+    constexpr Milliseconds retryAfterHolderChange { 100 };
+    constexpr Milliseconds retryAfterOutage { 1000 };
+
+} // namespace
+
+GroupParts::GroupParts(DatabaseDefinition groupDefinition, DatabaseGroupOptions groupOptions, CauseLedger& ledger)
+    : definition(std::move(groupDefinition))
+    , options(std::move(groupOptions))
+    , causes(ledger)
+    , view(definition.slots.size(), definition.majority())
+    , endpoints(makeEndpoints())
+    , claim(view, controls(), claimNumber, options.self.address.toString(),
+          [this](bool isActive) { onClaimChange(isActive); })
+    , promotion(view, controls(), addresses(),
+          options.self.address.toString() + "/" + std::to_string(options.self.incarnation))
+    , router(view, endpoints, options.self.place)
+    , confirmation(view, controls())
+    , transactions(definition.name, options.self.incarnation)
+{
+}
+
+Endpoints GroupParts::makeEndpoints()
+{
+    Endpoints made;
+    for (std::size_t n = 0; n < definition.slots.size(); ++n)
+        made.push_back(std::make_unique<Endpoint>(n, definition.slots[n], definition.connectionLimit, options,
+            claimNumber, view, [this] { return claim.isHeld(); }));
+    return made;
+}
+
+std::vector<EndpointControl*> GroupParts::controls() const
+{
+    std::vector<EndpointControl*> result;
+    for (const auto& endpoint : endpoints)
+        result.push_back(&endpoint->control());
+    return result;
+}
+
+std::vector<HostAddress> GroupParts::addresses() const
+{
+    std::vector<HostAddress> result;
+    for (const auto& slot : definition.slots)
+        result.push_back(slot.address);
+    return result;
+}
+
+void GroupParts::onClaimChange(bool isActive)
+{
+    // The endpoints close connections of lower claims, also those of this process's own earlier claim.
+    transactions.closeAll();
+    for (const auto& endpoint : endpoints) {
+        endpoint->pool().suspend();
+        if (isActive)
+            endpoint->pool().resume();
+    }
+}
+
+tl::unexpected<Failure> GroupParts::notHolder() const
+{
+    const auto holder = claim.knownHolder();
+    auto failure = notRun(FailureCode::NotHolder,
+        "this process does not hold the database" + (holder.empty() ? "" : "; " + holder + " does"),
+        Cause::HolderChange);
+    failure.value().retryAfter = retryAfterHolderChange;
+    return failure;
+}
+
+Result<void> GroupParts::requireHolder(bool isRead, const Deadline& deadline, RequestTrace& trace)
+{
+    const auto mayServe = [&] { return isRead ? claim.allowsReads() : claim.isHeld(); };
+    if (mayServe())
+        return {};
+    if (claim.isSuperseded())
+        return notHolder();
+    claim.request();
+    const RequestTrace::Span span(trace, Cause::HolderChange);
+    bool isServing = false;
+    view.waitUntil(deadline.cappedTo(claimWait), [&] {
+        isServing = mayServe();
+        return isServing || claim.isSuperseded();
+    });
+    if (isServing)
+        return {};
+    if (view.reachableCount() < view.majority()) {
+        auto failure = notRun(FailureCode::Unavailable, "fewer than a majority of the database's endpoints answer",
+            Cause::EndpointDown);
+        failure.value().retryAfter = retryAfterOutage;
+        return failure;
+    }
+    return notHolder();
+}
+
+Result<PrimaryView> GroupParts::waitForPrimary(Term leastTerm, const Deadline& deadline, RequestTrace& trace)
+{
+    std::optional<PrimaryView> primary;
+    const auto isMajorityDown = [&] {
+        const auto slots = view.slots();
+        const auto up = std::ranges::count_if(slots, [](const SlotView& slot) { return !slot.isSuspect; });
+        return static_cast<std::size_t>(up) < view.majority();
+    };
+    const auto hasPrimary = [&] {
+        primary = claim.isHeld() ? view.writablePrimary() : std::nullopt;
+        if (primary && primary->term < leastTerm)
+            primary.reset();
+        return primary.has_value();
+    };
+    if (hasPrimary())
+        return *primary;
+    const RequestTrace::Span span(trace, Cause::PrimaryFailover);
+    view.waitUntil(deadline, [&] { return hasPrimary() || claim.isSuperseded() || isMajorityDown(); });
+    if (primary)
+        return *primary;
+    if (claim.isSuperseded())
+        return notHolder();
+    const bool isDown = isMajorityDown();
+    auto failure = notRun(FailureCode::Unavailable,
+        isDown ? "a majority of the database's endpoints is down" : "no primary took over before the deadline",
+        isDown ? Cause::EndpointDown : Cause::PrimaryFailover);
+    failure.value().retryAfter = retryAfterOutage;
+    return failure;
+}
+
+Failure withCause(Failure failure)
+{
+    if (failure.cause != Cause::None)
+        return failure;
+    switch (failure.code) {
+    case FailureCode::Timeout:
+        failure.cause = Cause::EndpointSlow;
+        break;
+    case FailureCode::Unreachable:
+    case FailureCode::ConnectionLost:
+    case FailureCode::ConnectionLimit:
+        failure.cause = Cause::EndpointDown;
+        break;
+    case FailureCode::NotPrimary:
+    case FailureCode::TermMismatch:
+    case FailureCode::Leaving:
+        failure.cause = Cause::PrimaryFailover;
+        break;
+    case FailureCode::Behind:
+        failure.cause = Cause::ReplicaLag;
+        break;
+    case FailureCode::ClaimSuperseded:
+    case FailureCode::NotHolder:
+        failure.cause = Cause::HolderChange;
+        break;
+    default:
+        break;
+    }
+    return failure;
+}
+
+bool isRetryable(const Failure& failure)
+{
+    if (failure.verdict != Verdict::NotRun)
+        return false;
+    switch (failure.code) {
+    case FailureCode::NotPrimary:
+    case FailureCode::TermMismatch:
+    case FailureCode::Leaving:
+    case FailureCode::Behind:
+    case FailureCode::ClaimSuperseded:
+    case FailureCode::NotHolder:
+    case FailureCode::ConnectionLimit:
+    case FailureCode::Unreachable:
+    case FailureCode::ConnectionLost:
+        return true;
+    default:
+        return false;
+    }
+}
+
+} // namespace kumquatbank
--- /dev/null
+++ b/packages/group/src/GroupParts.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include "Claim.h"
+#include "Endpoint.h"
+#include "Promotion.h"
+#include "ReadRouter.h"
+#include "TransactionTable.h"
+#include "WriteConfirmation.h"
+
+#include <atomic>
+
+namespace kumquatbank {
+
+/// The collaborating objects of one DatabaseGroup. Each is thread-safe on its own; Promotion is used by the
+/// GroupKeeper's thread only.
+struct GroupParts {
+    GroupParts(DatabaseDefinition groupDefinition, DatabaseGroupOptions groupOptions, CauseLedger& ledger);
+
+    std::vector<EndpointControl*> controls() const;
+
+    /// Waits until this process holds the group. Reads are also allowed while no process can hold it.
+    /// NotRun/NotHolder with the known holder otherwise.
+    Result<void> requireHolder(bool isRead, const Deadline& deadline, RequestTrace& trace);
+
+    /// Waits for a primary of at least @p leastTerm that can run and confirm writes. NotRun/NotHolder,
+    /// or NotRun/Unavailable at the deadline and at once when a majority of slots is down.
+    Result<PrimaryView> waitForPrimary(Term leastTerm, const Deadline& deadline, RequestTrace& trace);
+
+    const DatabaseDefinition definition;
+    const DatabaseGroupOptions options;
+    CauseLedger& causes;
+    GroupView view;
+    ClaimNumber claimNumber { 0 };
+    Endpoints endpoints;
+    Claim claim;
+    Promotion promotion;
+    ReadRouter router;
+    WriteConfirmation confirmation;
+    TransactionTable transactions;
+    EntryLimiter limiter;
+    std::atomic<int> writesInFlight { 0 }; ///< Sent to a primary and not yet confirmed.
+
+private:
+    Endpoints makeEndpoints();
+    std::vector<HostAddress> addresses() const;
+    void onClaimChange(bool isActive);
+    tl::unexpected<Failure> notHolder() const;
+};
+
+/// Counts a write as in flight for its lifetime.
+class WriteInFlight {
+public:
+    explicit WriteInFlight(GroupParts& parts)
+        : m_parts(parts)
+    {
+        ++m_parts.writesInFlight;
+    }
+    ~WriteInFlight() { --m_parts.writesInFlight; }
+    WriteInFlight(const WriteInFlight&) = delete;
+    WriteInFlight& operator=(const WriteInFlight&) = delete;
+
+private:
+    GroupParts& m_parts;
+};
+
+/// Names the cause of an endpoint's failure when the failure itself does not.
+Failure withCause(Failure failure);
+
+/// True for a failure after which the same request may be sent again: proved not run, and caused by the
+/// connection, the role or the claim rather than by the statement or a limit.
+bool isRetryable(const Failure& failure);
+
+} // namespace kumquatbank
--- /dev/null
+++ b/packages/group/src/GroupView.h
@@ -0,0 +1,121 @@
+#pragma once
+
+#include "PositionHistory.h"
+
+#include <condition_variable>
+#include <functional>
+#include <mutex>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <vector>
+
+namespace kumquatbank {
+
+/// What a slot last reported about itself.
+struct SlotView {
+    bool isReachable = false; ///< The last probe was answered.
+    bool isSuspect = false; ///< Two fresh probes failed.
+    bool isPrimary = false;
+    bool isLeaving = false;
+    Term promisedTerm = 0;
+    LogPosition position;
+    std::uint64_t claim = 0;
+    std::string claimHost;
+    Milliseconds primaryContact { 0 }; ///< Time since the replica heard its primary.
+    TimePoint statusAt {}; ///< Sending time of the last answered status call.
+    TimePoint reportedAt {}; ///< Sending time of the request behind promisedTerm and position.
+    std::optional<TimePoint> firstFailure; ///< First failed probe since the last answered one.
+    Milliseconds catchUp { 0 }; ///< Recent time from a primary's sample until this slot covered it.
+};
+
+/// The primary that the group's terms name.
+struct PrimaryView {
+    std::size_t slot = 0;
+    Term term = 0;
+};
+
+/// Position of a slot as one request reported it.
+struct PositionReport {
+    Term promisedTerm = 0;
+    LogPosition position;
+    TimePoint sentAt {};
+};
+
+/// Everything known about a group's slots, shared by probers, watchers, writers and promotion. Slots are
+/// indexed by their place in the database definition. Thread-safe.
+class GroupView {
+public:
+    /// @param majority slots needed for a promotion, a claim or, with the primary, a confirmation.
+    GroupView(std::size_t slotCount, std::size_t majority);
+
+    /// Applies the result of a `status` call; throws nlohmann::json::exception on a result of another shape.
+    void applyStatus(std::size_t slot, const nlohmann::json& status, TimePoint sentAt, bool isLeavingElsewhere);
+
+    /// Applies a position report. Reports that a newer one overtook are ignored.
+    void applyReport(std::size_t slot, const PositionReport& report);
+
+    /// Records a granted promotion.
+    void applyPromotion(std::size_t slot, const PositionReport& report);
+
+    /// Records the position of a change that the primary of @p term has run.
+    void samplePrimary(Term term, const LogPosition& position, TimePoint sentAt);
+
+    /// Applies the answer to a `claim` call.
+    void applyClaim(std::size_t slot, std::uint64_t claim, const std::string& host, TimePoint sentAt);
+
+    void recordProbeFailure(std::size_t slot, TimePoint at, bool isSuspect);
+
+    /// Forgets failed probes of every slot; used when this process was paused.
+    void clearSuspicions();
+
+    SlotView slot(std::size_t index) const;
+    std::vector<SlotView> slots() const;
+    std::size_t majority() const { return m_majority; }
+
+    /// Primary of the greatest term seen; empty before the first one.
+    std::optional<PrimaryView> primary() const;
+
+    /// Primary that can run and confirm writes now: reachable, and a majority of slots is in its term.
+    std::optional<PrimaryView> writablePrimary() const;
+
+    /// Greatest term that any slot promised.
+    Term greatestTerm() const;
+
+    std::size_t reachableCount() const;
+
+    /// Slots whose recent status shows this claim.
+    std::size_t claimCount(std::uint64_t claim, const std::string& host) const;
+
+    /// Age of a slot's data; empty if unknown.
+    std::optional<Milliseconds> age(std::size_t slot) const;
+    std::optional<LogPosition> requiredFor(Milliseconds maxAge) const;
+
+    /// Expected time until the slot covers @p required, from its recent catch-up times.
+    Milliseconds expectedCatchUp(std::size_t slot, const LogPosition& required) const;
+
+    /// Stops (true) or resumes the start of new writes during a planned change of primary.
+    void holdWrites(bool isHeld);
+
+    /// Waits until @p condition holds for the view or the deadline passes; returns the condition's last value.
+    /// The condition is called with the view unlocked, at every change and at least every 50 ms.
+    bool waitUntil(const Deadline& deadline, const std::function<bool()>& condition) const;
+
+    /// Wakes all waiters.
+    void wake();
+
+private:
+    void notify();
+    void acceptPrimary(std::size_t slot, Term term);
+    void mergeReport(std::size_t slot, const PositionReport& report);
+
+    const std::size_t m_majority;
+    mutable std::mutex m_mutex;
+    mutable std::condition_variable m_changed;
+    std::uint64_t m_version = 0;
+    std::vector<SlotView> m_slots;
+    std::optional<PrimaryView> m_primary;
+    PositionHistory m_history;
+    bool m_isHeld = false;
+};
+
+} // namespace kumquatbank
--- /dev/null
+++ b/packages/group/src/ParallelCalls.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "EndpointControl.h"
+
+#include <condition_variable>
+#include <functional>
+#include <mutex>
+#include <thread>
+#include <vector>
+
+namespace kumquatbank {
+
+/// Sends one call to several slots at once, each on a thread of its own that ends with this object. A caller
+/// can go on with enough replies while a slot that hangs is still being waited for.
+class ParallelCalls {
+public:
+    struct Reply {
+        std::size_t slot = 0;
+        TimePoint sentAt {};
+        Result<nlohmann::json> result;
+    };
+
+    /// @param controls indexed by slot; @p slots are the ones that are called.
+    ParallelCalls(const std::vector<EndpointControl*>& controls, const std::vector<std::size_t>& slots,
+        const std::string& method, const nlohmann::json& params, const Deadline& deadline);
+
+    /// Waits until every slot has replied, or until @p enough replies satisfy @p isGood and a short grace for
+    /// the others has passed. Returns the replies that are there.
+    std::vector<Reply> wait(std::size_t enough, const std::function<bool(const Reply&)>& isGood);
+
+private:
+    std::mutex m_mutex;
+    std::condition_variable m_changed;
+    std::vector<Reply> m_replies;
+    std::vector<std::jthread> m_threads;
+};
+
+/// True for a reply whose result says `granted`.
+bool isGranted(const ParallelCalls::Reply& reply);
+
+} // namespace kumquatbank
--- /dev/null
+++ b/packages/group/src/Promotion.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "GroupView.h"
+#include "ParallelCalls.h"
+
+#include <atomic>
+
+namespace kumquatbank {
+
+/// Replaces a group's primary by means of the group's own terms. Any number of promoters may run at once: a
+/// term is granted to one proposer by a majority of slots. One thread calls it.
+class Promotion {
+public:
+    /// @param addresses of the slots, for `follow`. @param proposer unique name of this promoter.
+    Promotion(GroupView& view, std::vector<EndpointControl*> controls, std::vector<HostAddress> addresses,
+        std::string proposer);
+
+    /// Fences all slots with a new term and promotes the one whose log is greatest in a majority.
+    /// NotRun/Conflict when another promoter was faster, NotRun/Unavailable when no majority answered,
+    /// MayHaveRun when the answer to `promote` was lost; a later attempt with a greater term settles that.
+    /// @param excluded slot that is left alone: it answers, but its replicas cannot reach it.
+    Result<PrimaryView> attempt(const std::string& reason, std::optional<std::size_t> excluded = std::nullopt);
+
+    /// Makes slots that are in a lower term, or that do not hear the primary, follow it.
+    void repair();
+
+    nlohmann::json state() const; ///< Promotions done, their times and the last failure.
+
+private:
+    Result<PrimaryView> promote(const std::vector<ParallelCalls::Reply>& granted, Term term);
+    void follow(const PrimaryView& primary, const std::vector<std::size_t>& slots);
+
+    GroupView& m_view;
+    const std::vector<EndpointControl*> m_controls;
+    const std::vector<HostAddress> m_addresses;
+    const std::string m_proposer;
+    Term m_lastTerm = 0;
+    std::vector<TimePoint> m_lastRepair;
+
+    mutable std::mutex m_mutex;
+    nlohmann::json m_done = nlohmann::json::array();
+    std::uint64_t m_count = 0;
+    std::uint64_t m_lost = 0;
+};
+
+} // namespace kumquatbank
--- /dev/null
+++ b/packages/group/src/PromotionTrigger.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "GroupView.h"
+
+#include <optional>
+#include <string>
+
+namespace kumquatbank {
+
+/// Decides whether a group's primary has to be replaced. Used by one thread.
+class PromotionTrigger {
+public:
+    /// @param promoteAnyway time after the first failed probe at which replicas that still hear the primary no
+    /// longer prevent its replacement.
+    PromotionTrigger(const GroupView& view, Milliseconds promoteAnyway);
+
+    struct Decision {
+        std::string reason;
+        std::optional<std::size_t> excluded; ///< Slot that must not be promoted although it answers.
+    };
+
+    /// Reason for a promotion now; empty if there is none or no majority of slots is reachable.
+    std::optional<Decision> check();
+
+    /// Reason for a planned change: the primary is leaving and another slot can take over.
+    bool isChangePlanned() const;
+
+private:
+    std::optional<Decision> checkSuspect(const std::vector<SlotView>& slots, std::size_t primary) const;
+    bool isHeardByReplica(const std::vector<SlotView>& slots, std::size_t primary) const;
+    bool isIsolated(const std::vector<SlotView>& slots, std::size_t primary) const;
+    bool hasLasted(std::optional<TimePoint>& since, bool holds, Milliseconds limit);
+
+    const GroupView& m_view;
+    const Milliseconds m_promoteAnyway;
+    std::optional<TimePoint> m_withoutPrimary;
+    std::optional<TimePoint> m_demoted;
+    std::optional<TimePoint> m_greaterTerm;
+    std::optional<TimePoint> m_isolated;
+};
+
+} // namespace kumquatbank
--- /dev/null
+++ b/packages/group/src/ReadService.cpp
@@ -0,0 +1,93 @@
+#include "ReadService.h"
+
+namespace kumquatbank {
+
+namespace {
+
+    // Pause before slots that failed are tried again.
+    constexpr Milliseconds retryPause { 20 };
+
+} // namespace
+
+ReadService::ReadService(GroupParts& parts)
+    : m_parts(parts)
+{
+}
+
+Result<CallerAnswer> ReadService::run(const CallerRequest& request, const CatalogueEntry& entry,
+    const SessionToken& session, RequestTrace& trace)
+{
+    const auto required = session.required(m_parts.definition.name);
+    std::set<std::size_t> failed;
+    std::set<std::size_t> visited;
+    std::optional<std::size_t> lostAt; ///< Slot whose answer to this read was lost last.
+    std::optional<Failure> lastFailure;
+    for (;;) {
+        // With every slot failed, or the only ones left unable to serve, the failed ones get another chance.
+        const auto patience = failed.empty() ? request.deadline : request.deadline.cappedTo(retryPause);
+        const auto route = m_parts.router.choose(entry, required, failed, patience, trace);
+        if (!route && (failed.empty() || request.deadline.hasPassed()))
+            return tl::unexpected(lastFailure.value_or(route.error()));
+        if (!route) {
+            failed.clear();
+            continue;
+        }
+        auto& endpoint = *m_parts.endpoints[route->slot];
+        const bool isFirstVisit = visited.insert(route->slot).second;
+        if (isFirstVisit)
+            endpoint.retries().recordFirstTry();
+        // A read that found no connection or was refused elsewhere is no extra load here. One whose answer was
+        // lost has cost the group its service time once and is charged to the endpoint that lost it.
+        const bool isAllowed = lostAt ? m_parts.endpoints[*lostAt]->retries().tryRetry()
+                                      : isFirstVisit || endpoint.retries().tryRetry();
+        if (!isAllowed && lostAt)
+            return tl::unexpected(*lastFailure);
+        if (!isAllowed) {
+            failed.insert(route->slot);
+            continue;
+        }
+
+        auto answer = attempt(request, entry, session, *route, trace);
+        if (answer)
+            return answer;
+        const auto& failure = answer.error();
+        // A lost answer does no harm to a read; it runs again elsewhere.
+        const bool isLost = failure.verdict == Verdict::MayHaveRun;
+        if (request.deadline.hasPassed() || !(isLost || isRetryable(failure)))
+            return answer;
+        if (failure.code == FailureCode::ClaimSuperseded)
+            endpoint.prober().probeSoon();
+        const auto held = m_parts.requireHolder(true, request.deadline, trace);
+        if (!held)
+            return tl::unexpected(held.error());
+        lostAt = isLost ? std::optional(route->slot) : std::nullopt;
+        lastFailure = failure;
+        failed.insert(route->slot);
+    }
+}
+
+Result<CallerAnswer> ReadService::attempt(const CallerRequest& request, const CatalogueEntry& entry,
+    const SessionToken& session, const ReadRoute& route, RequestTrace& trace)
+{
+    auto& endpoint = *m_parts.endpoints[route.slot];
+    auto work = endpoint.occupy(entry, request.deadline, trace);
+    if (!work)
+        return tl::unexpected(withCause(work.error()));
+    const auto primary = m_parts.view.primary();
+    const bool isPrimary = primary && primary->slot == route.slot;
+    const RequestTrace::Span span(trace, Cause::EndpointSlow);
+    const auto reply = work->lease.call("execute",
+        { { "term", primary ? primary->term : 0 }, { "kind", "read" }, { "statement", request.statement },
+            { "minTerm", route.minimum.term }, { "minPosition", route.minimum.position } },
+        request.deadline);
+    if (!reply)
+        return tl::unexpected(withCause(reply.error()));
+    CallerAnswer answer;
+    answer.requestId = request.requestId;
+    answer.result = { { "rows", reply->value("rows", nlohmann::json::array()) } };
+    answer.session = session.encode();
+    answer.servedBy = isPrimary ? ServedBy::Primary : ServedBy::Replica;
+    return answer;
+}
+
+} // namespace kumquatbank
--- /dev/null
+++ b/packages/group/src/ReadService.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include "GroupParts.h"
+
+namespace kumquatbank {
+
+/// Runs reads outside transactions: routes them, rechecks the position at the endpoint and goes on to the next
+/// candidate after a failure. Thread-safe.
+class ReadService {
+public:
+    explicit ReadService(GroupParts& parts);
+
+    Result<CallerAnswer> run(const CallerRequest& request, const CatalogueEntry& entry,
+        const SessionToken& session, RequestTrace& trace);
+
+private:
+    Result<CallerAnswer> attempt(const CallerRequest& request, const CatalogueEntry& entry,
+        const SessionToken& session, const ReadRoute& route, RequestTrace& trace);
+
+    GroupParts& m_parts;
+};
+
+} // namespace kumquatbank
--- /dev/null
+++ b/packages/group/src/TransactionService.cpp
@@ -0,0 +1,157 @@
+#include "TransactionService.h"
+
+namespace kumquatbank {
+
+namespace {
+
+    // Pause before the same primary is tried again; its role or its claim is changing.
+    constexpr Milliseconds retryPause { 20 };
+
+    CallerAnswer makeAnswer(const CallerRequest& request, const SessionToken& session, nlohmann::json result)
+    {
+        CallerAnswer answer;
+        answer.requestId = request.requestId;
+        answer.result = std::move(result);
+        answer.session = session.encode();
+        return answer;
+    }
+
+} // namespace
+
+TransactionService::TransactionService(GroupParts& parts)
+    : m_parts(parts)
+{
+}
+
+Result<CallerAnswer> TransactionService::begin(const CallerRequest& request, const CatalogueEntry& entry,
+    const SessionToken& session, EntryLimiter::Permit permit, RequestTrace& trace)
+{
+    for (;;) {
+        const auto primary = m_parts.waitForPrimary(0, request.deadline, trace);
+        if (!primary)
+            return tl::unexpected(primary.error());
+        auto id = open(request, entry, *primary, permit, trace);
+        if (id) {
+            auto answer = makeAnswer(request, session, nlohmann::json::object());
+            answer.transaction = *id;
+            return answer;
+        }
+        auto& endpoint = *m_parts.endpoints[primary->slot];
+        if (!isRetryable(id.error()) || request.deadline.hasPassed() || !endpoint.retries().tryRetry())
+            return tl::unexpected(id.error());
+        endpoint.prober().probeSoon();
+        m_parts.view.waitUntil(request.deadline.cappedTo(retryPause), [] { return false; });
+    }
+}
+
+Result<std::string> TransactionService::open(const CallerRequest& request, const CatalogueEntry& entry,
+    const PrimaryView& primary, EntryLimiter::Permit& permit, RequestTrace& trace)
+{
+    auto& endpoint = *m_parts.endpoints[primary.slot];
+    auto work = endpoint.occupy(entry, request.deadline, trace);
+    if (!work)
+        return tl::unexpected(withCause(work.error()));
+    endpoint.retries().recordFirstTry();
+    work->lease.setInTransaction(true);
+    const auto claim = m_parts.claimNumber.load();
+    const auto reply = work->lease.call("begin", { { "term", primary.term } }, request.deadline);
+    if (!reply) {
+        // Without a commit the transaction has no effect, and its connection is closed.
+        auto failure = withCause(reply.error());
+        failure.verdict = Verdict::NotRun;
+        return tl::unexpected(failure);
+    }
+    auto transaction = std::make_unique<OpenTransaction>(OpenTransaction {
+        std::move(permit), std::move(work->ticket), std::move(work->lease), primary, Clock::now() });
+    return m_parts.transactions.add(std::move(transaction), claim);
+}
+
+Result<CallerAnswer> TransactionService::run(
+    const CallerRequest& request, const SessionToken& session, RequestTrace& trace)
+{
+    auto transaction = m_parts.transactions.take(request.transaction);
+    if (!transaction)
+        return tl::unexpected(withCause(transaction.error()));
+    switch (request.kind) {
+    case RequestKind::Commit:
+        return commit(request, session, std::move(*transaction), trace);
+    case RequestKind::Rollback:
+        return rollback(request, session, std::move(*transaction));
+    default:
+        return execute(request, session, std::move(*transaction), trace);
+    }
+}
+
+Result<CallerAnswer> TransactionService::execute(const CallerRequest& request, const SessionToken& session,
+    std::unique_ptr<OpenTransaction> transaction, RequestTrace& trace)
+{
+    const auto sentAt = Clock::now();
+    const auto reply = transaction->lease.call("execute",
+        { { "term", transaction->primary.term }, { "kind", requestKindName(request.kind) },
+            { "statement", request.statement } },
+        request.deadline);
+    trace.addWait(Cause::EndpointSlow, std::chrono::duration_cast<Milliseconds>(Clock::now() - sentAt));
+    if (reply) {
+        m_parts.transactions.putBack(request.transaction, std::move(transaction));
+        return makeAnswer(request, session, { { "rows", reply->value("rows", nlohmann::json::array()) } });
+    }
+    auto failure = withCause(reply.error());
+    if (failure.code == FailureCode::StatementError && failure.verdict == Verdict::NotRun) {
+        m_parts.transactions.putBack(request.transaction, std::move(transaction));
+        return tl::unexpected(failure);
+    }
+    // Closing the connection makes the endpoint roll back, and no commit was sent: nothing has run.
+    m_parts.transactions.erase(request.transaction);
+    failure.verdict = Verdict::NotRun;
+    failure.message = "the transaction was rolled back: " + failure.message;
+    return tl::unexpected(failure);
+}
+
+Result<CallerAnswer> TransactionService::commit(const CallerRequest& request, const SessionToken& session,
+    std::unique_ptr<OpenTransaction> transaction, RequestTrace& trace)
+{
+    const WriteInFlight inFlight(m_parts);
+    nlohmann::json params { { "term", transaction->primary.term } };
+    if (!request.idempotencyKey.empty())
+        params["key"] = request.idempotencyKey;
+    const auto sentAt = Clock::now();
+    const auto reply = transaction->lease.call("commit", params, request.deadline);
+    trace.addWait(Cause::EndpointSlow, std::chrono::duration_cast<Milliseconds>(Clock::now() - sentAt));
+    m_parts.transactions.erase(request.transaction);
+    const auto primary = transaction->primary;
+    if (reply)
+        transaction->lease.setInTransaction(false);
+    transaction.reset();
+    if (!reply)
+        return tl::unexpected(withCause(reply.error()));
+
+    if (!reply->contains("logTerm") || !reply->contains("position"))
+        return mayHaveRun(FailureCode::Internal, "the primary's answer names no position", Cause::EndpointDown);
+    const LogPosition position { reply->at("logTerm").get<Term>(), reply->at("position").get<std::uint64_t>() };
+    m_parts.view.samplePrimary(primary.term, position, sentAt);
+    if (m_parts.options.confirmByReplica) {
+        const RequestTrace::Span span(trace, Cause::ReplicaLag);
+        const auto confirmed = m_parts.confirmation.confirm(primary, position, request.deadline);
+        if (!confirmed)
+            return tl::unexpected(confirmed.error());
+    }
+    auto advanced = session;
+    advanced.advance(m_parts.definition.name, position);
+    auto answer = makeAnswer(request, advanced, nlohmann::json::object());
+    answer.repeated = reply->value("repeated", false);
+    return answer;
+}
+
+Result<CallerAnswer> TransactionService::rollback(const CallerRequest& request, const SessionToken& session,
+    std::unique_ptr<OpenTransaction> transaction)
+{
+    const auto reply = transaction->lease.call(
+        "rollback", { { "term", transaction->primary.term } }, request.deadline);
+    m_parts.transactions.erase(request.transaction);
+    // Without an answer the connection is closed, which rolls back as well.
+    transaction->lease.setInTransaction(!reply.has_value());
+    transaction.reset();
+    return makeAnswer(request, session, nlohmann::json::object());
+}
+
+} // namespace kumquatbank
--- /dev/null
+++ b/packages/group/src/TransactionService.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include "GroupParts.h"
+
+namespace kumquatbank {
+
+/// Runs the requests of transactions. A transaction keeps its primary connection, its admission ticket and its
+/// entry's permit until it ends. Thread-safe.
+class TransactionService {
+public:
+    explicit TransactionService(GroupParts& parts);
+
+    Result<CallerAnswer> begin(const CallerRequest& request, const CatalogueEntry& entry,
+        const SessionToken& session, EntryLimiter::Permit permit, RequestTrace& trace);
+
+    /// Runs a read, write, commit or rollback of the transaction that the request names.
+    Result<CallerAnswer> run(const CallerRequest& request, const SessionToken& session, RequestTrace& trace);
+
+private:
+    Result<std::string> open(const CallerRequest& request, const CatalogueEntry& entry,
+        const PrimaryView& primary, EntryLimiter::Permit& permit, RequestTrace& trace);
+    Result<CallerAnswer> execute(const CallerRequest& request, const SessionToken& session,
+        std::unique_ptr<OpenTransaction> transaction, RequestTrace& trace);
+    Result<CallerAnswer> commit(const CallerRequest& request, const SessionToken& session,
+        std::unique_ptr<OpenTransaction> transaction, RequestTrace& trace);
+    Result<CallerAnswer> rollback(const CallerRequest& request, const SessionToken& session,
+        std::unique_ptr<OpenTransaction> transaction);
+
+    GroupParts& m_parts;
+};
+
+} // namespace kumquatbank
--- /dev/null
+++ b/packages/group/src/TransactionTable.cpp
@@ -0,0 +1,72 @@
+#include "TransactionTable.h"
+
+#include "Invariant.h"
+
+namespace kumquatbank {
+
+TransactionTable::TransactionTable(std::string database, std::uint64_t incarnation)
+    : m_database(std::move(database))
+    , m_incarnation(incarnation)
+{
+}
+
+std::string TransactionTable::add(std::unique_ptr<OpenTransaction> transaction, std::uint64_t claim)
+{
+    const std::scoped_lock lock(m_mutex);
+    auto id = m_database + "." + std::to_string(m_incarnation) + "." + std::to_string(claim) + "."
+        + std::to_string(++m_serial);
+    invariant(m_open.emplace(id, std::move(transaction)).second, "a transaction id is used once");
+    return id;
+}
+
+Result<std::unique_ptr<OpenTransaction>> TransactionTable::take(const std::string& id)
+{
+    const std::scoped_lock lock(m_mutex);
+    const auto it = m_open.find(id);
+    if (it == m_open.end())
+        return notRun(FailureCode::UnknownTransaction,
+            "transaction '" + id + "' is not open here: it ended, was idle too long or its proxy was replaced");
+    if (!it->second)
+        return notRun(FailureCode::Refused, "another request of transaction '" + id + "' is in progress");
+    return std::move(it->second);
+}
+
+void TransactionTable::putBack(const std::string& id, std::unique_ptr<OpenTransaction> transaction)
+{
+    const std::scoped_lock lock(m_mutex);
+    const auto it = m_open.find(id);
+    invariant(it != m_open.end() && !it->second, "a transaction is put back by the request that took it");
+    transaction->lastUsed = Clock::now();
+    it->second = std::move(transaction);
+}
+
+void TransactionTable::erase(const std::string& id)
+{
+    const std::scoped_lock lock(m_mutex);
+    invariant(m_open.erase(id) == 1, "a transaction ends once");
+}
+
+void TransactionTable::closeIdle(Milliseconds limit)
+{
+    std::vector<std::unique_ptr<OpenTransaction>> closed;
+    const std::scoped_lock lock(m_mutex);
+    const auto now = Clock::now();
+    for (auto it = m_open.begin(); it != m_open.end();) {
+        if (!it->second || now - it->second->lastUsed < limit) {
+            ++it;
+            continue;
+        }
+        closed.push_back(std::move(it->second));
+        it = m_open.erase(it);
+    }
+}
+
+void TransactionTable::closeAll() { closeIdle(Milliseconds(0)); }
+
+std::size_t TransactionTable::size() const
+{
+    const std::scoped_lock lock(m_mutex);
+    return m_open.size();
+}
+
+} // namespace kumquatbank
--- /dev/null
+++ b/packages/group/src/WriteConfirmation.cpp
@@ -0,0 +1,100 @@
+#include "WriteConfirmation.h"
+
+#include "Invariant.h"
+
+#include <algorithm>
+
+namespace kumquatbank {
+
+namespace {
+
+    // An older report may date from before a pause of this process, while the primary was replaced.
+    constexpr Milliseconds reportValidity { 1000 };
+    constexpr Milliseconds refreshTimeout { 500 };
+
+} // namespace
+
+WriteConfirmation::WriteConfirmation(GroupView& view, std::vector<EndpointControl*> controls)
+    : m_view(view)
+    , m_controls(std::move(controls))
+{
+}
+
+bool WriteConfirmation::isProof(
+    const SlotView& slot, const PrimaryView& primary, const LogPosition& position) const
+{
+    return slot.promisedTerm == primary.term && slot.position.term == primary.term
+        && slot.position.position >= position.position;
+}
+
+bool WriteConfirmation::canStillConfirm(const PrimaryView& primary) const
+{
+    const auto current = m_view.primary();
+    if (current && current->term > primary.term)
+        return false;
+    const auto slots = m_view.slots();
+    const auto usable = std::ranges::count_if(
+        slots, [&](const SlotView& slot) { return slot.promisedTerm <= primary.term; });
+    return static_cast<std::size_t>(usable) >= m_view.majority();
+}
+
+bool WriteConfirmation::refresh(
+    std::size_t slot, const PrimaryView& primary, const LogPosition& position, const Deadline& deadline)
+{
+    const auto sentAt = Clock::now();
+    const auto status
+        = m_controls.at(slot)->call("status", nlohmann::json::object(), deadline.cappedTo(refreshTimeout));
+    if (!status)
+        return false;
+    try {
+        m_view.applyReport(slot,
+            { status->at("promisedTerm").get<Term>(),
+                { status->at("logTerm").get<Term>(), status->at("position").get<std::uint64_t>() }, sentAt });
+    } catch (const nlohmann::json::exception&) {
+        return false;
+    }
+    return isProof(m_view.slot(slot), primary, position);
+}
+
+std::size_t WriteConfirmation::countProofs(
+    const PrimaryView& primary, const LogPosition& position, const Deadline& deadline)
+{
+    const std::size_t needed = m_view.majority() - 1;
+    std::size_t proofs = 0;
+    const auto slots = m_view.slots();
+    for (std::size_t n = 0; n < slots.size() && proofs < needed; ++n) {
+        if (n == primary.slot || !isProof(slots[n], primary, position))
+            continue;
+        const bool isOld = Clock::now() - slots[n].reportedAt > reportValidity;
+        const bool hasTermMoved = m_view.greatestTerm() > primary.term;
+        if ((isOld || hasTermMoved) && !refresh(n, primary, position, deadline))
+            continue;
+        const auto proof = m_view.slot(n);
+        if (!isProof(proof, primary, position))
+            continue; // Fenced between the two looks.
+        invariant(proof.position.position >= position.position && proof.position.term == primary.term,
+            "an acknowledged position is never above the proof");
+        ++proofs;
+    }
+    return proofs;
+}
+
+Result<void> WriteConfirmation::confirm(
+    const PrimaryView& primary, const LogPosition& position, const Deadline& deadline)
+{
+    const std::size_t needed = m_view.majority() - 1;
+    bool isConfirmed = false;
+    m_view.waitUntil(deadline, [&] {
+        isConfirmed = countProofs(primary, position, deadline) >= needed;
+        return isConfirmed || !canStillConfirm(primary);
+    });
+    if (isConfirmed)
+        return {};
+    if (!canStillConfirm(primary))
+        return mayHaveRun(FailureCode::Unavailable,
+            "the primary was replaced before a replica confirmed the change", Cause::PrimaryFailover);
+    return mayHaveRun(
+        FailureCode::Timeout, "no replica confirmed the change before the deadline", Cause::ReplicaLag);
+}
+
+} // namespace kumquatbank
--- /dev/null
+++ b/packages/group/src/WriteConfirmation.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "EndpointControl.h"
+#include "GroupView.h"
+
+namespace kumquatbank {
+
+/// Waits for the proof that a change survives the loss of the primary. Thread-safe.
+class WriteConfirmation {
+public:
+    WriteConfirmation(GroupView& view, std::vector<EndpointControl*> controls);
+
+    /// Returns once enough replicas reported @p position or more in the primary's term, by reports that are
+    /// at most 1 s old. Every failure is MayHaveRun: Timeout at the deadline, Unavailable as soon as the term
+    /// has moved on so that the proof cannot come any more.
+    Result<void> confirm(const PrimaryView& primary, const LogPosition& position, const Deadline& deadline);
+
+private:
+    bool isProof(const SlotView& slot, const PrimaryView& primary, const LogPosition& position) const;
+    bool canStillConfirm(const PrimaryView& primary) const;
+    bool refresh(std::size_t slot, const PrimaryView& primary, const LogPosition& position,
+        const Deadline& deadline);
+    std::size_t countProofs(
+        const PrimaryView& primary, const LogPosition& position, const Deadline& deadline);
+
+    GroupView& m_view;
+    const std::vector<EndpointControl*> m_controls;
+};
+
+} // namespace kumquatbank
--- /dev/null
+++ b/packages/group/src/WriteService.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include "GroupParts.h"
+
+namespace kumquatbank {
+
+/// Runs writes outside transactions: sends them to the primary, waits for the confirmation and repeats those
+/// that are proved not to have run, or that carry an idempotency key. Thread-safe.
+class WriteService {
+public:
+    explicit WriteService(GroupParts& parts);
+
+    Result<CallerAnswer> run(const CallerRequest& request, const CatalogueEntry& entry,
+        const SessionToken& session, RequestTrace& trace);
+
+private:
+    Result<CallerAnswer> attempt(const CallerRequest& request, const CatalogueEntry& entry,
+        const SessionToken& session, const PrimaryView& primary, RequestTrace& trace);
+    bool isReplacementComing(const PrimaryView& primary, TimePoint failedAt, const Deadline& deadline) const;
+
+    GroupParts& m_parts;
+};
+
+} // namespace kumquatbank
--- a/packages/transport/include/kumquatbank/transport/EndpointConnection.h
+++ b/packages/transport/include/kumquatbank/transport/EndpointConnection.h
@@ -24,6 +24,9 @@
     /// failure is MayHaveRun, unless no byte was sent, and the connection is unusable.
     Result<nlohmann::json> call(const std::string& method, const nlohmann::json& params, const Deadline& deadline);
 
+    /// Ends a call in progress, which fails as after a closed connection. May be called from any thread.
+    void abort();
+
     /// False after the first failure that leaves the connection's state unknown.
     bool isUsable() const;
 
