--- a/packages/membership/include/kumquatbank/membership/Membership.h
+++ b/packages/membership/include/kumquatbank/membership/Membership.h
@@ -21,6 +21,7 @@
     Milliseconds hostListInterval { 5000 }; ///< Read by relays only.
     std::size_t relaysPerPlace = 2;
     std::size_t pushFanout = 4;
+    std::size_t maxMessageBytes = 256 * 1024; ///< Catalogue changes in one message; more are sent in parts.
 };
 
 /// The member table of this process and the gossip that keeps it and the catalogue up to date. Thread-safe.
@@ -41,11 +42,17 @@
     /// Tells the peers that this process takes no new duties.
     void announceLeaving();
 
+    /// Checks at once whether the process at @p address is reachable, because a direct call to it failed. Does
+    /// not wait, and changes nothing if it answers this process or two others; otherwise it becomes suspect.
+    void reportUnreachable(const HostAddress& address);
+
     /// True once a peer or the platform has supplied a catalogue.
     bool isSynchronized() const;
 
-    std::vector<Member> members() const; ///< Includes this process.
-    std::vector<HostIdentity> holderCandidates(const DatabaseDefinition& database) const; ///< Best first.
+    std::vector<Member> members() const; ///< Includes this process; without dead ones.
+
+    /// The first 8 holder candidates, best first.
+    std::vector<HostIdentity> holderCandidates(const DatabaseDefinition& database) const;
 
     /// True when the host list, as spread by the relays, says that the endpoint is leaving.
     bool isEndpointLeaving(const HostAddress& endpoint) const;
--- a/packages/platform/include/kumquatbank/platform/PlatformClient.h
+++ b/packages/platform/include/kumquatbank/platform/PlatformClient.h
@@ -39,7 +39,7 @@
     Result<WatchResult> watch(std::uint64_t since, const std::vector<std::string>& kinds, Milliseconds wait);
 
     /// The platform's lagging host list.
-    Result<std::vector<HostNotice>> hosts();
+    Result<HostList> hosts();
 
     /// Calls made so far, and calls refused by the budget or the backoff.
     std::uint64_t callCount() const;
--- a/packages/platform/include/kumquatbank/platform/PlatformObject.h
+++ b/packages/platform/include/kumquatbank/platform/PlatformObject.h
@@ -42,4 +42,10 @@
     bool isEndpoint = false; ///< An endpoint host; else a proxy host.
 };
 
+/// The platform's lagging host list at one revision.
+struct HostList {
+    std::uint64_t revision = 0; ///< Orders lists that several relays read.
+    std::vector<HostNotice> hosts;
+};
+
 } // namespace kumquatbank
