--- a/packages/admission/include/kumquatbank/admission/AdmissionController.h
+++ b/packages/admission/include/kumquatbank/admission/AdmissionController.h
@@ -21,11 +21,15 @@
     std::array<std::size_t, rankCount> maxWaiting { 64, 32, 32 }; ///< Queue bound by rank, most urgent first.
     std::array<double, rankCount> rankFloorPercent { 0, 20, 5 }; ///< Share each rank keeps while it has work.
     AdmissionPolicy policy = AdmissionPolicy::RankedWithFloors;
+
+    /// Part of the capacity that may stay idle on average to keep connections free for rank 1, which are
+    /// reserved in proportion to its recent use; 0 reserves none.
+    double urgentIdleBudget = 0.04;
 };
 
 class AdmissionController;
 
-/// Right to use one connection of the endpoint; returned on destruction.
+/// Right to use one connection of the endpoint; returned on destruction. Must not outlive its controller.
 class AdmissionTicket {
 public:
     AdmissionTicket(AdmissionTicket&& other) noexcept;
@@ -40,11 +44,13 @@
 
 private:
     friend class AdmissionController;
-    AdmissionTicket(AdmissionController* controller, std::string entry, Rank rank, Milliseconds waited);
+    AdmissionTicket(
+        AdmissionController* controller, std::string entry, Rank rank, TimePoint startedAt, Milliseconds waited);
 
     AdmissionController* m_controller = nullptr;
     std::string m_entry;
     Rank m_rank = Rank::Background;
+    TimePoint m_startedAt;
     Milliseconds m_waited { 0 };
 };
 
@@ -59,7 +65,9 @@
 
     /// Waits for a connection at most until the deadline and the entry's maxQueue. A refusal is
     /// NotRun/Refused with entry, owner, cause and retryAfter; it comes at once when the queue is full or the
-    /// expected wait is longer than what is left.
+    /// expected wait is longer than what is left. The cause is FleetCapacity when all connections were busy and
+    /// nothing else was ahead of the request, else RankQueue. When a rank's queue is full, an entry with fewer
+    /// waiting requests takes the place of the newest request of the entry with the most.
     Result<AdmissionTicket> admit(const CatalogueEntry& entry, const Deadline& deadline);
 
     /// Changes the number of requests that run at once; running ones are not affected.
--- a/packages/admission/include/kumquatbank/admission/EntryLimiter.h
+++ b/packages/admission/include/kumquatbank/admission/EntryLimiter.h
@@ -11,7 +11,7 @@
 /// Thread-safe.
 class EntryLimiter {
 public:
-    /// Right to run one request of an entry; returned on destruction.
+    /// Right to run one request of an entry; returned on destruction. Must not outlive its limiter.
     class Permit {
     public:
         Permit(Permit&& other) noexcept;
--- /dev/null
+++ b/packages/admission/src/AdmissionSchedule.h
@@ -0,0 +1,89 @@
+#pragma once
+
+#include "Departures.h"
+#include "RankQueue.h"
+#include "UrgentReserve.h"
+#include "kumquatbank/admission/AdmissionController.h"
+
+#include <vector>
+
+namespace kumquatbank {
+
+/// Which request gets the next connection, and how long an arriving one would wait. Guarded by the
+/// controller's mutex.
+class AdmissionSchedule {
+public:
+    using Requests = std::vector<std::shared_ptr<WaitingRequest>>;
+
+    explicit AdmissionSchedule(AdmissionOptions options);
+
+    EntryQueue& queueOf(const CatalogueEntry& entry) { return rankOf(entry.rank).queueOf(entry); }
+
+    /// Starts a request at once when nothing waits and a connection is free for its rank.
+    bool tryStart(EntryQueue& queue, Rank rank, TimePoint now);
+
+    /// Expected wait of a request of @p rank that arrives now, of the entry of @p queue unless that is null.
+    /// Zero when it could start now: the requests ahead of it times the pace of its queue otherwise.
+    Clock::duration expectedWait(Rank rank, const EntryQueue* queue, TimePoint now) const;
+
+    bool isFull(Rank rank) const { return rankOf(rank).waiting() >= maxWaiting(rank); }
+
+    /// Removes the newest request of the entry that holds most of the rank's queue, if that is at least two
+    /// more than @p arriving holds; null otherwise. Without this, one entry's flood would fill the queue and
+    /// shut out all other entries of its rank.
+    std::shared_ptr<WaitingRequest> pushOut(Rank rank, const EntryQueue& arriving);
+
+    void push(EntryQueue& queue, const std::shared_ptr<WaitingRequest>& request, TimePoint now);
+    void remove(WaitingRequest& request) { rankOf(request.rank).remove(request); }
+
+    /// Gives free connections to waiting requests and appends these to @p granted.
+    void grant(TimePoint now, Requests& granted);
+
+    void finish(const std::string& entry, Rank rank, Clock::duration service, TimePoint now);
+
+    void setCapacity(unsigned capacity) { m_options.capacity = capacity; }
+
+    /// RankQueue when the same or a more urgent rank has waiting requests, else FleetCapacity.
+    Cause causeOfWait(Rank rank) const;
+
+    /// Entry with the most waiting requests of the rank; null when none waits.
+    const EntryQueue* longestQueue(Rank rank) const { return rankOf(rank).longest(); }
+
+    std::size_t waiting() const { return m_ranks[0].waiting() + m_ranks[1].waiting() + m_ranks[2].waiting(); }
+    std::size_t waiting(Rank rank) const { return rankOf(rank).waiting(); }
+    std::size_t running() const { return m_running[0] + m_running[1] + m_running[2]; }
+    std::uint64_t starts() const { return m_starts; } ///< Requests started so far.
+    nlohmann::json state() const;
+
+private:
+    bool isRanked() const { return m_options.policy == AdmissionPolicy::RankedWithFloors; }
+
+    /// First come first served keeps all requests in one queue.
+    std::size_t orderIndex(Rank rank) const
+    {
+        return m_options.policy == AdmissionPolicy::FirstComeFirstServed ? 0 : rankIndex(rank);
+    }
+
+    RankQueue& rankOf(Rank rank) { return m_ranks[orderIndex(rank)]; }
+    const RankQueue& rankOf(Rank rank) const { return m_ranks[orderIndex(rank)]; }
+    std::size_t maxWaiting(Rank rank) const;
+    bool mayStart(Rank rank, TimePoint now) const;
+    Clock::duration serviceTime(const EntryQueue& queue) const;
+    double floorConnections(double share) const;
+    double rankFloor(std::size_t index) const { return m_options.rankFloorPercent[index] / 100; }
+    void start(EntryQueue& queue, Rank rank, TimePoint now);
+    EntryQueue* behindFloor(std::size_t end, TimePoint now, std::size_t& index) const;
+    EntryQueue* next(TimePoint now, std::size_t& index) const;
+
+    AdmissionOptions m_options;
+    std::array<RankQueue, rankCount> m_ranks; ///< By orderIndex().
+    std::array<Departures, rankCount> m_departures; ///< By orderIndex().
+    std::array<FloorAccount, rankCount> m_rankFloors; ///< By rankIndex().
+    std::array<std::size_t, rankCount> m_running {}; ///< By rankIndex().
+    UrgentReserve m_reserve;
+    MovingAverage m_serviceMs; ///< Of all entries.
+    std::uint64_t m_nextSequence = 0;
+    std::uint64_t m_starts = 0;
+};
+
+} // namespace kumquatbank
--- /dev/null
+++ b/packages/admission/src/EntryQueue.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include "FloorAccount.h"
+#include "MovingAverage.h"
+#include "WaitingRequest.h"
+
+#include <string>
+
+namespace kumquatbank {
+
+/// Waiting and running requests of one entry at one endpoint.
+struct EntryQueue {
+    std::string entry;
+    std::string owner;
+    Rank rank = Rank::Background;
+    double floorShare = 0; ///< Part of the capacity, 0 to 0.9.
+    std::list<std::shared_ptr<WaitingRequest>> waiting;
+    std::size_t running = 0;
+    MovingAverage serviceMs;
+    FloorAccount floor;
+    double fairTag = 0; ///< Connection time received, compared among the entries of a rank.
+    double orderKey = 0; ///< Key under which the queue is indexed now.
+};
+
+} // namespace kumquatbank
--- /dev/null
+++ b/packages/admission/src/UrgentReserve.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include "kumquatbank/core/core.h"
+
+#include <cmath>
+#include <cstddef>
+
+namespace kumquatbank {
+
+/// Connections that less urgent ranks leave free for rank 1, so that a rank 1 request rarely meets an endpoint
+/// that is full of long low-rank requests. As many as rank 1's recent use keeps busy most of the time: the
+/// expected idle part of the capacity stays within a budget. Without rank 1 traffic nothing is reserved.
+class UrgentReserve {
+public:
+    /// @param idleBudget part of the capacity that may be idle on average, for example 0.04.
+    explicit UrgentReserve(double idleBudget)
+        : m_idleBudget(idleBudget)
+    {
+    }
+
+    /// Called before the number of running rank 1 requests changes from @p running.
+    void observe(TimePoint now, std::size_t running)
+    {
+        m_average = averageAt(now, running);
+        m_observedAt = now;
+    }
+
+    /// Connections to keep free now, given @p running rank 1 requests.
+    std::size_t unused(TimePoint now, std::size_t running, std::size_t capacity) const
+    {
+        // With few connections a reserve of more than a quarter would leave low ranks too little.
+        const std::size_t limit = capacity / 4;
+        if (running >= limit || m_idleBudget <= 0)
+            return 0;
+        const double average = averageAt(now, running);
+        // With Poisson arrivals the number n in use has a Poisson distribution, and a reserve of r is idle by
+        // E[max(0, r - n)] = sum of P(n <= k) for k < r.
+        double probability = std::exp(-average); // P(n = k)
+        double atMost = probability; // P(n <= k)
+        double idle = atMost;
+        std::size_t reserve = 0;
+        while (reserve < limit && idle <= m_idleBudget * static_cast<double>(capacity)) {
+            ++reserve;
+            probability *= average / static_cast<double>(reserve);
+            atMost += probability;
+            idle += atMost;
+        }
+        return reserve > running ? reserve - running : 0;
+    }
+
+private:
+    /// Long enough to smooth arrivals, short enough to free the reserve soon after the traffic ends.
+    static constexpr std::chrono::duration<double> window { 2.0 };
+
+    double averageAt(TimePoint now, std::size_t running) const
+    {
+        const std::chrono::duration<double> elapsed = now - m_observedAt;
+        const auto current = static_cast<double>(running);
+        return current + (m_average - current) * std::exp(-elapsed / window);
+    }
+
+    double m_idleBudget;
+    double m_average = 0;
+    TimePoint m_observedAt;
+};
+
+} // namespace kumquatbank
--- /dev/null
+++ b/packages/admission/tests/AdmissionControllerTest.cpp
@@ -0,0 +1,313 @@
+#include "kumquatbank/admission/admission.h"
+
+#include <CppUTest/TestHarness.h>
+#include <algorithm>
+#include <atomic>
+#include <deque>
+#include <functional>
+#include <mutex>
+#include <thread>
+#include <vector>
+
+using namespace kumquatbank;
+
+namespace {
+
+constexpr Milliseconds longWait { 20'000 };
+
+CatalogueEntry makeEntry(const std::string& name, Rank rank, double floorPercent = 0)
+{
+    CatalogueEntry entry;
+    entry.name = name;
+    entry.owner = name + "-owner";
+    entry.rank = rank;
+    entry.floorPercent = floorPercent;
+    entry.maxQueue = longWait;
+    return entry;
+}
+
+AdmissionOptions withCapacity(unsigned capacity)
+{
+    AdmissionOptions options;
+    options.capacity = capacity;
+    return options;
+}
+
+/// Waits for a state that other threads bring about.
+void waitUntil(const std::function<bool()>& condition)
+{
+    const auto deadline = Deadline::after(longWait);
+    while (!condition() && !deadline.hasPassed())
+        std::this_thread::sleep_for(Milliseconds(1));
+    CHECK_TRUE(condition());
+}
+
+/// Requests that wait in threads of their own; remembers the order in which they ran.
+class Crowd {
+public:
+    explicit Crowd(AdmissionController& controller)
+        : m_controller(controller)
+    {
+    }
+
+    ~Crowd() { join(); }
+
+    /// Queues one request and returns once it waits or was refused.
+    void add(const CatalogueEntry& entry, Milliseconds service = Milliseconds(0))
+    {
+        const auto expected = m_controller.waiting() + 1;
+        const auto refusedBefore = m_refused.load();
+        m_threads.emplace_back([this, entry, service] {
+            auto ticket = m_controller.admit(entry, Deadline::after(longWait));
+            const std::scoped_lock lock(m_mutex);
+            if (!ticket) {
+                ++m_refused;
+                CHECK_TRUE(ticket.error().verdict == Verdict::NotRun);
+                return;
+            }
+            m_order.push_back(entry.name);
+            std::this_thread::sleep_for(service);
+        });
+        waitUntil([&] { return m_controller.waiting() >= expected || m_refused > refusedBefore; });
+    }
+
+    void join()
+    {
+        for (auto& thread : m_threads) {
+            if (thread.joinable())
+                thread.join();
+        }
+    }
+
+    std::vector<std::string> order() const
+    {
+        const std::scoped_lock lock(m_mutex);
+        return m_order;
+    }
+
+    std::size_t refused() const { return m_refused; }
+
+private:
+    AdmissionController& m_controller;
+    mutable std::mutex m_mutex;
+    std::vector<std::string> m_order;
+    std::atomic<std::size_t> m_refused { 0 };
+    std::deque<std::thread> m_threads;
+};
+
+/// Keeps @p count requests of an entry asking for connections; counts the connection time they got.
+class Pressure {
+public:
+    Pressure(AdmissionController& controller, const CatalogueEntry& entry, int count, Milliseconds service)
+    {
+        for (int n = 0; n < count; ++n) {
+            m_threads.emplace_back([this, &controller, entry, service](const std::stop_token& stop) {
+                while (!stop.stop_requested()) {
+                    const auto ticket = controller.admit(entry, Deadline::after(longWait));
+                    if (!ticket) {
+                        std::this_thread::sleep_for(Milliseconds(1));
+                        continue;
+                    }
+                    std::this_thread::sleep_for(service);
+                    m_serviceMs += service.count();
+                }
+            });
+        }
+    }
+
+    void stop()
+    {
+        for (auto& thread : m_threads)
+            thread.request_stop();
+        m_threads.clear();
+    }
+
+    double serviceMs() const { return static_cast<double>(m_serviceMs.load()); }
+
+private:
+    std::atomic<std::int64_t> m_serviceMs { 0 };
+    std::vector<std::jthread> m_threads;
+};
+
+} // namespace
+
+TEST_GROUP(AdmissionController) {};
+
+// Guards against an urgent request that waits behind less urgent ones which came earlier.
+TEST(AdmissionController, MostUrgentRankGoesFirst)
+{
+    AdmissionController controller(withCapacity(1));
+    auto running = controller.admit(makeEntry("first", Rank::Background), Deadline::after(longWait));
+    CHECK_TRUE(running.has_value());
+    Crowd crowd(controller);
+    crowd.add(makeEntry("lookup", Rank::Background));
+    crowd.add(makeEntry("save", Rank::Urgent));
+    running->release();
+    crowd.join();
+    CHECK_TRUE(crowd.order().front() == "save");
+}
+
+// Guards against a starved rank: without floors a save overload leaves proofs and tickets nothing.
+TEST(AdmissionController, RankKeepsItsFloorUnderUrgentOverload)
+{
+    const auto shareOfPulls = [](AdmissionPolicy policy) {
+        auto options = withCapacity(8);
+        options.policy = policy;
+        AdmissionController controller(options);
+        Pressure saves(controller, makeEntry("save", Rank::Urgent), 30, Milliseconds(3));
+        Pressure pulls(controller, makeEntry("pull", Rank::Normal), 10, Milliseconds(6));
+        std::this_thread::sleep_for(Milliseconds(800));
+        const double total = saves.serviceMs() + pulls.serviceMs();
+        const double share = pulls.serviceMs() / total;
+        saves.stop();
+        pulls.stop();
+        return share;
+    };
+    CHECK_TRUE(shareOfPulls(AdmissionPolicy::RankedWithFloors) >= 0.8 * 0.20);
+    CHECK_TRUE(shareOfPulls(AdmissionPolicy::RankedWithFloors) <= 1.6 * 0.20);
+    CHECK_TRUE(shareOfPulls(AdmissionPolicy::StrictPriority) < 0.05);
+}
+
+// Guards against one entry that takes the floor of another entry of its rank by sheer number of requests.
+TEST(AdmissionController, EntryKeepsItsFloorAgainstAFloodInItsRank)
+{
+    auto options = withCapacity(8);
+    options.rankFloorPercent = { 0, 0, 0 };
+    AdmissionController controller(options);
+    Pressure saves(controller, makeEntry("save", Rank::Urgent), 30, Milliseconds(3));
+    Pressure flood(controller, makeEntry("flood", Rank::Normal), 60, Milliseconds(3));
+    Pressure proofs(controller, makeEntry("proof", Rank::Normal, 25), 10, Milliseconds(3));
+    std::this_thread::sleep_for(Milliseconds(800));
+    const double total = saves.serviceMs() + flood.serviceMs() + proofs.serviceMs();
+    CHECK_TRUE(proofs.serviceMs() / total >= 0.8 * 0.25);
+    saves.stop();
+    flood.stop();
+    proofs.stop();
+}
+
+// Guards against a flood that fills its rank's queue and has every other entry of the rank refused.
+TEST(AdmissionController, FullQueueMakesRoomForAnEntryThatWaitsLess)
+{
+    auto options = withCapacity(1);
+    options.maxWaiting = { 4, 4, 4 };
+    AdmissionController controller(options);
+    auto running = controller.admit(makeEntry("first", Rank::Normal), Deadline::after(longWait));
+    Crowd crowd(controller);
+    for (int n = 0; n < 4; ++n)
+        crowd.add(makeEntry("flood", Rank::Normal));
+    CHECK_EQUAL(0, crowd.refused());
+    crowd.add(makeEntry("proof", Rank::Normal));
+    CHECK_EQUAL(4, controller.waiting());
+    running->release();
+    crowd.join();
+    CHECK_EQUAL(1, crowd.refused());
+    const auto order = crowd.order();
+    CHECK_TRUE(std::ranges::find(order, "proof") <= order.begin() + 1);
+}
+
+// Guards against unbounded queues, and refusals that do not say who was refused, why and when to come back.
+TEST(AdmissionController, RefusesAtOnceWithEntryOwnerCauseAndRetryAfter)
+{
+    auto options = withCapacity(1);
+    options.maxWaiting = { 2, 2, 2 };
+    AdmissionController controller(options);
+    auto running = controller.admit(makeEntry("proof", Rank::Normal), Deadline::after(longWait));
+    Crowd crowd(controller);
+    crowd.add(makeEntry("proof", Rank::Normal));
+    crowd.add(makeEntry("proof", Rank::Normal));
+    const auto before = Clock::now();
+    const auto refused = controller.admit(makeEntry("proof", Rank::Normal), Deadline::after(longWait));
+    CHECK_TRUE(Clock::now() - before < longWait / 10);
+    CHECK_FALSE(refused.has_value());
+    CHECK_TRUE(refused.error().verdict == Verdict::NotRun);
+    CHECK_TRUE(refused.error().code == FailureCode::Refused);
+    CHECK_TRUE(refused.error().cause == Cause::RankQueue);
+    STRCMP_EQUAL("proof", refused.error().entry.c_str());
+    STRCMP_EQUAL("proof-owner", refused.error().owner.c_str());
+    CHECK_TRUE(refused.error().retryAfter > Milliseconds(0));
+    running->release();
+}
+
+// Guards against a request that waits in vain although it is known on arrival that its time will not suffice.
+TEST(AdmissionController, RefusesWhenTheExpectedWaitExceedsTheDeadline)
+{
+    AdmissionController controller(withCapacity(1));
+    const auto entry = makeEntry("pull", Rank::Normal);
+    for (int n = 0; n < 3; ++n) {
+        const auto ticket = controller.admit(entry, Deadline::after(longWait));
+        std::this_thread::sleep_for(Milliseconds(40));
+    }
+    auto running = controller.admit(entry, Deadline::after(longWait));
+    Crowd crowd(controller);
+    for (int n = 0; n < 10; ++n)
+        crowd.add(entry);
+    const auto expected = controller.expectedWait(Rank::Normal);
+    CHECK_TRUE(expected >= Milliseconds(10 * 40));
+    const auto before = Clock::now();
+    const auto refused = controller.admit(entry, Deadline::after(expected / 2));
+    CHECK_TRUE(Clock::now() - before < expected / 4);
+    CHECK_TRUE(refused.error().cause == Cause::RankQueue);
+    auto impatient = entry;
+    impatient.maxQueue = expected / 2;
+    CHECK_FALSE(controller.admit(impatient, Deadline::after(longWait)).has_value());
+    running->release();
+}
+
+// Guards against a wrong cause: with nothing ahead in the queue, the connections themselves were missing.
+TEST(AdmissionController, StuckConnectionsAreReportedAsFleetCapacity)
+{
+    AdmissionController controller(withCapacity(1));
+    auto running = controller.admit(makeEntry("lookup", Rank::Background), Deadline::after(longWait));
+    const auto refused = controller.admit(makeEntry("save", Rank::Urgent), Deadline::after(Milliseconds(30)));
+    CHECK_TRUE(refused.error().cause == Cause::FleetCapacity);
+    CHECK_EQUAL(0, controller.waiting());
+}
+
+// Guards against connections that are returned twice (more run than the endpoint accepts) or never.
+TEST(AdmissionController, TicketsAreReturnedExactlyOnce)
+{
+    AdmissionController controller(withCapacity(2));
+    const auto entry = makeEntry("save", Rank::Urgent);
+    auto first = controller.admit(entry, Deadline::after(longWait)).value();
+    auto second = controller.admit(entry, Deadline::after(longWait)).value();
+    first.release();
+    first.release();
+    CHECK_EQUAL(1, controller.running());
+    auto moved = std::move(second);
+    CHECK_EQUAL(1, controller.running());
+    moved = std::move(first);
+    CHECK_EQUAL(0, controller.running());
+
+    Pressure saves(controller, entry, 8, Milliseconds(1));
+    Pressure pulls(controller, makeEntry("pull", Rank::Normal), 8, Milliseconds(1));
+    for (int n = 0; n < 100; ++n) {
+        CHECK_TRUE(controller.running() <= 2);
+        std::this_thread::sleep_for(Milliseconds(2));
+    }
+    saves.stop();
+    pulls.stop();
+    CHECK_EQUAL(0, controller.running());
+    CHECK_EQUAL(0, controller.waiting());
+}
+
+// Guards against urgent requests that find every connection taken by long requests of low ranks.
+TEST(AdmissionController, KeepsConnectionsFreeForRecentUrgentTraffic)
+{
+    const auto busyAfterSaves = [](double idleBudget) {
+        auto options = withCapacity(12);
+        options.urgentIdleBudget = idleBudget;
+        AdmissionController controller(options);
+        {
+            Pressure saves(controller, makeEntry("save", Rank::Urgent), 6, Milliseconds(5));
+            std::this_thread::sleep_for(Milliseconds(800));
+        }
+        std::vector<AdmissionTicket> lookups;
+        for (int n = 0; n < 12; ++n) {
+            if (auto ticket = controller.admit(makeEntry("lookup", Rank::Background), Deadline::after(Milliseconds(1))))
+                lookups.push_back(std::move(*ticket));
+        }
+        return lookups.size();
+    };
+    CHECK_TRUE(busyAfterSaves(0.04) < 12);
+    CHECK_EQUAL(12, busyAfterSaves(0));
+}
