--- a/apps/kumquatbank/main.cpp
+++ b/apps/kumquatbank/main.cpp
@@ -91,7 +91,7 @@
 {
     try {
         return runCommandLine(argc, argv);
-    } catch (const cxxopts::OptionException& e) {
+    } catch (const cxxopts::exceptions::exception& e) {
         std::cerr << "kumquatbank: " << e.what() << "\n";
         return exitInvalidInput;
     }
