--- a/packages/group/src/EndpointPool.cpp
+++ b/packages/group/src/EndpointPool.cpp
@@ -96,7 +96,8 @@
     m_isActive = true;
     m_lastFailure.reset();
     m_nextAttempt = Clock::now();
-    m_changed.notify_all();
+    m_available.notify_all();
+    m_demand.notify_all();
 }
 
 void EndpointPool::suspend()
@@ -119,7 +120,8 @@
         std::ranges::for_each(m_leased, [](EndpointConnection* connection) { connection->abort(); });
     m_lastFailure.reset();
     m_nextAttempt = Clock::now();
-    m_changed.notify_all();
+    m_available.notify_all();
+    m_demand.notify_all();
 }
 
 Result<EndpointPool::Lease> EndpointPool::acquire(const Deadline& deadline)
@@ -127,8 +129,9 @@
     std::unique_lock lock(m_mutex);
     ++m_waiting;
     m_peakDemand = std::max(m_peakDemand, m_leased.size() + m_waiting);
-    m_changed.notify_all();
-    m_changed.wait_until(lock, deadline.at(), [this] {
+    if (m_idle.size() + m_leased.size() + m_opening < wanted())
+        m_demand.notify_one();
+    m_available.wait_until(lock, deadline.at(), [this] {
         const bool isHopeless = m_lastFailure && m_leased.empty() && m_opening == 0;
         return !m_idle.empty() || !m_isActive || isHopeless;
     });
@@ -160,11 +163,12 @@
     invariant(m_leased.erase(connection.get()) == 1, "a lease is returned once");
     if (isClean && generation == m_generation && m_isActive) {
         m_idle.push_back(std::move(connection));
+        m_available.notify_one();
     } else {
         closed = std::move(connection);
         ++m_closed;
+        m_demand.notify_one();
     }
-    m_changed.notify_all();
 }
 
 std::size_t EndpointPool::wanted() const
@@ -178,11 +182,11 @@
     while (!stop.stop_requested()) {
         const auto isNeeded
             = [this] { return m_isActive && m_idle.size() + m_leased.size() + m_opening < wanted(); };
-        m_changed.wait(lock, stop, isNeeded);
+        m_demand.wait(lock, stop, isNeeded);
         if (stop.stop_requested())
             return;
         if (Clock::now() < m_nextAttempt) {
-            m_changed.wait_until(lock, stop, m_nextAttempt, [&] { return !m_isActive; });
+            m_demand.wait_until(lock, stop, m_nextAttempt, [&] { return !m_isActive; });
             continue;
         }
         openOne(lock);
@@ -206,7 +210,7 @@
         ++m_opened;
         m_idle.push_back(std::move(*connection));
     }
-    m_changed.notify_all();
+    m_available.notify_all();
 }
 
 nlohmann::json EndpointPool::state() const
--- a/packages/group/src/EndpointPool.h
+++ b/packages/group/src/EndpointPool.h
@@ -76,7 +76,8 @@
     const ClaimNumber& m_claim;
     const unsigned m_size;
     mutable std::mutex m_mutex;
-    std::condition_variable_any m_changed;
+    std::condition_variable m_available; ///< For callers: a connection is idle or none can be had.
+    std::condition_variable_any m_demand; ///< For the openers: more connections are wanted.
     std::vector<std::unique_ptr<EndpointConnection>> m_idle;
     std::set<EndpointConnection*> m_leased;
     std::uint64_t m_generation = 0;
--- a/packages/group/src/EndpointProber.cpp
+++ b/packages/group/src/EndpointProber.cpp
@@ -87,6 +87,9 @@
                 m_control.close();
             return;
         }
+        // Other calls of this process keep the connection busy; they notice a hanging endpoint themselves.
+        if (!status && status.error().code == FailureCode::Unavailable)
+            return;
         hangs = !status && status.error().code == FailureCode::Timeout;
     }
 
--- a/packages/group/src/GroupParts.cpp
+++ b/packages/group/src/GroupParts.cpp
@@ -137,6 +137,9 @@
     if (failure.cause != Cause::None)
         return failure;
     switch (failure.code) {
+    case FailureCode::DeadlinePassed:
+        failure.cause = Cause::Deadline;
+        break;
     case FailureCode::Timeout:
         failure.cause = Cause::EndpointSlow;
         break;
--- a/packages/group/src/GroupView.cpp
+++ b/packages/group/src/GroupView.cpp
@@ -50,7 +50,8 @@
         view.claim = claim;
         view.claimHost = claimHost;
     }
-    if (!isStale) {
+    // A status that was sent before a promotion shows the role before it.
+    if (!isStale && sentAt >= view.promotedAt) {
         view.isPrimary = isPrimary;
         if (isPrimary)
             acceptPrimary(slot, report.promisedTerm);
@@ -75,8 +76,10 @@
     const std::scoped_lock lock(m_mutex);
     mergeReport(slot, report);
     auto& view = m_slots.at(slot);
-    if (view.promisedTerm == report.promisedTerm)
+    if (view.promisedTerm == report.promisedTerm) {
         view.isPrimary = true;
+        view.promotedAt = Clock::now();
+    }
     acceptPrimary(slot, report.promisedTerm);
     notify();
 }
@@ -113,6 +116,7 @@
         return;
     invariant(!m_primary || m_primary->term != term || m_primary->slot == slot,
         "one term has one primary");
+    invariant(!m_primary || term >= m_primary->term, "the accepted term never decreases");
     m_primary = PrimaryView { slot, term };
 }
 
@@ -256,6 +260,42 @@
     }
 }
 
+bool GroupView::isProof(const SlotView& slot, const PrimaryView& primary, const LogPosition& position)
+{
+    return slot.promisedTerm == primary.term && slot.position.term == primary.term
+        && slot.position.position >= position.position;
+}
+
+bool GroupView::canConfirmLocked(const PrimaryView& primary) const
+{
+    if (m_primary && m_primary->term > primary.term)
+        return false;
+    const auto usable = std::ranges::count_if(
+        m_slots, [&](const SlotView& slot) { return slot.promisedTerm <= primary.term; });
+    return static_cast<std::size_t>(usable) >= m_majority;
+}
+
+bool GroupView::canConfirm(const PrimaryView& primary) const
+{
+    const std::scoped_lock lock(m_mutex);
+    return canConfirmLocked(primary);
+}
+
+bool GroupView::waitForProofs(const PrimaryView& primary, const LogPosition& position, std::size_t needed,
+    const Deadline& deadline) const
+{
+    std::unique_lock lock(m_mutex);
+    bool isProved = false;
+    m_changed.wait_until(lock, deadline.at(), [&] {
+        std::size_t proofs = 0;
+        for (std::size_t n = 0; n < m_slots.size(); ++n)
+            proofs += n != primary.slot && isProof(m_slots[n], primary, position) ? 1 : 0;
+        isProved = proofs >= needed;
+        return isProved || !canConfirmLocked(primary);
+    });
+    return isProved;
+}
+
 void GroupView::wake()
 {
     const std::scoped_lock lock(m_mutex);
--- a/packages/group/src/GroupView.h
+++ b/packages/group/src/GroupView.h
@@ -23,6 +23,7 @@
     std::string claimHost;
     Milliseconds primaryContact { 0 }; ///< Time since the replica heard its primary.
     TimePoint statusAt {}; ///< Sending time of the last answered status call.
+    TimePoint promotedAt {}; ///< Sending time of the promotion that this process knows of.
     TimePoint reportedAt {}; ///< Sending time of the request behind promisedTerm and position.
     std::optional<TimePoint> firstFailure; ///< First failed probe since the last answered one.
     Milliseconds catchUp { 0 }; ///< Recent time from a primary's sample until this slot covered it.
@@ -100,11 +101,24 @@
     /// The condition is called with the view unlocked, at every change and at least every 50 ms.
     bool waitUntil(const Deadline& deadline, const std::function<bool()>& condition) const;
 
+    /// Waits until @p needed slots other than the primary's report @p position or more in the primary's term, or
+    /// until so few slots are left in that term that this cannot happen any more, or until the deadline.
+    /// Returns true in the first case. Cheaper than waitUntil() for the many writers that wait at once.
+    bool waitForProofs(const PrimaryView& primary, const LogPosition& position, std::size_t needed,
+        const Deadline& deadline) const;
+
+    /// True if this slot's report proves that it holds @p position of the primary's term.
+    static bool isProof(const SlotView& slot, const PrimaryView& primary, const LogPosition& position);
+
+    /// False once the term has moved on so far that a change of @p primary cannot be confirmed any more.
+    bool canConfirm(const PrimaryView& primary) const;
+
     /// Wakes all waiters.
     void wake();
 
 private:
     void notify();
+    bool canConfirmLocked(const PrimaryView& primary) const;
     void acceptPrimary(std::size_t slot, Term term);
     void mergeReport(std::size_t slot, const PositionReport& report);
 
--- a/packages/group/src/TransactionTable.cpp
+++ b/packages/group/src/TransactionTable.cpp
@@ -13,8 +13,7 @@
 std::string TransactionTable::add(std::unique_ptr<OpenTransaction> transaction, std::uint64_t claim)
 {
     const std::scoped_lock lock(m_mutex);
-    auto id = m_database + "." + std::to_string(m_incarnation) + "." + std::to_string(claim) + "."
-        + std::to_string(++m_serial);
+    auto id = prefix() + std::to_string(claim) + "." + std::to_string(++m_serial);
     invariant(m_open.emplace(id, std::move(transaction)).second, "a transaction id is used once");
     return id;
 }
@@ -25,9 +24,11 @@
     const auto it = m_open.find(id);
     if (it == m_open.end())
         return notRun(FailureCode::UnknownTransaction,
-            "transaction '" + id + "' is not open here: it ended, was idle too long or its proxy was replaced");
+            "transaction '" + id + "' is not open here: it ended, was idle too long or its proxy was replaced",
+            id.starts_with(prefix()) ? Cause::BadRequest : Cause::HolderChange);
     if (!it->second)
-        return notRun(FailureCode::Refused, "another request of transaction '" + id + "' is in progress");
+        return notRun(FailureCode::Refused, "another request of transaction '" + id + "' is in progress",
+            Cause::BadRequest);
     return std::move(it->second);
 }
 
@@ -63,6 +64,11 @@
 
 void TransactionTable::closeAll() { closeIdle(Milliseconds(0)); }
 
+std::string TransactionTable::prefix() const
+{
+    return m_database + "." + std::to_string(m_incarnation) + ".";
+}
+
 std::size_t TransactionTable::size() const
 {
     const std::scoped_lock lock(m_mutex);
--- a/packages/group/src/TransactionTable.h
+++ b/packages/group/src/TransactionTable.h
@@ -45,6 +45,8 @@
     std::size_t size() const;
 
 private:
+    std::string prefix() const; ///< Of the ids made by this run of the process.
+
     const std::string m_database;
     const std::uint64_t m_incarnation;
     mutable std::mutex m_mutex;
--- a/packages/group/src/WriteConfirmation.cpp
+++ b/packages/group/src/WriteConfirmation.cpp
@@ -12,6 +12,9 @@
     constexpr Milliseconds reportValidity { 1000 };
     constexpr Milliseconds refreshTimeout { 500 };
 
+    // Pause after a refresh that gave no proof.
+    constexpr Milliseconds refreshPause { 20 };
+
 } // namespace
 
 WriteConfirmation::WriteConfirmation(GroupView& view, std::vector<EndpointControl*> controls)
@@ -20,24 +23,6 @@
 {
 }
 
-bool WriteConfirmation::isProof(
-    const SlotView& slot, const PrimaryView& primary, const LogPosition& position) const
-{
-    return slot.promisedTerm == primary.term && slot.position.term == primary.term
-        && slot.position.position >= position.position;
-}
-
-bool WriteConfirmation::canStillConfirm(const PrimaryView& primary) const
-{
-    const auto current = m_view.primary();
-    if (current && current->term > primary.term)
-        return false;
-    const auto slots = m_view.slots();
-    const auto usable = std::ranges::count_if(
-        slots, [&](const SlotView& slot) { return slot.promisedTerm <= primary.term; });
-    return static_cast<std::size_t>(usable) >= m_view.majority();
-}
-
 bool WriteConfirmation::refresh(
     std::size_t slot, const PrimaryView& primary, const LogPosition& position, const Deadline& deadline)
 {
@@ -53,7 +38,7 @@
     } catch (const nlohmann::json::exception&) {
         return false;
     }
-    return isProof(m_view.slot(slot), primary, position);
+    return GroupView::isProof(m_view.slot(slot), primary, position);
 }
 
 std::size_t WriteConfirmation::countProofs(
@@ -63,14 +48,14 @@
     std::size_t proofs = 0;
     const auto slots = m_view.slots();
     for (std::size_t n = 0; n < slots.size() && proofs < needed; ++n) {
-        if (n == primary.slot || !isProof(slots[n], primary, position))
+        if (n == primary.slot || !GroupView::isProof(slots[n], primary, position))
             continue;
         const bool isOld = Clock::now() - slots[n].reportedAt > reportValidity;
         const bool hasTermMoved = m_view.greatestTerm() > primary.term;
         if ((isOld || hasTermMoved) && !refresh(n, primary, position, deadline))
             continue;
         const auto proof = m_view.slot(n);
-        if (!isProof(proof, primary, position))
+        if (!GroupView::isProof(proof, primary, position))
             continue; // Fenced between the two looks.
         invariant(proof.position.position >= position.position && proof.position.term == primary.term,
             "an acknowledged position is never above the proof");
@@ -83,14 +68,15 @@
     const PrimaryView& primary, const LogPosition& position, const Deadline& deadline)
 {
     const std::size_t needed = m_view.majority() - 1;
-    bool isConfirmed = false;
-    m_view.waitUntil(deadline, [&] {
-        isConfirmed = countProofs(primary, position, deadline) >= needed;
-        return isConfirmed || !canStillConfirm(primary);
-    });
-    if (isConfirmed)
-        return {};
-    if (!canStillConfirm(primary))
+    while (m_view.waitForProofs(primary, position, needed, deadline)) {
+        if (countProofs(primary, position, deadline) >= needed)
+            return {};
+        if (deadline.hasPassed())
+            break;
+        // A report could not be refreshed; its slot is slow or gone.
+        m_view.waitUntil(deadline.cappedTo(refreshPause), [] { return false; });
+    }
+    if (!m_view.canConfirm(primary))
         return mayHaveRun(FailureCode::Unavailable,
             "the primary was replaced before a replica confirmed the change", Cause::PrimaryFailover);
     return mayHaveRun(
--- a/packages/group/src/WriteConfirmation.h
+++ b/packages/group/src/WriteConfirmation.h
@@ -16,8 +16,6 @@
     Result<void> confirm(const PrimaryView& primary, const LogPosition& position, const Deadline& deadline);
 
 private:
-    bool isProof(const SlotView& slot, const PrimaryView& primary, const LogPosition& position) const;
-    bool canStillConfirm(const PrimaryView& primary) const;
     bool refresh(std::size_t slot, const PrimaryView& primary, const LogPosition& position,
         const Deadline& deadline);
     std::size_t countProofs(
--- /dev/null
+++ b/packages/group/tests/ClaimTest.cpp
@@ -0,0 +1,43 @@
+#include "GroupFixture.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace kumquatbank;
+
+TEST_GROUP(GroupClaim) {};
+
+// Guards against a superseded holder that still runs requests or takes the group back at once.
+TEST(GroupClaim, SupersededHolderRefusesWithNotRun)
+{
+    StandInGroup group;
+    TestHolder old(group, 1);
+    CHECK_TRUE(old.isReady());
+    TestHolder successor(group, 2);
+    CHECK_TRUE(successor.isReady());
+    const auto refused = old.write("append k old", Milliseconds(1000));
+    CHECK_FALSE(refused.has_value());
+    CHECK_TRUE(refused.error().verdict == Verdict::NotRun);
+    CHECK_TRUE(refused.error().code == FailureCode::NotHolder);
+    CHECK_TRUE(eventually([&] { return old.group().knownHolder() == "127.0.0.1:2"; }));
+    CHECK_FALSE(old.read("get k", "", Milliseconds(500)).has_value());
+    CHECK_TRUE(successor.write("append k new").has_value());
+    CHECK_TRUE(group.values(0, "k") == std::vector<std::string> { "new" });
+
+    old.group().reclaim();
+    CHECK_TRUE(old.isReady());
+    CHECK_FALSE(successor.group().isHolder());
+}
+
+// Guards against two processes that take the group from each other without end.
+TEST(GroupClaim, ConcurrentClaimsSettle)
+{
+    StandInGroup group;
+    TestHolder one(group, 1);
+    TestHolder two(group, 2);
+    CHECK_TRUE(eventually([&] { return one.group().isHolder() != two.group().isHolder(); }));
+    std::this_thread::sleep_for(Milliseconds(300));
+    const auto claim = group.status(0).at("claim");
+    std::this_thread::sleep_for(Milliseconds(1500));
+    CHECK_EQUAL(claim, group.status(0).at("claim"));
+    CHECK_TRUE(one.group().isHolder() != two.group().isHolder());
+}
--- /dev/null
+++ b/packages/group/tests/ConsistencyTest.cpp
@@ -0,0 +1,171 @@
+#include "GroupFixture.h"
+
+#include "WriteConfirmation.h"
+
+#include <CppUTest/TestHarness.h>
+#include <algorithm>
+
+using namespace kumquatbank;
+
+namespace {
+
+CallerRequest transactionRequest(RequestKind kind, const std::string& id, const std::string& statement = "")
+{
+    CallerRequest request;
+    request.kind = kind;
+    request.transaction = id;
+    request.statement = statement;
+    request.deadline = Deadline::after(Milliseconds(3000));
+    return request;
+}
+
+nlohmann::json rows(const Result<CallerAnswer>& answer)
+{
+    return answer ? answer->result.at("rows") : nlohmann::json(answer.error().message);
+}
+
+} // namespace
+
+TEST_GROUP(Consistency) {};
+
+// Guards against a session that reads data older than its own change from a replica that lags.
+TEST(Consistency, LaggingReplicasNeverGiveStaleReadsInASession)
+{
+    StandInGroup group(Milliseconds(30));
+    group.slot(2).control({ { "fault", "lag" }, { "ms", 1500 } });
+    TestHolder holder(group);
+    CHECK_TRUE(holder.isReady());
+    unsigned fromReplica = 0;
+    for (int n = 0; n < 60; ++n) {
+        const auto value = std::to_string(n);
+        const auto written = holder.write("put k " + value);
+        CHECK_TRUE(written.has_value());
+        const auto read = holder.read("get k", written->session);
+        CHECK_EQUAL(nlohmann::json::array({ value }), rows(read));
+        fromReplica += read->servedBy == ServedBy::Replica ? 1 : 0;
+    }
+    CHECK_TRUE(fromReplica >= 57);
+}
+
+// Guards against a read that accepts data up to an age and gets older data.
+TEST(Consistency, MaxAgeExcludesReplicasThatAreTooFarBehind)
+{
+    StandInGroup group;
+    TestHolder holder(group);
+    CHECK_TRUE(holder.isReady());
+    group.slot(1).control({ { "fault", "lag" }, { "ms", 5000 } });
+    group.slot(2).control({ { "fault", "lag" }, { "ms", 900 } });
+    holder.entry.maxAge = Milliseconds(2500);
+    std::thread late([&] { holder.write("put k new", Milliseconds(4000)); });
+    std::this_thread::sleep_for(Milliseconds(3000));
+    for (int n = 0; n < 20; ++n)
+        CHECK_EQUAL(nlohmann::json::array({ "new" }), rows(holder.read("get k")));
+    late.join();
+}
+
+// Guards against a change that runs twice when its answer is lost and the primary is replaced.
+TEST(Consistency, RepeatedIdempotencyKeyRunsOnceAcrossAPromotion)
+{
+    StandInGroup group;
+    TestHolder holder(group);
+    CHECK_TRUE(holder.isReady());
+    const auto first = holder.write("append k once", Milliseconds(3000), "key-1");
+    CHECK_TRUE(first.has_value());
+    CHECK_FALSE(first->repeated);
+    group.slot(0).kill();
+    const auto second = holder.write("append k once", Milliseconds(8000), "key-1");
+    CHECK_TRUE(second.has_value());
+    CHECK_TRUE(second->repeated);
+}
+
+// Guards against a key that is repeated at once on the same primary, and against a lost answer that is
+// reported as not run.
+TEST(Consistency, LostAnswerWithAKeyIsRepeatedAtTheNewPrimaryOnly)
+{
+    StandInGroup group;
+    TestHolder holder(group);
+    CHECK_TRUE(holder.isReady());
+    Result<CallerAnswer> answer = notRun(FailureCode::Internal, "not started");
+    std::thread caller([&] { answer = holder.write("sleep 300;append k one", Milliseconds(8000), "key"); });
+    std::this_thread::sleep_for(Milliseconds(100));
+    group.slot(0).kill();
+    caller.join();
+    CHECK_TRUE(answer.has_value());
+    const auto primary = holder.group().state().at("primary").at("slot").get<std::size_t>();
+    const std::vector<std::string> expected { "one" };
+    CHECK_TRUE(group.values(primary, "k") == expected);
+
+    const auto unkeyed = holder.write("sleep 1000;append k two", Milliseconds(200));
+    CHECK_FALSE(unkeyed.has_value());
+    CHECK_TRUE(unkeyed.error().verdict == Verdict::MayHaveRun);
+}
+
+// Guards against statements of one transaction that see or join another's, and against changes of a
+// transaction that was not committed.
+TEST(Consistency, TransactionsAreNotMixed)
+{
+    StandInGroup group;
+    TestHolder holder(group);
+    CHECK_TRUE(holder.isReady());
+    const auto one = holder.run(transactionRequest(RequestKind::Begin, ""));
+    const auto two = holder.run(transactionRequest(RequestKind::Begin, ""));
+    CHECK_TRUE(one.has_value() && two.has_value());
+    CHECK_TRUE(one->transaction != two->transaction);
+    CHECK_TRUE(holder.run(transactionRequest(RequestKind::Write, one->transaction, "append k one")).has_value());
+    CHECK_TRUE(holder.run(transactionRequest(RequestKind::Write, two->transaction, "append k two")).has_value());
+    CHECK_EQUAL(nlohmann::json::array({ "one" }),
+        rows(holder.run(transactionRequest(RequestKind::Read, one->transaction, "get k"))));
+    CHECK_TRUE(holder.run(transactionRequest(RequestKind::Rollback, two->transaction)).has_value());
+    const auto committed = holder.run(transactionRequest(RequestKind::Commit, one->transaction));
+    CHECK_TRUE(committed.has_value());
+    CHECK_EQUAL(nlohmann::json::array({ "one" }), rows(holder.read("get k", committed->session)));
+
+    const auto unknown = holder.run(transactionRequest(RequestKind::Commit, one->transaction));
+    CHECK_FALSE(unknown.has_value());
+    CHECK_TRUE(unknown.error().verdict == Verdict::NotRun);
+    CHECK_TRUE(unknown.error().code == FailureCode::UnknownTransaction);
+
+    // The connection of a transaction that is left open is closed, not handed to the next caller.
+    const auto lost = holder.run(transactionRequest(RequestKind::Begin, ""));
+    CHECK_TRUE(holder.run(transactionRequest(RequestKind::Write, lost->transaction, "append k lost")).has_value());
+    std::this_thread::sleep_for(Milliseconds(900));
+    CHECK_FALSE(holder.run(transactionRequest(RequestKind::Commit, lost->transaction)).has_value());
+    for (int n = 0; n < 5; ++n) {
+        const auto next = holder.run(transactionRequest(RequestKind::Begin, ""));
+        CHECK_TRUE(next.has_value());
+        CHECK_TRUE(holder.run(transactionRequest(RequestKind::Commit, next->transaction)).has_value());
+    }
+    CHECK_TRUE(group.values(0, "k") == std::vector<std::string> { "one" });
+}
+
+// Guards against an acknowledgement by an old report, after this process was paused while the primary was
+// replaced.
+TEST(Consistency, OldReportIsRefreshedBeforeAnAcknowledgement)
+{
+    StandInGroup group;
+    ClaimNumber claim { 0 };
+    std::vector<std::unique_ptr<EndpointControl>> controls;
+    std::vector<EndpointControl*> pointers;
+    for (const auto& slot : group.definition().slots) {
+        controls.push_back(std::make_unique<EndpointControl>(slot.address, "host", claim));
+        pointers.push_back(controls.back().get());
+    }
+    for (const std::size_t n : { 1U, 2U })
+        CHECK_TRUE(controls[n]
+                       ->call("fence", { { "term", 7 }, { "proposer", "other" } },
+                           Deadline::after(Milliseconds(500)))
+                       .has_value());
+    GroupView view(3, 2);
+    WriteConfirmation confirmation(view, pointers);
+    const PrimaryView primary { 0, 1 };
+    const LogPosition position { 1, 1 };
+    view.applyReport(1, { 1, position, Clock::now() - Milliseconds(1500) });
+    const auto stale = confirmation.confirm(primary, position, Deadline::after(Milliseconds(300)));
+    CHECK_FALSE(stale.has_value());
+    CHECK_TRUE(stale.error().verdict == Verdict::MayHaveRun);
+
+    GroupView fresh(3, 2);
+    WriteConfirmation other(fresh, pointers);
+    fresh.applyReport(1, { 1, position, Clock::now() });
+    CHECK_TRUE(other.confirm(primary, position, Deadline::after(Milliseconds(300))).has_value());
+}
