--- a/packages/group/tests/ClaimTest.cpp
+++ b/packages/group/tests/ClaimTest.cpp
@@ -35,9 +35,16 @@
     TestHolder one(group, 1);
     TestHolder two(group, 2);
     CHECK_TRUE(eventually([&] { return one.group().isHolder() != two.group().isHolder(); }));
-    std::this_thread::sleep_for(Milliseconds(300));
-    const auto claim = group.status(0).at("claim");
-    std::this_thread::sleep_for(Milliseconds(1500));
-    CHECK_EQUAL(claim, group.status(0).at("claim"));
+    // The winner outbids the loser at a slot that the loser reached first; then nothing changes any more.
+    const auto claims = [&] {
+        auto seen = nlohmann::json::array();
+        for (std::size_t n = 0; n < 3; ++n)
+            seen.push_back({ group.status(n).at("claim"), group.status(n).at("claimHost") });
+        return seen;
+    };
+    CHECK_TRUE(eventually([&] { return claims()[0] == claims()[1] && claims()[0] == claims()[2]; }));
+    const auto settled = claims();
+    std::this_thread::sleep_for(Milliseconds(2500));
+    CHECK_EQUAL(settled, claims());
     CHECK_TRUE(one.group().isHolder() != two.group().isHolder());
 }
--- a/packages/group/tests/FailoverTest.cpp
+++ b/packages/group/tests/FailoverTest.cpp
@@ -40,7 +40,7 @@
     TestHolder holder(group);
     CHECK_TRUE(holder.isReady());
     Writer writer(holder);
-    std::this_thread::sleep_for(Milliseconds(300));
+    std::this_thread::sleep_for(Milliseconds(600));
     fail();
     CHECK_TRUE(eventually([&] {
         const auto state = holder.group().state();
--- a/packages/transport/src/EndpointConnection.cpp
+++ b/packages/transport/src/EndpointConnection.cpp
@@ -61,6 +61,7 @@
         const std::string& method, const nlohmann::json& params, const Deadline& deadline);
 
     bool isUsable() const { return m_isUsable; }
+    void abort() { m_socket.shutdown(); }
 
 private:
     /// Marks the connection unusable; the request stays NotRun only while no byte of it was sent.
@@ -159,6 +160,8 @@
     return m_impl->call(method, params, deadline);
 }
 
+void EndpointConnection::abort() { m_impl->abort(); }
+
 bool EndpointConnection::isUsable() const { return m_impl->isUsable(); }
 
 } // namespace kumquatbank
--- a/packages/transport/src/TcpLineSocket.cpp
+++ b/packages/transport/src/TcpLineSocket.cpp
@@ -123,6 +123,8 @@
     return n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
+void TcpLineSocket::shutdown() { ::shutdown(m_fd, SHUT_RDWR); }
+
 SocketStatus TcpLineSocket::sendAll(std::string_view data, const Deadline& deadline, std::size_t& sentBytes)
 {
     sentBytes = 0;
--- a/packages/transport/src/TcpLineSocket.h
+++ b/packages/transport/src/TcpLineSocket.h
@@ -32,6 +32,9 @@
     /// True when nothing has arrived since the last line and the peer has not closed the connection.
     bool isQuiet() const;
 
+    /// Ends the connection, and every wait on it. May be called from any thread while the object lives.
+    void shutdown();
+
     /// Sends all of @p data; @p sentBytes tells how much was handed to the system, also on failure.
     SocketStatus sendAll(std::string_view data, const Deadline& deadline, std::size_t& sentBytes);
 
