--- a/packages/admission/tests/AdmissionControllerTest.cpp
+++ b/packages/admission/tests/AdmissionControllerTest.cpp
@@ -179,10 +179,11 @@
     Pressure proofs(controller, makeEntry("proof", Rank::Normal, 25), 10, Milliseconds(3));
     std::this_thread::sleep_for(Milliseconds(800));
     const double total = saves.serviceMs() + flood.serviceMs() + proofs.serviceMs();
-    CHECK_TRUE(proofs.serviceMs() / total >= 0.8 * 0.25);
+    const double share = proofs.serviceMs() / total;
     saves.stop();
     flood.stop();
     proofs.stop();
+    CHECK_TRUE(share >= 0.8 * 0.25);
 }
 
 // Guards against a flood that fills its rank's queue and has every other entry of the rank refused.
@@ -280,12 +281,14 @@
 
     Pressure saves(controller, entry, 8, Milliseconds(1));
     Pressure pulls(controller, makeEntry("pull", Rank::Normal), 8, Milliseconds(1));
+    std::size_t mostRunning = 0;
     for (int n = 0; n < 100; ++n) {
-        CHECK_TRUE(controller.running() <= 2);
+        mostRunning = std::max(mostRunning, controller.running());
         std::this_thread::sleep_for(Milliseconds(2));
     }
     saves.stop();
     pulls.stop();
+    CHECK_EQUAL(2, mostRunning);
     CHECK_EQUAL(0, controller.running());
     CHECK_EQUAL(0, controller.waiting());
 }
