--- a/packages/causes/include/kumquatbank/causes/CauseLedger.h
+++ b/packages/causes/include/kumquatbank/causes/CauseLedger.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "kumquatbank/causes/CauseObject.h"
+#include "kumquatbank/causes/CauseRow.h"
 
 #include <memory>
 #include <vector>
@@ -11,29 +11,26 @@
 /// saved go first. Thread-safe.
 class CauseLedger {
 public:
-    CauseLedger();
+    /// @param maxRows rows kept in memory; one takes about 300 bytes.
+    explicit CauseLedger(std::size_t maxRows = 20'000);
     ~CauseLedger();
     CauseLedger(const CauseLedger&) = delete;
     CauseLedger& operator=(const CauseLedger&) = delete;
 
-    void recordRefusal(const CauseKey& key, Milliseconds lost);
-    void recordDelay(const CauseKey& key, Milliseconds lost);
+    void recordRefusal(const CauseKey& key, Milliseconds lost, WallTime at = WallClock::now());
+    void recordDelay(const CauseKey& key, Milliseconds lost, WallTime at = WallClock::now());
 
     /// Rows with from <= minute < to, ordered by minute and key.
     std::vector<CauseRow> rows(WallTime from, WallTime to) const;
 
-    /// One hour as it was when it was read.
-    struct Hour {
-        CauseHour start;
-        std::uint64_t changeCount = 0; ///< Changes to this hour so far.
-        std::vector<CauseRow> rows;
-    };
+    /// Every row before @p before is saved elsewhere and may be dropped when memory is needed.
+    void markSaved(WallTime before);
 
-    /// Hours with changes since their last markSaved().
-    std::vector<Hour> unsavedHours() const;
+    /// Rows before this time may be missing; the epoch when nothing was dropped.
+    WallTime keptSince() const;
 
-    /// Notes that @p hour is on the platform as it was read.
-    void markSaved(const Hour& hour);
+    std::uint64_t changeCount() const; ///< Records so far; equal numbers mean equal rows.
+    std::uint64_t lostCount() const; ///< Records dropped before they were saved.
 
 private:
     class Impl;
--- a/packages/causes/include/kumquatbank/causes/CauseReport.h
+++ b/packages/causes/include/kumquatbank/causes/CauseReport.h
@@ -1,48 +1,45 @@
 #pragma once
 
-#include "kumquatbank/causes/CauseObject.h"
+#include "kumquatbank/causes/CauseBatch.h"
 
 #include <map>
+#include <string>
 #include <vector>
 
 namespace kumquatbank {
 
-/// Refusals and delays of a window that share a key.
+/// All refusals and delays of one rank, entry, owner, database, place and cause.
 struct CauseTotal {
     CauseKey key;
     std::uint64_t refused = 0;
     std::uint64_t delayed = 0;
     Milliseconds lost { 0 };
+    std::chrono::sys_seconds firstMinute;
+    std::chrono::sys_seconds lastMinute;
 };
 
 void to_json(nlohmann::json& json, const CauseTotal& total);
 
-/// Merges the rows of many processes over a window. Sources may overlap: what a process has saved on the
-/// platform and what it reports itself are counted once. Not thread-safe.
+/// Adds up the rows of many process runs. Copies of the same run's rows (its platform objects and the live
+/// process) count once. Not thread-safe.
 class CauseReport {
 public:
-    /// Window from <= minute < to.
-    CauseReport(WallTime from, WallTime to);
+    /// Adds one copy of a process run's rows with from <= minute < to.
+    void add(const CauseBatch& batch, WallTime from, WallTime to);
 
-    /// Adds one source. Of two rows of the same run, minute and key the greater counts win, because a run's
-    /// counters only grow.
-    void add(const CauseSource& source);
-
-    /// Totals by key, most time lost first, then most refusals.
+    /// Totals, the greatest lost time first.
     std::vector<CauseTotal> totals() const;
 
-private:
-    struct RowKey {
-        std::string run;
-        std::chrono::sys_seconds minute;
-        CauseKey key;
+    std::size_t processCount() const { return m_rowsByRun.size(); }
+    std::size_t omittedCount() const; ///< Rows that the sources themselves left out.
 
-        auto operator<=>(const RowKey&) const = default;
+private:
+    struct Run {
+        std::vector<CauseRow> rows;
+        std::size_t omitted = 0;
     };
 
-    const WallTime m_from;
-    const WallTime m_to;
-    std::map<RowKey, CauseRow> m_rows;
+    std::map<std::string, Run> m_rowsByRun;
 };
 
 } // namespace kumquatbank
--- a/packages/causes/src/CauseLedger.cpp
+++ b/packages/causes/src/CauseLedger.cpp
@@ -1,124 +1,126 @@
 #include "kumquatbank/causes/CauseLedger.h"
 
-#include <algorithm>
 #include <map>
 #include <mutex>
 
 namespace kumquatbank {
 
-namespace {
-
-    // An object on the platform holds at most 1 MB; a row takes about 250 bytes there.
-    constexpr std::size_t maxRowsPerHour = 3500;
-
-    // A day of quiet hours and a long platform outage fit; about 10 MB.
-    constexpr std::size_t maxRows = 40'000;
-
-    // Stands for the keys of an hour that has too many of them.
-    constexpr const char* overflowName = "(others)";
-
-    std::chrono::sys_seconds minuteOf(WallTime time) { return std::chrono::floor<std::chrono::minutes>(time); }
-
-    CauseHour hourOf(std::chrono::sys_seconds minute) { return std::chrono::floor<std::chrono::hours>(minute); }
-
-} // namespace
-
 class CauseLedger::Impl {
 public:
-    void add(CauseKey key, bool isRefusal, Milliseconds lost);
+    explicit Impl(std::size_t maxRows)
+        : m_maxRows(maxRows)
+    {
+    }
 
-    struct HourRecord {
-        std::uint64_t changeCount = 0;
-        std::uint64_t savedCount = 0;
-        std::map<std::pair<std::chrono::sys_seconds, CauseKey>, CauseRow> rows;
-    };
+    void record(const CauseKey& key, WallTime at, std::uint64_t refused, std::uint64_t delayed, Milliseconds lost)
+    {
+        const auto minute = std::chrono::floor<std::chrono::minutes>(at);
+        const std::scoped_lock lock(m_mutex);
+        ++m_changes;
+        Minute& rows = m_minutes[minute];
+        auto it = rows.find(key);
+        if (it == rows.end()) {
+            if (!makeRoom(minute)) {
+                ++m_lost;
+                return;
+            }
+            it = rows.emplace(key, CauseRow { key, minute, 0, 0, Milliseconds(0) }).first;
+            ++m_rows;
+        }
+        it->second.refused += refused;
+        it->second.delayed += delayed;
+        it->second.lost += lost;
+    }
 
-    mutable std::mutex mutex;
-    std::map<CauseHour, HourRecord> hours;
+    std::vector<CauseRow> rows(WallTime from, WallTime to) const
+    {
+        const std::scoped_lock lock(m_mutex);
+        std::vector<CauseRow> result;
+        for (auto it = m_minutes.lower_bound(std::chrono::ceil<std::chrono::minutes>(from));
+             it != m_minutes.end() && it->first < to; ++it) {
+            for (const auto& [key, row] : it->second)
+                result.push_back(row);
+        }
+        return result;
+    }
 
-private:
-    void makeRoom();
+    void markSaved(WallTime before)
+    {
+        const std::scoped_lock lock(m_mutex);
+        m_savedBefore = std::max(m_savedBefore, before);
+    }
 
-    std::size_t m_rowCount = 0;
-};
+    WallTime keptSince() const
+    {
+        const std::scoped_lock lock(m_mutex);
+        return m_keptSince;
+    }
 
-void CauseLedger::Impl::add(CauseKey key, bool isRefusal, Milliseconds lost)
-{
-    const auto minute = minuteOf(WallClock::now());
-    const std::lock_guard lock(mutex);
-    auto& hour = hours[hourOf(minute)];
-    if (hour.rows.size() >= maxRowsPerHour && !hour.rows.contains({ minute, key })) {
-        // Rank and cause are kept; entry, owner, database and place are merged under one name.
-        key.entry = key.owner = key.database = key.place = overflowName;
+    std::uint64_t changeCount() const
+    {
+        const std::scoped_lock lock(m_mutex);
+        return m_changes;
     }
-    const auto [it, isNew] = hour.rows.try_emplace({ minute, key });
-    if (isNew) {
-        it->second.key = std::move(key);
-        it->second.minute = minute;
-        ++m_rowCount;
+
+    std::uint64_t lostCount() const
+    {
+        const std::scoped_lock lock(m_mutex);
+        return m_lost;
     }
-    ++(isRefusal ? it->second.refused : it->second.delayed);
-    it->second.lost += lost;
-    ++hour.changeCount;
-    makeRoom();
-}
 
-void CauseLedger::Impl::makeRoom()
-{
-    while (m_rowCount > maxRows && hours.size() > 1) {
-        const auto saved = std::ranges::find_if(
-            hours, [](const auto& it) { return it.second.savedCount == it.second.changeCount; });
-        const auto victim = saved == hours.end() || std::next(saved) == hours.end() ? hours.begin() : saved;
-        m_rowCount -= victim->second.rows.size();
-        hours.erase(victim);
+private:
+    using Minute = std::map<CauseKey, CauseRow>;
+
+    /// Drops the oldest minutes until one more row fits; false when only @p current is left. The oldest are
+    /// also those that were saved, if any were.
+    bool makeRoom(std::chrono::sys_seconds current)
+    {
+        while (m_rows >= m_maxRows) {
+            const auto oldest = m_minutes.begin();
+            if (oldest->first == current)
+                return false;
+            if (oldest->first >= m_savedBefore) {
+                for (const auto& [key, row] : oldest->second)
+                    m_lost += row.refused + row.delayed;
+            }
+            m_rows -= oldest->second.size();
+            m_keptSince = oldest->first + std::chrono::minutes(1);
+            m_minutes.erase(oldest);
+        }
+        return true;
     }
-}
 
-CauseLedger::CauseLedger()
-    : m_impl(std::make_unique<Impl>())
+    mutable std::mutex m_mutex;
+    std::size_t m_maxRows;
+    std::map<std::chrono::sys_seconds, Minute> m_minutes;
+    std::size_t m_rows = 0;
+    WallTime m_savedBefore;
+    WallTime m_keptSince;
+    std::uint64_t m_changes = 0;
+    std::uint64_t m_lost = 0;
+};
+
+CauseLedger::CauseLedger(std::size_t maxRows)
+    : m_impl(std::make_unique<Impl>(maxRows))
 {
 }
 
 CauseLedger::~CauseLedger() = default;
 
-void CauseLedger::recordRefusal(const CauseKey& key, Milliseconds lost) { m_impl->add(key, true, lost); }
-
-void CauseLedger::recordDelay(const CauseKey& key, Milliseconds lost) { m_impl->add(key, false, lost); }
-
-std::vector<CauseRow> CauseLedger::rows(WallTime from, WallTime to) const
+void CauseLedger::recordRefusal(const CauseKey& key, Milliseconds lost, WallTime at)
 {
-    const std::lock_guard lock(m_impl->mutex);
-    std::vector<CauseRow> rows;
-    for (const auto& [start, hour] : m_impl->hours) {
-        for (const auto& [key, row] : hour.rows) {
-            if (row.minute >= from && row.minute < to)
-                rows.push_back(row);
-        }
-    }
-    return rows;
+    m_impl->record(key, at, 1, 0, lost);
 }
 
-std::vector<CauseLedger::Hour> CauseLedger::unsavedHours() const
+void CauseLedger::recordDelay(const CauseKey& key, Milliseconds lost, WallTime at)
 {
-    const std::lock_guard lock(m_impl->mutex);
-    std::vector<Hour> unsaved;
-    for (const auto& [start, hour] : m_impl->hours) {
-        if (hour.changeCount == hour.savedCount)
-            continue;
-        Hour copy { start, hour.changeCount, {} };
-        std::ranges::transform(
-            hour.rows, std::back_inserter(copy.rows), [](const auto& it) { return it.second; });
-        unsaved.push_back(std::move(copy));
-    }
-    return unsaved;
+    m_impl->record(key, at, 0, 1, lost);
 }
 
-void CauseLedger::markSaved(const Hour& hour)
-{
-    const std::lock_guard lock(m_impl->mutex);
-    const auto it = m_impl->hours.find(hour.start);
-    if (it != m_impl->hours.end())
-        it->second.savedCount = std::max(it->second.savedCount, hour.changeCount);
-}
+std::vector<CauseRow> CauseLedger::rows(WallTime from, WallTime to) const { return m_impl->rows(from, to); }
+void CauseLedger::markSaved(WallTime before) { m_impl->markSaved(before); }
+WallTime CauseLedger::keptSince() const { return m_impl->keptSince(); }
+std::uint64_t CauseLedger::changeCount() const { return m_impl->changeCount(); }
+std::uint64_t CauseLedger::lostCount() const { return m_impl->lostCount(); }
 
 } // namespace kumquatbank
--- a/packages/proxy/src/OperatorService.cpp
+++ b/packages/proxy/src/OperatorService.cpp
@@ -101,9 +101,7 @@
     const auto to = queryTime(request, "to");
     if (!from || !to || *from >= *to)
         return errorResponse(400, "from and to must be Unix seconds, from before to");
-    return jsonResponse(200,
-        { { "host", m_self.address.toString() }, { "incarnation", m_self.incarnation },
-            { "rows", m_causes.rows(*from, *to) } });
+    return jsonResponse(200, CauseBatch { m_self, m_causes.rows(*from, *to), 0 });
 }
 
 HttpResponse OperatorService::serveReady() const
