--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -155,3 +155,38 @@
 fault() { # database index, slot, JSON
     echo "$3" | timeout 2 curl -s "telnet://127.0.0.1:$(control_port "$1" "$2")" || true
 }
+
+# Prints a load mix: for each entry "suffix:rank:kind:callers:rate:deadlineMs" of every service in use.
+# A rate of 0 lets every caller send its next request at once.
+write_mix() { # specifications...
+    local service spec suffix rank kind callers rate deadline first=1 names name
+    echo "["
+    for service in 1 2 3; do
+        names=
+        for name in "${databases[@]}"; do
+            [ "${name%-*}" = "$service_prefix-$service" ] && names+="${names:+,}\"$name\""
+        done
+        [ -n "$names" ] || continue
+        for spec in "$@"; do
+            IFS=: read -r suffix rank kind callers rate deadline <<<"$spec"
+            [ $first = 1 ] || echo ","
+            first=0
+            echo "{\"entry\":\"$service_prefix-$service-$suffix\",\"rank\":$rank,\"kind\":\"$kind\",\"callers\":$callers,\"rate\":$rate,\"deadlineMs\":$deadline,\"databases\":[$names]}"
+        done
+    done
+    echo "]"
+}
+
+# The ordinary work of a deployment, per service: suffix:rank:kind:callers:rate:deadlineMs.
+ordinary_work() {
+    case $deployment in
+    stenozapis) echo save:1:write:4:40:3000 save:1:transaction:1:5:3000 pull:2:read:4:80:3000 lookup:3:read:6:160:3000 ;;
+    lone-star) echo confirm:1:write:4:40:3000 confirm:1:transaction:1:5:3000 proof:2:read:4:80:3000 ticket:2:read:4:80:3000 view:3:read:6:120:3000 ;;
+    esac
+}
+
+run_load() { # mix file, seconds, seed, extra options...
+    local mix=$1 seconds=$2 seed=$3; shift 3
+    "$bin/tools/load_driver" --proxies "$(proxy_list)" --databases "$(control_list)" --mix "$mix" \
+        --seconds "$seconds" --seed "$seed" "$@"
+}
