--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -1,12 +1,13 @@
 # Functions that start and stop one deployment of stand-ins and proxies on loopback; sourced by the other scripts.
 # The caller sets `root` (repository) and may set `policy`, `confirm_by_replica`, `execute_ms`, `lag_ms`,
-# `proxy_count` and `database_count`.
+# `proxy_count`, `database_count` and `extra_entries`.
 
 bin=$root/build
 platform=127.0.0.1:7000
 declare -A endpoint_pid proxy_pid
 fleet_pids=()
 fleet_dir=
+extra_entries=()
 
 # Sets the names and sizes of a deployment: places, services and entries as "suffix:class:rank:floor".
 fleet_sizes() {
@@ -20,6 +21,7 @@
         entries=(confirm:write:1:0 proof:read:2:15 ticket:read:2:15 view:read:3:5); proxies=${proxy_count:-7} ;;
     *) echo "unknown deployment '$deployment'; known are stenozapis and lone-star" >&2; return 2 ;;
     esac
+    entries+=("${extra_entries[@]}")
     databases=()
     local service letter
     for service in 1 2 3; do
--- a/tools/load/src/Statistics.cpp
+++ b/tools/load/src/Statistics.cpp
@@ -39,6 +39,9 @@
 void Statistics::recordTry(std::size_t item, const TryResult& result)
 {
     const std::lock_guard lock(m_mutex);
+    // Retries go on after the measured time and would make the rates too high.
+    if (m_isFinished)
+        return;
     auto& counts = m_counts[item];
     if (result.isUnreachable) {
         ++counts.unreachable;
