--- a/packages/catalogue/include/kumquatbank/catalogue/Catalogue.h
+++ b/packages/catalogue/include/kumquatbank/catalogue/Catalogue.h
@@ -16,6 +16,10 @@
     std::uint64_t from = 0; ///< The changes are complete for a copy at this revision or later; 0: a snapshot.
     std::uint64_t to = 0;
     std::vector<PlatformObject> changes;
+
+    /// In a snapshot: every removal after this revision is among the changes, so that the receiver can pass on
+    /// changes since then. 0 when it holds no removals, as a listing of the platform.
+    std::uint64_t removalsSince = 0;
 };
 
 void to_json(nlohmann::json& json, const CatalogueDelta& delta);
