--- a/packages/catalogue/src/CatalogueEntry.cpp
+++ b/packages/catalogue/src/CatalogueEntry.cpp
@@ -1,93 +1,73 @@
 #include "kumquatbank/catalogue/CatalogueEntry.h"
 
-#include "FieldChecker.h"
+#include "FieldReader.h"
 
-#include <algorithm>
 #include <array>
-#include <utility>
 
 namespace kumquatbank {
 
 namespace {
 
-    using ClassName = std::pair<EntryClass, std::string_view>;
+    constexpr std::array<std::string_view, 12> knownFields { "name", "owner", "class", "rank", "service",
+        "maxConcurrent", "maxPerSecond", "floorPercent", "maxQueueMs", "maxAgeMs", "repeatable", "changeId" };
 
-    constexpr std::array<ClassName, 3> classNames { {
-        { EntryClass::Read, "read" },
-        { EntryClass::Write, "write" },
-        { EntryClass::Both, "both" },
-    } };
+    /// In the order of EntryClass.
+    constexpr std::array<std::string_view, 3> classNames { "read", "write", "both" };
 
-    constexpr std::int64_t maxConcurrentLimit = 1'000'000;
-    constexpr double minRateLimit = 0.01;
-    constexpr double maxRateLimit = 10'000'000;
+    constexpr std::uint64_t maxConcurrentLimit = 1'000'000;
+    constexpr double maxPerSecondLimit = 10'000'000;
+    constexpr double minPerSecondLimit = 0.001; // 0 would block an entry without saying so; remove it instead.
     constexpr double maxFloorPercent = 90;
-    constexpr std::int64_t maxQueueLimitMs = 600'000;
-    constexpr std::int64_t maxAgeLimitMs = 86'400'000;
-
-    const std::vector<std::string>& knownFields()
-    {
-        static const std::vector<std::string> fields { "name", "owner", "class", "rank", "service", "maxConcurrent",
-            "maxPerSecond", "floorPercent", "maxQueueMs", "maxAgeMs", "repeatable", "changeId" };
-        return fields;
-    }
-
-    EntryClass readClass(FieldChecker& fields)
-    {
-        const auto name = fields.readName("class");
-        const auto it = std::ranges::find(classNames, name, &ClassName::second);
-        if (it == classNames.end()) {
-            fields.report("class", "read, write or both");
-            return EntryClass::Read;
-        }
-        return it->first;
-    }
-
-    Rank readRank(FieldChecker& fields)
-    {
-        const auto rank = fields.readWhole("rank", 1, static_cast<std::int64_t>(rankCount));
-        if (!rank)
-            fields.report("rank", "1, 2 or 3");
-        return static_cast<Rank>(rank.value_or(static_cast<std::int64_t>(Rank::Background)));
-    }
+    constexpr std::uint64_t maxQueueLimitMs = 600'000; // The longest deadline a caller may set.
+    constexpr std::uint64_t maxAgeLimitMs = 86'400'000; // A day.
+    constexpr Milliseconds defaultMaxQueue { 1000 };
 
 } // namespace
 
 Result<CatalogueEntry> CatalogueEntry::fromJson(const nlohmann::json& json)
 {
-    FieldChecker fields(json, "catalogue entry");
-    fields.checkFields(knownFields());
+    FieldReader reader(json, "entry");
+    reader.rejectUnknown(knownFields);
     CatalogueEntry entry;
-    entry.name = fields.readName("name");
-    entry.owner = fields.readName("owner");
-    entry.entryClass = readClass(fields);
-    entry.rank = readRank(fields);
-    entry.service = fields.readName("service");
-    if (const auto limit = fields.readWhole("maxConcurrent", 1, maxConcurrentLimit))
+    entry.name = reader.readName("name");
+    entry.owner = reader.readText("owner");
+    entry.entryClass = static_cast<EntryClass>(reader.readChoice("class", classNames));
+    entry.rank = static_cast<Rank>(reader.readInteger("rank", 1, rankCount));
+    entry.service = reader.readName("service");
+    if (const auto limit = reader.readOptionalInteger("maxConcurrent", 1, maxConcurrentLimit))
         entry.maxConcurrent = static_cast<unsigned>(*limit);
-    entry.maxPerSecond = fields.readNumber("maxPerSecond", minRateLimit, maxRateLimit);
-    entry.floorPercent = fields.readNumber("floorPercent", 0, maxFloorPercent).value_or(entry.floorPercent);
-    entry.maxQueue = Milliseconds(fields.readWhole("maxQueueMs", 0, maxQueueLimitMs).value_or(entry.maxQueue.count()));
-    if (const auto age = fields.readWhole("maxAgeMs", 1, maxAgeLimitMs))
-        entry.maxAge = Milliseconds(*age);
-    entry.isRepeatable = fields.readFlag("repeatable", entry.isRepeatable);
-    entry.changeId = fields.readOptionalText("changeId");
-    if (const auto checked = fields.checked(); !checked)
-        return tl::unexpected(checked.error());
+    entry.maxPerSecond = reader.readOptionalNumber("maxPerSecond", minPerSecondLimit, maxPerSecondLimit);
+    entry.floorPercent = reader.readOptionalNumber("floorPercent", 0, maxFloorPercent).value_or(0);
+    const auto queueMs = reader.readOptionalInteger("maxQueueMs", 0, maxQueueLimitMs);
+    entry.maxQueue = queueMs ? Milliseconds(*queueMs) : defaultMaxQueue;
+    if (const auto ageMs = reader.readOptionalInteger("maxAgeMs", 0, maxAgeLimitMs))
+        entry.maxAge = Milliseconds(*ageMs);
+    entry.isRepeatable = reader.readBool("repeatable", false);
+    entry.changeId = reader.readOptionalText("changeId");
+    if (entry.maxAge && entry.entryClass == EntryClass::Write)
+        reader.report("field 'maxAgeMs' applies to reads and must be left out for class write");
+    if (reader.hasProblem())
+        return reader.failure();
     return entry;
 }
 
 bool CatalogueEntry::accepts(RequestKind kind, bool isInTransaction) const
 {
-    if (kind == RequestKind::Read)
-        return entryClass != EntryClass::Write || isInTransaction;
-    return entryClass != EntryClass::Read;
+    switch (entryClass) {
+    case EntryClass::Read:
+        return kind == RequestKind::Read && !isInTransaction;
+    case EntryClass::Write:
+        return kind != RequestKind::Read || isInTransaction;
+    case EntryClass::Both:
+        return true;
+    }
+    return false;
 }
 
 void to_json(nlohmann::json& json, const CatalogueEntry& entry)
 {
-    const auto it = std::ranges::find(classNames, entry.entryClass, &ClassName::first);
-    json = { { "name", entry.name }, { "owner", entry.owner }, { "class", it->second },
+    json = { { "name", entry.name }, { "owner", entry.owner },
+        { "class", classNames[static_cast<std::size_t>(entry.entryClass)] },
         { "rank", static_cast<int>(entry.rank) }, { "service", entry.service },
         { "floorPercent", entry.floorPercent }, { "maxQueueMs", entry.maxQueue.count() },
         { "repeatable", entry.isRepeatable }, { "changeId", entry.changeId } };
--- a/packages/catalogue/src/DatabaseDefinition.cpp
+++ b/packages/catalogue/src/DatabaseDefinition.cpp
@@ -1,77 +1,91 @@
 #include "kumquatbank/catalogue/DatabaseDefinition.h"
 
-#include "FieldChecker.h"
+#include "FieldReader.h"
 
 #include <algorithm>
-#include <set>
+#include <array>
 
 namespace kumquatbank {
 
 namespace {
 
-    // One prober, one watcher and one spare connection leave at least one for work.
-    constexpr std::int64_t minConnectionLimit = 4;
-    constexpr std::int64_t maxConnectionLimit = 10'000;
-    constexpr std::int64_t maxSlots = 9;
+    constexpr std::array<std::string_view, 5> knownFields { "name", "service", "connectionLimit", "slots",
+        "changeId" };
+    constexpr std::array<std::string_view, 3> knownSlotFields { "slot", "address", "place" };
 
-    Result<SlotDefinition> readSlot(const nlohmann::json& json)
+    constexpr std::uint64_t minConnections = 3; // A prober and a watcher keep one each, statements need another.
+    constexpr std::uint64_t maxConnections = 100'000;
+    constexpr std::uint64_t maxSlotNumber = 99;
+    constexpr std::size_t maxSlots = 9;
+
+    Result<SlotDefinition> readSlot(const nlohmann::json& json, std::size_t index)
     {
-        FieldChecker fields(json, "slot");
-        fields.checkFields({ "slot", "address", "place" });
-        const auto slot = fields.readWhole("slot", 0, maxSlots - 1);
-        if (!slot)
-            fields.report("slot", "a whole number from 0 to 8");
-        const auto address = HostAddress::parse(fields.readOptionalText("address"));
-        if (!address || address->port == 0)
-            fields.report("address", "an address of the form ip:port");
-        auto place = fields.readName("place");
-        if (const auto checked = fields.checked(); !checked)
-            return tl::unexpected(checked.error());
-        return SlotDefinition { static_cast<unsigned>(*slot), *address, std::move(place) };
+        FieldReader reader(json, "slots[" + std::to_string(index) + "]");
+        reader.rejectUnknown(knownSlotFields);
+        SlotDefinition slot;
+        slot.slot = static_cast<unsigned>(reader.readInteger("slot", 0, maxSlotNumber));
+        const auto address = HostAddress::parse(reader.readText("address"));
+        if (address)
+            slot.address = *address;
+        else
+            reader.report("field 'address': " + address.error().message);
+        slot.place = reader.readName("place");
+        if (reader.hasProblem())
+            return reader.failure();
+        return slot;
+    }
+
+    template <typename Member>
+    bool hasDuplicates(const std::vector<SlotDefinition>& slots, Member member)
+    {
+        for (auto it = slots.begin(); it != slots.end(); ++it) {
+            if (std::ranges::find(it + 1, slots.end(), (*it).*member, member) != slots.end())
+                return true;
+        }
+        return false;
     }
 
 } // namespace
 
 Result<DatabaseDefinition> DatabaseDefinition::fromJson(const nlohmann::json& json)
 {
-    FieldChecker fields(json, "database");
-    fields.checkFields({ "name", "service", "connectionLimit", "slots", "changeId" });
+    FieldReader reader(json, "database");
+    reader.rejectUnknown(knownFields);
     DatabaseDefinition database;
-    database.name = fields.readName("name");
-    database.service = fields.readName("service");
-    const auto limit = fields.readWhole("connectionLimit", minConnectionLimit, maxConnectionLimit);
-    if (!limit)
-        fields.report("connectionLimit", "a whole number from 4 to 10000");
-    database.connectionLimit = static_cast<unsigned>(limit.value_or(0));
-    fields.readOptionalText("changeId");
-    const auto hasSlots = json.is_object() && json.contains("slots") && json.at("slots").is_array()
-        && !json.at("slots").empty() && json.at("slots").size() <= static_cast<std::size_t>(maxSlots);
-    if (!hasSlots)
-        fields.report("slots", "a list of 1 to 9 slots");
-    if (const auto checked = fields.checked(); !checked)
-        return tl::unexpected(checked.error());
-
-    std::set<unsigned> numbers;
-    std::set<HostAddress> addresses;
-    for (const auto& it : json.at("slots")) {
-        auto slot = readSlot(it);
+    database.name = reader.readName("name");
+    database.service = reader.readName("service");
+    database.connectionLimit
+        = static_cast<unsigned>(reader.readInteger("connectionLimit", minConnections, maxConnections));
+    reader.readOptionalText("changeId");
+    if (reader.hasProblem())
+        return reader.failure();
+    const auto slots = json.find("slots");
+    if (slots == json.end() || !slots->is_array() || slots->empty() || slots->size() > maxSlots)
+        reader.report("field 'slots' must be a list of 1 to " + std::to_string(maxSlots) + " slots");
+    if (reader.hasProblem())
+        return reader.failure();
+    for (const auto& value : *slots) {
+        auto slot = readSlot(value, database.slots.size());
         if (!slot)
-            return tl::unexpected(slot.error());
-        if (!numbers.insert(slot->slot).second || !addresses.insert(slot->address).second)
-            return notRun(FailureCode::BadRequest,
-                "database: field 'slots': slot numbers and addresses must differ from each other", Cause::BadRequest);
+            return tl::unexpected<Failure>(slot.error());
         database.slots.push_back(std::move(*slot));
     }
+    if (hasDuplicates(database.slots, &SlotDefinition::slot))
+        reader.report("field 'slots' must not give two slots the same number");
+    if (hasDuplicates(database.slots, &SlotDefinition::address))
+        reader.report("field 'slots' must not give two slots the same address");
+    if (reader.hasProblem())
+        return reader.failure();
     return database;
 }
 
 void to_json(nlohmann::json& json, const DatabaseDefinition& database)
 {
+    auto slots = nlohmann::json::array();
+    for (const auto& slot : database.slots)
+        slots.push_back({ { "slot", slot.slot }, { "address", slot.address.toString() }, { "place", slot.place } });
     json = { { "name", database.name }, { "service", database.service },
-        { "connectionLimit", database.connectionLimit }, { "slots", nlohmann::json::array() } };
-    for (const auto& it : database.slots)
-        json["slots"].push_back(
-            { { "slot", it.slot }, { "address", it.address.toString() }, { "place", it.place } });
+        { "connectionLimit", database.connectionLimit }, { "slots", std::move(slots) } };
 }
 
 } // namespace kumquatbank
