--- a/packages/group/tests/ClaimTest.cpp
+++ b/packages/group/tests/ClaimTest.cpp
@@ -1,5 +1,7 @@
 #include "GroupFixture.h"
 
+#include "GroupView.h"
+
 #include <CppUTest/TestHarness.h>
 
 using namespace kumquatbank;
@@ -48,3 +50,18 @@
     CHECK_EQUAL(settled, claims());
     CHECK_TRUE(one.group().isHolder() != two.group().isHolder());
 }
+
+// Guards against a process that wakes from a pause and serves by what it knew before.
+TEST(GroupClaim, OldStatusIsNoEvidenceForAClaim)
+{
+    GroupView view(3, 2);
+    const nlohmann::json status { { "role", "replica" }, { "promisedTerm", 1 }, { "logTerm", 1 }, { "position", 1 },
+        { "claim", 5 }, { "claimHost", "me" }, { "leaving", false }, { "primaryContactMs", 0 } };
+    view.applyStatus(0, status, Clock::now() - Milliseconds(1600), false);
+    CHECK_EQUAL(0U, view.claimCount(5, "me"));
+    view.applyStatus(0, status, Clock::now(), false);
+    view.applyStatus(1, status, Clock::now(), false);
+    CHECK_EQUAL(2U, view.claimCount(5, "me"));
+    CHECK_EQUAL(0U, view.claimCount(4, "me"));
+    CHECK_EQUAL(0U, view.claimCount(5, "other"));
+}
--- a/packages/group/tests/ConsistencyTest.cpp
+++ b/packages/group/tests/ConsistencyTest.cpp
@@ -138,6 +138,28 @@
     CHECK_TRUE(group.values(0, "k") == std::vector<std::string> { "one" });
 }
 
+// Guards against a planned stop that aborts open transactions or takes new ones.
+TEST(Consistency, DrainFinishesOpenTransactionsAndTakesNoNewOnes)
+{
+    StandInGroup group;
+    TestHolder holder(group);
+    CHECK_TRUE(holder.isReady());
+    const auto open = holder.run(transactionRequest(RequestKind::Begin, ""));
+    CHECK_TRUE(open.has_value());
+    std::thread drain([&] { holder.group().drain(Milliseconds(400)); });
+    std::this_thread::sleep_for(Milliseconds(100));
+    const auto refused = holder.run(transactionRequest(RequestKind::Begin, ""));
+    CHECK_FALSE(refused.has_value());
+    CHECK_TRUE(refused.error().verdict == Verdict::NotRun && refused.error().cause == Cause::Draining);
+    CHECK_TRUE(holder.run(transactionRequest(RequestKind::Write, open->transaction, "append k v")).has_value());
+    CHECK_TRUE(holder.run(transactionRequest(RequestKind::Commit, open->transaction)).has_value());
+    drain.join();
+    const auto after = holder.read("get k");
+    CHECK_FALSE(after.has_value());
+    CHECK_TRUE(after.error().verdict == Verdict::NotRun);
+    CHECK_TRUE(group.values(0, "k") == std::vector<std::string> { "v" });
+}
+
 // Guards against an acknowledgement by an old report, after this process was paused while the primary was
 // replaced.
 TEST(Consistency, OldReportIsRefreshedBeforeAnAcknowledgement)
