Settle a repeated commit by its idempotency key

Ruled out: answering may_have_run for every unknown transaction; the caller would never learn the outcome. Change: the present holder commits an empty transaction with the same key: a known key returns the stored answer, an unknown one is used up, so that the first commit cannot run later. Conclusion: a caller may repeat a commit with its key on any proxy until it is answered.

--- a/packages/group/include/kumquatbank/group/DatabaseGroup.h
+++ b/packages/group/include/kumquatbank/group/DatabaseGroup.h
@@ -69,6 +69,12 @@
     Result<CallerAnswer> run(const CallerRequest& request, const CatalogueEntry& entry, const SessionToken& session,
         std::size_t index, std::size_t count);
 
+    /// Settles a commit whose transaction is not open any more, by its idempotency key: the stored answer when an
+    /// earlier commit with this key has run; else NotRun/UnknownTransaction, and the key is used up, so that an
+    /// earlier commit that is still on its way cannot run later.
+    Result<CallerAnswer> settleCommit(
+        const CallerRequest& request, const CatalogueEntry& entry, const SessionToken& session);
+
     std::vector<EndpointState> endpoints() const;
     nlohmann::json state() const; ///< For the state dump and kumquatctl: endpoints, claim, queues, promotions.
 
--- a/packages/group/src/DatabaseGroup.cpp
+++ b/packages/group/src/DatabaseGroup.cpp
@@ -49,6 +49,8 @@
 
     Result<CallerAnswer> serve(const CallerRequest& request, const CatalogueEntry& entry,
         const SessionToken& session, std::size_t index, std::size_t count, RequestTrace& trace);
+    Result<CallerAnswer> settleCommit(const CallerRequest& request, const CatalogueEntry& entry,
+        const SessionToken& session, RequestTrace& trace);
     Result<void> check(const CallerRequest& request, const CatalogueEntry& entry) const;
 
     GroupParts parts;
@@ -100,6 +102,21 @@
     return writes.run(request, entry, session, trace);
 }
 
+Result<CallerAnswer> DatabaseGroup::Impl::settleCommit(const CallerRequest& request, const CatalogueEntry& entry,
+    const SessionToken& session, RequestTrace& trace)
+{
+    const auto checked = check(request, entry);
+    if (!checked)
+        return tl::unexpected(checked.error());
+    const auto held = parts.requireHolder(false, request.deadline, trace);
+    if (!held)
+        return tl::unexpected(held.error());
+    auto permit = parts.limiter.acquire(entry, 0, 1);
+    if (!permit)
+        return tl::unexpected(permit.error());
+    return transactions.settleCommit(request, entry, session, std::move(*permit), trace);
+}
+
 DatabaseGroup::DatabaseGroup(DatabaseDefinition definition, DatabaseGroupOptions options, CauseLedger& causes)
     : m_impl(std::make_unique<Impl>(std::move(definition), std::move(options), causes))
 {
@@ -143,6 +160,18 @@
     return result;
 }
 
+Result<CallerAnswer> DatabaseGroup::settleCommit(
+    const CallerRequest& request, const CatalogueEntry& entry, const SessionToken& session)
+{
+    ++m_impl->openRequests;
+    auto& parts = m_impl->parts;
+    RequestTrace trace(parts.causes, entry, parts.definition.name, parts.options.self.place,
+        parts.options.delayThreshold);
+    auto result = m_impl->settleCommit(request, entry, session, trace);
+    --m_impl->openRequests;
+    return trace.finish(std::move(result));
+}
+
 std::vector<EndpointState> DatabaseGroup::endpoints() const
 {
     std::vector<EndpointState> states;
--- a/packages/group/src/TransactionService.cpp
+++ b/packages/group/src/TransactionService.cpp
@@ -82,6 +82,23 @@
     }
 }
 
+Result<CallerAnswer> TransactionService::settleCommit(const CallerRequest& request, const CatalogueEntry& entry,
+    const SessionToken& session, EntryLimiter::Permit permit, RequestTrace& trace)
+{
+    // The endpoint returns the stored answer of a known key and stores an unknown one. Committing an empty
+    // transaction with the key therefore finds the earlier commit or keeps it from running later.
+    auto begun = begin(request, entry, session, std::move(permit), trace);
+    if (!begun)
+        return begun;
+    auto empty = request;
+    empty.transaction = begun->transaction;
+    auto settled = run(empty, session, trace);
+    if (!settled || settled->repeated)
+        return settled;
+    return notRun(FailureCode::UnknownTransaction, "the transaction was rolled back and will not run",
+        Cause::HolderChange);
+}
+
 Result<CallerAnswer> TransactionService::execute(const CallerRequest& request, const SessionToken& session,
     std::unique_ptr<OpenTransaction> transaction, RequestTrace& trace)
 {
--- a/packages/group/src/TransactionService.h
+++ b/packages/group/src/TransactionService.h
@@ -16,6 +16,10 @@
     /// Runs a read, write, commit or rollback of the transaction that the request names.
     Result<CallerAnswer> run(const CallerRequest& request, const SessionToken& session, RequestTrace& trace);
 
+    /// See DatabaseGroup::settleCommit().
+    Result<CallerAnswer> settleCommit(const CallerRequest& request, const CatalogueEntry& entry,
+        const SessionToken& session, EntryLimiter::Permit permit, RequestTrace& trace);
+
 private:
     Result<std::string> open(const CallerRequest& request, const CatalogueEntry& entry,
         const PrimaryView& primary, EntryLimiter::Permit& permit, RequestTrace& trace);
--- a/packages/proxy/src/ForwardingRouter.cpp
+++ b/packages/proxy/src/ForwardingRouter.cpp
@@ -23,10 +23,10 @@
 
     bool isRepeatable(const CallerRequest& request)
     {
-        if (!request.transaction.empty())
-            return false;
-        return request.kind == RequestKind::Read
-            || (request.kind == RequestKind::Write && !request.idempotencyKey.empty());
+        if (!request.idempotencyKey.empty())
+            return request.kind == RequestKind::Commit
+                || (request.kind == RequestKind::Write && request.transaction.empty());
+        return request.kind == RequestKind::Read && request.transaction.empty();
     }
 
     /// True when routing the request again is safe and another holder may serve it.
@@ -65,7 +65,9 @@
     const auto waited = [&] { return std::chrono::duration_cast<Milliseconds>(Clock::now() - start); };
     if (resolved.transactionHost) {
         const ForwardMessage message { resolved.request, 0, {}, {} };
-        return finish(resolved, sendTo(*resolved.transactionHost, message, resolved), waited());
+        auto reply = sendTo(*resolved.transactionHost, message, resolved);
+        if (!isUnsettledCommit(reply, resolved.request))
+            return finish(resolved, std::move(reply), waited());
     }
 
     auto reply = tryCandidates(resolved);
--- a/packages/proxy/src/HolderService.cpp
+++ b/packages/proxy/src/HolderService.cpp
@@ -31,6 +31,13 @@
 
 } // namespace
 
+bool isUnsettledCommit(const ForwardReply& reply, const CallerRequest& request)
+{
+    if (reply.answer || request.kind != RequestKind::Commit || request.idempotencyKey.empty())
+        return false;
+    return reply.isLinkFailure || reply.answer.error().code == FailureCode::UnknownTransaction;
+}
+
 ForwardReply sendForward(
     PeerClient& peers, const HostIdentity& self, const HostAddress& peer, const ForwardMessage& message)
 {
@@ -60,8 +67,11 @@
 
 ForwardReply HolderService::run(const ForwardMessage& message, const ResolvedRequest& resolved)
 {
-    if (resolved.transactionHost)
-        return runTransaction(resolved);
+    if (resolved.transactionHost == m_self.address) {
+        auto reply = runTransaction(resolved);
+        if (!isUnsettledCommit(reply, resolved.request))
+            return reply;
+    }
 
     auto group = m_registry.find(resolved.database->name);
     if (group && group->isHolder())
@@ -91,7 +101,8 @@
     ForwardReply reply { notRun(FailureCode::UnknownTransaction,
         "the transaction is not open at this process; it was rolled back", Cause::HolderChange) };
     for (const auto& group : m_registry.findAll(resolved.database->name)) {
-        reply = runInGroup(*group, resolved);
+        reply = { group->run(resolved.request, *resolved.entry, resolved.session, resolved.position.index,
+            resolved.position.count) };
         const bool isUnknown = !reply.answer && reply.answer.error().code == FailureCode::UnknownTransaction;
         if (!isUnknown)
             return reply;
@@ -101,8 +112,10 @@
 
 ForwardReply HolderService::runInGroup(DatabaseGroup& group, const ResolvedRequest& resolved)
 {
-    auto answer = group.run(
-        resolved.request, *resolved.entry, resolved.session, resolved.position.index, resolved.position.count);
+    auto answer = resolved.transactionHost
+        ? group.settleCommit(resolved.request, *resolved.entry, resolved.session)
+        : group.run(
+            resolved.request, *resolved.entry, resolved.session, resolved.position.index, resolved.position.count);
     if (answer && !answer->transaction.empty())
         answer->transaction = RequestResolver::qualifyTransaction(m_self.address, answer->transaction);
     return { std::move(answer) };
@@ -128,6 +141,9 @@
 {
     auto next = message;
     next.request = resolved.request;
+    if (resolved.transactionHost)
+        next.request.transaction
+            = RequestResolver::qualifyTransaction(*resolved.transactionHost, resolved.request.transaction);
     ++next.hopCount;
     return sendForward(m_peers, m_self, holder, next);
 }
--- a/packages/proxy/src/HolderService.h
+++ b/packages/proxy/src/HolderService.h
@@ -32,6 +32,10 @@
 ForwardReply sendForward(
     PeerClient& peers, const HostIdentity& self, const HostAddress& peer, const ForwardMessage& message);
 
+/// True for a commit with an idempotency key whose transaction is gone: an earlier try may have run, and the
+/// database's present holder can settle it by the key.
+bool isUnsettledCommit(const ForwardReply& reply, const CallerRequest& request);
+
 /// Failure of a request for which no process holds the database at present.
 ForwardReply notHolderReply(const std::string& database, bool hasDeclined);
 
