--- a/packages/causes/include/kumquatbank/causes/CauseBatch.h
+++ b/packages/causes/include/kumquatbank/causes/CauseBatch.h
@@ -14,6 +14,7 @@
     std::size_t omitted = 0; ///< Rows left out because the object would exceed the store's size limit.
 };
 
+/// As {"host","incarnation","place","rows","omitted"}; place and omitted may be missing when read.
 void to_json(nlohmann::json& json, const CauseBatch& batch);
 void from_json(const nlohmann::json& json, CauseBatch& batch); ///< Throws std::exception on bad input.
 
--- a/packages/causes/src/CauseBatch.cpp
+++ b/packages/causes/src/CauseBatch.cpp
@@ -2,18 +2,24 @@
 
 #include <algorithm>
 #include <map>
+#include <stdexcept>
 #include <utility>
 
 namespace kumquatbank {
 
 void to_json(nlohmann::json& json, const CauseBatch& batch)
 {
-    json = { { "process", batch.process }, { "rows", batch.rows }, { "omitted", batch.omitted } };
+    json = batch.process;
+    json["rows"] = batch.rows;
+    json["omitted"] = batch.omitted;
 }
 
 void from_json(const nlohmann::json& json, CauseBatch& batch)
 {
-    batch.process = json.at("process").get<HostIdentity>();
+    const auto host = HostAddress::parse(json.at("host").get<std::string>());
+    if (!host)
+        throw std::invalid_argument(host.error().message);
+    batch.process = { *host, json.at("incarnation").get<std::uint64_t>(), json.value("place", "") };
     batch.rows = json.at("rows").get<std::vector<CauseRow>>();
     batch.omitted = json.value("omitted", std::size_t { 0 });
 }
