--- a/packages/proxy/src/ForwardingRouter.cpp
+++ b/packages/proxy/src/ForwardingRouter.cpp
@@ -63,25 +63,30 @@
 {
     const auto start = Clock::now();
     const auto waited = [&] { return std::chrono::duration_cast<Milliseconds>(Clock::now() - start); };
+    bool mayHaveRun = false;
     if (resolved.transactionHost) {
         const ForwardMessage message { resolved.request, 0, {}, {} };
         auto reply = sendTo(*resolved.transactionHost, message, resolved);
         if (!isUnsettledCommit(reply, resolved.request))
             return finish(resolved, std::move(reply), waited());
+        mayHaveRun = isUncertain(reply);
     }
 
     auto reply = tryCandidates(resolved);
-    if (!shouldRouteAgain(reply, resolved.request) || !m_waitPermits.try_acquire())
-        return finish(resolved, std::move(reply), waited());
-    bool mayHaveRun = isUncertain(reply);
-    while (shouldRouteAgain(reply, resolved.request) && !resolved.request.deadline.hasPassed()) {
-        std::this_thread::sleep_for(std::min(rerouteInterval, resolved.request.deadline.remaining()));
-        reply = tryCandidates(resolved);
-        mayHaveRun = mayHaveRun || isUncertain(reply);
+    mayHaveRun = mayHaveRun || isUncertain(reply);
+    if (shouldRouteAgain(reply, resolved.request) && m_waitPermits.try_acquire()) {
+        while (shouldRouteAgain(reply, resolved.request) && !resolved.request.deadline.hasPassed()) {
+            std::this_thread::sleep_for(std::min(rerouteInterval, resolved.request.deadline.remaining()));
+            reply = tryCandidates(resolved);
+            mayHaveRun = mayHaveRun || isUncertain(reply);
+        }
+        m_waitPermits.release();
     }
-    m_waitPermits.release();
-    // A later attempt that was not run proves nothing about an earlier one that may have.
-    if (mayHaveRun && !reply.answer)
+    // A later attempt that was not run proves nothing about an earlier one that may have, unless the holder
+    // settled it.
+    const bool isSettled = !reply.answer && !reply.isLinkFailure
+        && reply.answer.error().code == FailureCode::UnknownTransaction;
+    if (mayHaveRun && !reply.answer && !isSettled)
         reply.answer.error().verdict = Verdict::MayHaveRun;
     return finish(resolved, std::move(reply), waited());
 }
