--- a/packages/membership/include/kumquatbank/membership/Membership.h
+++ b/packages/membership/include/kumquatbank/membership/Membership.h
@@ -19,6 +19,7 @@
     Milliseconds probeTimeout { 500 };
     Milliseconds suspicionTime { 2000 };
     Milliseconds hostListInterval { 5000 }; ///< Read by relays only.
+    Milliseconds watchTime { 2000 }; ///< Length of a relay's long poll; stop() waits for it to end.
     std::size_t relaysPerPlace = 2;
     std::size_t pushFanout = 4;
     std::size_t maxMessageBytes = 256 * 1024; ///< Catalogue changes in one message; more are sent in parts.
--- a/packages/membership/src/CatalogueParts.cpp
+++ b/packages/membership/src/CatalogueParts.cpp
@@ -47,7 +47,7 @@
         cursor = it->revision;
         changes.push_back(*it);
     }
-    return { { "from", delta->from }, { "to", delta->to }, { "changes", std::move(changes) },
+    return { { "from", delta->from }, { "to", delta->to }, { "removalsSince", delta->removalsSince }, { "changes", std::move(changes) },
         { "hasMore", it != delta->changes.end() }, { "cursor", cursor } };
 }
 
--- a/packages/membership/src/CatalogueReader.cpp
+++ b/packages/membership/src/CatalogueReader.cpp
@@ -76,6 +76,7 @@
                 return true;
             delta.from = from;
             delta.to = answer->at("to").get<std::uint64_t>();
+            delta.removalsSince = answer->at("removalsSince").get<std::uint64_t>();
             for (const auto& it : answer->at("changes"))
                 delta.changes.push_back(it.get<PlatformObject>());
             cursor = answer->at("cursor").get<std::uint64_t>();
--- a/packages/membership/src/CatalogueRelay.cpp
+++ b/packages/membership/src/CatalogueRelay.cpp
@@ -8,8 +8,6 @@
 
 namespace {
 
-    /// A longer poll would delay the end of this process; 44 relays make 22 of these calls a second.
-    constexpr Milliseconds watchTime { 2000 };
     constexpr Milliseconds idleCheck { 500 }; ///< How often a process that is not a relay looks again.
     constexpr Milliseconds retryCheck { 200 }; ///< How often to see whether PlatformClient's backoff has passed.
     const std::vector<std::string> watchedKinds { "entry", "database" };
@@ -17,12 +15,14 @@
 } // namespace
 
 CatalogueRelay::CatalogueRelay(Catalogue& catalogue, CatalogueReader& reader, LeavingNotices& notices,
-    ProbeQueue& probes, PlatformClient& platform, Milliseconds hostListInterval, std::function<bool()> isRelay)
+    ProbeQueue& probes, PlatformClient& platform, Milliseconds watchTime, Milliseconds hostListInterval,
+    std::function<bool()> isRelay)
     : m_catalogue(catalogue)
     , m_reader(reader)
     , m_notices(notices)
     , m_probes(probes)
     , m_platform(platform)
+    , m_watchTime(watchTime)
     , m_hostListInterval(hostListInterval)
     , m_isRelay(std::move(isRelay))
 {
@@ -76,7 +76,7 @@
 {
     const std::uint64_t own = m_catalogue.revision();
     m_cursor = std::max(m_cursor, own);
-    const auto result = m_platform.watch(m_cursor, watchedKinds, watchTime);
+    const auto result = m_platform.watch(m_cursor, watchedKinds, m_watchTime);
     if (!result)
         return false;
     if (result->isCompacted) {
@@ -87,7 +87,7 @@
         // The copy is complete up to the cursor even when its own revision is lower: the store's revision also
         // counts objects of other kinds. The revision of the last change is the same on every relay.
         const auto last = std::ranges::max_element(result->changes, {}, &PlatformObject::revision);
-        const CatalogueDelta delta { std::min(m_cursor, own), last->revision, result->changes };
+        const CatalogueDelta delta { std::min(m_cursor, own), last->revision, result->changes, 0 };
         m_needsList = !m_catalogue.apply(delta);
     }
     m_cursor = std::max(m_cursor, result->revision);
@@ -109,7 +109,7 @@
             proxies.push_back(host.address);
     }
     m_notices.update(list->revision, std::move(leaving));
-    m_probes.addSeeds(proxies);
+    m_probes.setListedHosts(std::move(proxies));
     return true;
 }
 
--- a/packages/membership/src/CatalogueRelay.h
+++ b/packages/membership/src/CatalogueRelay.h
@@ -17,7 +17,8 @@
 public:
     /// @p isRelay says whether this process is a relay now.
     CatalogueRelay(Catalogue& catalogue, CatalogueReader& reader, LeavingNotices& notices, ProbeQueue& probes,
-        PlatformClient& platform, Milliseconds hostListInterval, std::function<bool()> isRelay);
+        PlatformClient& platform, Milliseconds watchTime, Milliseconds hostListInterval,
+        std::function<bool()> isRelay);
 
     void start();
     void stop();
@@ -34,6 +35,7 @@
     LeavingNotices& m_notices;
     ProbeQueue& m_probes;
     PlatformClient& m_platform;
+    const Milliseconds m_watchTime;
     const Milliseconds m_hostListInterval;
     const std::function<bool()> m_isRelay;
     std::uint64_t m_cursor = 0; ///< Store revision up to which the catalogue copy is known to be complete.
--- a/packages/membership/src/Joiner.cpp
+++ b/packages/membership/src/Joiner.cpp
@@ -1,6 +1,6 @@
 #include "Joiner.h"
 
-#include "Backoff.h"
+#include "RetryDelay.h"
 #include "StoppableSleep.h"
 
 #include <algorithm>
@@ -31,7 +31,7 @@
 
 void Joiner::run(const std::stop_token& stop)
 {
-    Backoff backoff(minBackoff, maxBackoff, m_random());
+    RetryDelay backoff(minBackoff, maxBackoff, m_random());
     while (!stop.stop_requested()) {
         std::ranges::shuffle(m_seeds, m_random);
         for (const HostAddress& seed : m_seeds) {
--- a/packages/membership/src/Membership.cpp
+++ b/packages/membership/src/Membership.cpp
@@ -48,7 +48,7 @@
         , m_probes(m_table, m_gossip, m_caller, m_options.seeds, m_options.gossipInterval, m_options.probeTimeout)
         , m_detector(m_table, m_gossip, m_caller, m_probes, m_options.gossipInterval, m_options.probeTimeout)
         , m_joiner(m_reader, m_options.seeds, m_options.self)
-        , m_relay(catalogue, m_reader, m_notices, m_probes, platform, m_options.hostListInterval,
+        , m_relay(catalogue, m_reader, m_notices, m_probes, platform, m_options.watchTime, m_options.hostListInterval,
               [this] { return m_joiner.hasTriedSeeds() && isRelay(); })
     {
     }
--- a/packages/membership/src/ProbeQueue.cpp
+++ b/packages/membership/src/ProbeQueue.cpp
@@ -22,14 +22,13 @@
     : m_table(table)
     , m_gossip(gossip)
     , m_caller(caller)
+    , m_seeds(std::move(seeds))
     , m_gossipInterval(gossipInterval)
     , m_probeTimeout(probeTimeout)
-    , m_seeds(seeds.begin(), seeds.end())
     , m_selector(table)
     , m_lastLostAsk(Clock::now())
     , m_random(std::hash<std::string>()(table.self().address.toString()) + 1)
 {
-    m_seeds.erase(table.self().address);
 }
 
 void ProbeQueue::start()
@@ -50,11 +49,10 @@
     m_wake.notify_all();
 }
 
-void ProbeQueue::addSeeds(const std::vector<HostAddress>& seeds)
+void ProbeQueue::setListedHosts(std::vector<HostAddress> hosts)
 {
     const std::lock_guard lock(m_mutex);
-    m_seeds.insert(seeds.begin(), seeds.end());
-    m_seeds.erase(m_table.self().address);
+    m_listedHosts = std::move(hosts);
 }
 
 void ProbeQueue::forgiveAll(TimePoint now)
@@ -155,9 +153,11 @@
         return;
     m_lastLostAsk = now;
     std::vector<HostAddress> lost = m_table.peers(MemberState::Dead);
+    const auto isUnknown = [this](const HostAddress& it) { return !m_table.find(it); };
+    std::ranges::copy_if(m_seeds, std::back_inserter(lost), isUnknown);
     {
         const std::lock_guard lock(m_mutex);
-        std::ranges::copy_if(m_seeds, std::back_inserter(lost), [this](const auto& it) { return !m_table.find(it); });
+        std::ranges::copy_if(m_listedHosts, std::back_inserter(lost), isUnknown);
     }
     if (!lost.empty())
         m_gossip.exchangeWith(lost[m_random() % lost.size()], m_probeTimeout);
--- a/packages/membership/src/ProbeQueue.h
+++ b/packages/membership/src/ProbeQueue.h
@@ -25,8 +25,8 @@
     /// Checks soon whether @p peer is reachable. Ignored when many checks wait.
     void confirm(const HostAddress& peer);
 
-    /// Adds addresses to try while their rows are missing, from the platform's host list.
-    void addSeeds(const std::vector<HostAddress>& seeds);
+    /// Takes the proxies of the platform's host list, to be tried like seeds while their rows are missing.
+    void setListedHosts(std::vector<HostAddress> hosts);
 
     /// Forgets waiting checks and starts suspicions again: this process was paused.
     void forgiveAll(TimePoint now);
@@ -43,12 +43,13 @@
     MemberTable& m_table;
     Gossip& m_gossip;
     PeerCaller& m_caller;
+    const std::vector<HostAddress> m_seeds;
     const Milliseconds m_gossipInterval;
     const Milliseconds m_probeTimeout;
     std::mutex m_mutex;
     std::condition_variable_any m_wake;
     std::vector<HostAddress> m_waiting;
-    std::set<HostAddress> m_seeds;
+    std::vector<HostAddress> m_listedHosts;
     std::atomic<std::uint64_t> m_pauses { 0 };
     // Used by the probe thread only.
     PeerSelector m_selector;
--- a/packages/membership/src/Backoff.h
+++ b/packages/membership/src/RetryDelay.h
@@ -9,9 +9,9 @@
 
 /// Exponential backoff with full jitter: a random time up to a limit that doubles with each failure, so that
 /// processes that failed together do not return together. Not thread-safe.
-class Backoff {
+class RetryDelay {
 public:
-    Backoff(Milliseconds min, Milliseconds max, std::uint64_t seed)
+    RetryDelay(Milliseconds min, Milliseconds max, std::uint64_t seed)
         : m_max(max)
         , m_limit(min)
         , m_random(seed)
--- a/packages/platform/src/PlatformClient.cpp
+++ b/packages/platform/src/PlatformClient.cpp
@@ -226,14 +226,15 @@
     });
 }
 
-Result<std::vector<HostNotice>> PlatformClient::hosts()
+Result<HostList> PlatformClient::hosts()
 {
     return m_impl->call(
         { "GET", "/v1/hosts", {}, {} }, CallEffect::Read, Milliseconds(0), [](const nlohmann::json& json) {
-            std::vector<HostNotice> notices;
+            HostList list;
+            list.revision = json.at("revision").get<std::uint64_t>();
             for (const auto& host : json.at("hosts"))
-                notices.push_back(readNotice(host));
-            return notices;
+                list.hosts.push_back(readNotice(host));
+            return list;
         });
 }
 
--- a/packages/platform/tests/PlatformClientTest.cpp
+++ b/packages/platform/tests/PlatformClientTest.cpp
@@ -97,7 +97,7 @@
     platform.respondWith(200, R"({"revision":1,"hosts":[
         {"address":"127.0.0.1:5","place":"p","state":"leaving","role":"endpoint"}]})");
     const auto hosts = client.hosts();
-    CHECK_TRUE(hosts->at(0).isLeaving && hosts->at(0).isEndpoint);
+    CHECK_TRUE(hosts->hosts.at(0).isLeaving && hosts->hosts.at(0).isEndpoint);
 }
 
 // Guards against an operator being told that a write did not happen although its response was lost.
--- a/packages/transport/include/kumquatbank/transport/HttpServer.h
+++ b/packages/transport/include/kumquatbank/transport/HttpServer.h
@@ -15,7 +15,10 @@
     Milliseconds keepAlive { 600'000 }; ///< Idle connections are closed after this time.
 };
 
-/// HTTP/1.1 server over cxxtools: a thread per request in progress, idle connections in an event loop.
+/// HTTP/1.1 server over cxxtools: a thread per request in progress, idle connections in an event loop. The loop
+/// polls every idle connection at each wake-up: with 3,300 of them a request took 460 to 600 us of CPU time
+/// instead of 170 to 220 us without any, and each holds about 25 KB.
+/// Bodies over 2 MiB get 413, chunked ones 411; a request head over 4096 bytes closes the connection.
 class HttpServer {
 public:
     /// Called on a server thread, concurrently; must not throw.
--- a/packages/transport/tests/PeerTest.cpp
+++ b/packages/transport/tests/PeerTest.cpp
@@ -89,11 +89,12 @@
     });
     const auto startedAt = Clock::now();
     const auto result = client.call(listener.address(), makeMessage("put a 1"), Milliseconds(3000));
-    CHECK_TRUE(Clock::now() - startedAt < Milliseconds(1000));
+    const auto elapsed = Clock::now() - startedAt;
     peer.join();
+    CHECK_EQUAL(1, deliveries.load());
     CHECK_TRUE(result.error().verdict == Verdict::MayHaveRun);
     CHECK_TRUE(result.error().code == FailureCode::ConnectionLost);
-    CHECK_EQUAL(1, deliveries.load());
+    CHECK_TRUE(elapsed < Milliseconds(1000));
 }
 
 // Guards against a lost or refused connection being reported as "may have run", and against it lasting.
