--- a/bench/membership_bench.cpp
+++ b/bench/membership_bench.cpp
@@ -189,7 +189,7 @@
             const double cpuBefore = cpuSeconds();
             for (std::size_t n = 1; n <= count; ++n) {
                 const std::uint64_t revision = entryCount + n;
-                CatalogueDelta delta { revision - 1, revision, { entryOf(n % entryCount, revision) } };
+                CatalogueDelta delta { revision - 1, revision, { entryOf(n % entryCount, revision) }, 0 };
                 a.catalogue.apply(delta);
                 nlohmann::json body = { { "revision", revision }, { "delta", a.parts.small(revision - 1) } };
                 if (!a.caller.call(peer, PeerMessageType::CataloguePush, std::move(body), Milliseconds(2000)))
--- a/packages/membership/src/CatalogueRelay.cpp
+++ b/packages/membership/src/CatalogueRelay.cpp
@@ -87,7 +87,7 @@
         // The copy is complete up to the cursor even when its own revision is lower: the store's revision also
         // counts objects of other kinds. The revision of the last change is the same on every relay.
         const auto last = std::ranges::max_element(result->changes, {}, &PlatformObject::revision);
-        const CatalogueDelta delta { std::min(m_cursor, own), last->revision, result->changes };
+        const CatalogueDelta delta { std::min(m_cursor, own), last->revision, result->changes, 0 };
         m_needsList = !m_catalogue.apply(delta);
     }
     m_cursor = std::max(m_cursor, result->revision);
--- a/packages/membership/tests/Fleet.cpp
+++ b/packages/membership/tests/Fleet.cpp
@@ -40,8 +40,8 @@
     : m_address { "127.0.0.1", port }
 {
     std::string program = PLATFORM_STANDIN;
-    std::string option = "--port";
-    std::string value = std::to_string(port);
+    std::string option = "--address";
+    std::string value = m_address.toString();
     char* arguments[] = { program.data(), option.data(), value.data(), nullptr };
     if (posix_spawn(&m_processId, program.c_str(), nullptr, nullptr, arguments, environ) != 0)
         throw std::runtime_error("cannot start " + program);
@@ -84,6 +84,13 @@
 
 void PlatformProcess::setFaults(const nlohmann::json& faults) { send("POST", "/faults", faults); }
 
+std::uint64_t PlatformProcess::calls()
+{
+    const nlohmann::json counters = send("GET", "/counters");
+    return counters.value("watch", 0U) + counters.value("list", 0U) + counters.value("hosts", 0U)
+        + counters.value("refused_while_down", 0U);
+}
+
 void Network::setSide(const HostAddress& host, int side)
 {
     const std::lock_guard lock(m_mutex);
--- a/packages/platform/src/PlatformClient.cpp
+++ b/packages/platform/src/PlatformClient.cpp
@@ -230,7 +230,8 @@
 {
     return m_impl->call(
         { "GET", "/v1/hosts", {}, {} }, CallEffect::Read, Milliseconds(0), [](const nlohmann::json& json) {
-            HostList list { json.at("revision").get<std::uint64_t>(), {} };
+            HostList list;
+            list.revision = json.at("revision").get<std::uint64_t>();
             for (const auto& host : json.at("hosts"))
                 list.hosts.push_back(readNotice(host));
             return list;
