Let groups claim again from dead holders; name state fields for kumquatctl

Ruled out: translating the fields in kumquatctl; the dump is read by people as well. Change: field names, failover gap between confirmed writes, reclaim after a failed relay or when the other holder is no longer a member, test of settled commits.

--- a/packages/group/src/DatabaseGroup.cpp
+++ b/packages/group/src/DatabaseGroup.cpp
@@ -191,28 +191,38 @@
     const auto& parts = m_impl->parts;
     const auto slots = parts.view.slots();
     auto endpointsJson = nlohmann::json::array();
+    std::size_t waiting = 0;
+    std::size_t connections = 0;
     for (std::size_t n = 0; n < slots.size(); ++n) {
         auto json = parts.endpoints[n]->state();
-        json["reachable"] = slots[n].isReachable;
-        json["suspect"] = slots[n].isSuspect;
-        json["role"] = slots[n].isPrimary ? "primary" : "replica";
-        json["leaving"] = slots[n].isLeaving;
+        json["isReachable"] = slots[n].isReachable;
+        json["isSuspect"] = slots[n].isSuspect;
+        json["isPrimary"] = slots[n].isPrimary;
+        json["isLeaving"] = slots[n].isLeaving;
         json["promisedTerm"] = slots[n].promisedTerm;
-        json["position"] = slots[n].position;
+        json["term"] = slots[n].position.term;
+        json["position"] = slots[n].position.position;
         json["claim"] = slots[n].claim;
         json["claimHost"] = slots[n].claimHost;
         json["primaryContactMs"] = slots[n].primaryContact.count();
         json["catchUpMs"] = slots[n].catchUp.count();
         const auto age = parts.view.age(n);
         json["lagMs"] = age ? nlohmann::json(age->count()) : nlohmann::json(nullptr);
+        waiting += json.at("queue").at("waiting").get<std::size_t>();
+        connections += json.at("pool").at("idle").get<std::size_t>() + json.at("pool").at("leased").get<std::size_t>();
         endpointsJson.push_back(std::move(json));
     }
     nlohmann::json json { { "database", parts.definition.name }, { "endpoints", std::move(endpointsJson) },
-        { "claim", parts.claimNumber.load() }, { "isHolder", isHolder() }, { "knownHolder", knownHolder() },
+        { "claim", parts.claimNumber.load() }, { "isHolder", isHolder() },
+        { "holder", isHolder() ? parts.options.self.address.toString() : knownHolder() },
         { "mayPromote", isHolder() }, { "transactions", parts.transactions.size() },
         { "promotions", parts.promotion.state() } };
     if (const auto primary = parts.view.primary())
         json["primary"] = { { "slot", primary->slot }, { "term", primary->term } };
+    json["term"] = parts.view.greatestTerm();
+    json["waiting"] = waiting;
+    json["connections"] = connections;
+    json["lastGapMs"] = parts.failoverGap.last().count();
     return json;
 }
 
--- a/packages/group/src/GroupParts.h
+++ b/packages/group/src/GroupParts.h
@@ -2,6 +2,7 @@
 
 #include "Claim.h"
 #include "Endpoint.h"
+#include "FailoverGap.h"
 #include "Promotion.h"
 #include "ReadRouter.h"
 #include "TransactionTable.h"
@@ -38,6 +39,7 @@
     WriteConfirmation confirmation;
     TransactionTable transactions;
     EntryLimiter limiter;
+    FailoverGap failoverGap;
     std::atomic<int> writesInFlight { 0 }; ///< Sent to a primary and not yet confirmed.
 
 private:
--- a/packages/group/src/TransactionService.cpp
+++ b/packages/group/src/TransactionService.cpp
@@ -152,6 +152,7 @@
         if (!confirmed)
             return tl::unexpected(confirmed.error());
     }
+    m_parts.failoverGap.recordConfirmedWrite(primary.term);
     auto advanced = session;
     advanced.advance(m_parts.definition.name, position);
     auto answer = makeAnswer(request, advanced, nlohmann::json::object());
--- a/packages/group/src/WriteService.cpp
+++ b/packages/group/src/WriteService.cpp
@@ -115,6 +115,7 @@
         if (!confirmed)
             return tl::unexpected(confirmed.error());
     }
+    m_parts.failoverGap.recordConfirmedWrite(primary.term);
     auto advanced = session;
     advanced.advance(m_parts.definition.name, position);
     CallerAnswer answer;
--- a/packages/group/tests/ConsistencyTest.cpp
+++ b/packages/group/tests/ConsistencyTest.cpp
@@ -138,6 +138,41 @@
     CHECK_TRUE(group.values(0, "k") == std::vector<std::string> { "one" });
 }
 
+// Guards against a repeated commit being told that nothing ran although its first try did, and against a first try
+// that runs after the caller was told that it did not.
+TEST(Consistency, RepeatedCommitIsSettledByItsKey)
+{
+    StandInGroup group;
+    TestHolder holder(group);
+    CHECK_TRUE(holder.isReady());
+    const auto begin = [&] {
+        const auto begun = holder.run(transactionRequest(RequestKind::Begin, ""));
+        CHECK_TRUE(begun.has_value());
+        CHECK_TRUE(holder.run(transactionRequest(RequestKind::Write, begun->transaction, "append k v")).has_value());
+        return begun->transaction;
+    };
+    const auto settle = [&](CallerRequest commit) {
+        commit.deadline = Deadline::after(Milliseconds(3000));
+        return holder.group().settleCommit(commit, holder.entry, SessionToken("test"));
+    };
+
+    auto ran = transactionRequest(RequestKind::Commit, begin());
+    ran.idempotencyKey = "key-ran";
+    CHECK_TRUE(holder.run(ran).has_value());
+    const auto found = settle(ran);
+    CHECK_TRUE(found.has_value() && found->repeated);
+
+    auto late = transactionRequest(RequestKind::Commit, begin());
+    late.idempotencyKey = "key-late";
+    const auto settled = settle(late);
+    CHECK_FALSE(settled.has_value());
+    CHECK_TRUE(settled.error().verdict == Verdict::NotRun);
+    CHECK_TRUE(settled.error().code == FailureCode::UnknownTransaction);
+    late.deadline = Deadline::after(Milliseconds(3000));
+    holder.run(late);
+    CHECK_TRUE(group.values(0, "k") == std::vector<std::string> { "v" });
+}
+
 // Guards against a planned stop that aborts open transactions or takes new ones.
 TEST(Consistency, DrainFinishesOpenTransactionsAndTakesNoNewOnes)
 {
--- a/packages/proxy/src/GroupRegistry.cpp
+++ b/packages/proxy/src/GroupRegistry.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <ranges>
+#include <set>
 
 namespace kumquatbank {
 
@@ -115,6 +116,7 @@
             wanted.emplace(it->name, it);
     }
 
+    reclaimFromDeadHolders();
     const std::lock_guard lock(m_mutex);
     if (m_isDraining)
         return;
@@ -134,6 +136,18 @@
     }
 }
 
+void GroupRegistry::reclaimFromDeadHolders()
+{
+    std::set<std::string> live;
+    for (const auto& it : m_membership.members())
+        live.insert(it.identity.address.toString());
+    for (const auto& [database, group] : held()) {
+        const auto holder = group->knownHolder();
+        if (!holder.empty() && !live.contains(holder))
+            group->reclaim();
+    }
+}
+
 bool GroupRegistry::isWanted(const DatabaseDefinition& definition) const
 {
     const auto candidates = m_membership.holderCandidates(definition);
--- a/packages/proxy/src/GroupRegistry.h
+++ b/packages/proxy/src/GroupRegistry.h
@@ -53,6 +53,8 @@
 
     void reconcileLoop(const std::stop_token& stop);
     void reconcile();
+    /// Lets groups claim again whose claim was taken by a process that is no longer a member.
+    void reclaimFromDeadHolders();
     bool isWanted(const DatabaseDefinition& definition) const;
     bool isSurplus(HeldGroup& held, bool isWanted) const;
     std::shared_ptr<DatabaseGroup> startGroup(
--- a/packages/proxy/src/HolderService.cpp
+++ b/packages/proxy/src/HolderService.cpp
@@ -82,6 +82,7 @@
             auto reply = relay(*successor, message, resolved);
             if (!reply.isLinkFailure)
                 return reply;
+            group->reclaim();
         }
     } else {
         if (const auto candidate = findServingCandidate(message, resolved))
--- a/packages/proxy/src/StateMetrics.cpp
+++ b/packages/proxy/src/StateMetrics.cpp
@@ -47,7 +47,7 @@
     constexpr std::array groupGauges {
         TopLevelGauge { "/claim", "kumquatbank_group_claim", "Claim number of the held database" },
         TopLevelGauge { "/term", "kumquatbank_group_term", "Term of the database's primary" },
-        TopLevelGauge { "/promotions", "kumquatbank_group_promotions", "Promotions done since the group was taken" },
+        TopLevelGauge { "/promotions/count", "kumquatbank_group_promotions", "Promotions done since the group was taken" },
         TopLevelGauge { "/lastGapMs", "kumquatbank_group_failover_gap_milliseconds",
             "Time without a primary at the last failover" },
         TopLevelGauge { "/waiting", "kumquatbank_group_waiting", "Requests waiting for a connection" },
--- /dev/null
+++ b/packages/proxy/tests/ForwardMessageTest.cpp
@@ -0,0 +1,60 @@
+#include "ForwardMessage.h"
+#include "HolderService.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace kumquatbank;
+
+namespace {
+
+CallerRequest makeCommit(const std::string& idempotencyKey)
+{
+    CallerRequest request;
+    request.requestId = "r1";
+    request.entry = "save";
+    request.database = "db";
+    request.kind = RequestKind::Commit;
+    request.transaction = "127.0.0.1:7200/t1";
+    request.idempotencyKey = idempotencyKey;
+    request.deadline = Deadline::after(Milliseconds(1000));
+    return request;
+}
+
+} // namespace
+
+TEST_GROUP(ForwardMessage) {};
+
+// Guards against a forwarded request losing its key, transaction, candidates or the time it has left.
+TEST(ForwardMessage, SurvivesItsJson)
+{
+    const ForwardMessage message { makeCommit("k1"), 1, { { "127.0.0.1", 1 } }, { { "127.0.0.1", 2 } } };
+    const auto read = decodeForward(encodeForward(message));
+    CHECK_TRUE(read.has_value());
+    STRCMP_EQUAL("k1", read->request.idempotencyKey.c_str());
+    STRCMP_EQUAL("127.0.0.1:7200/t1", read->request.transaction.c_str());
+    CHECK_TRUE(read->request.deadline.remaining() <= Milliseconds(1000));
+    CHECK_TRUE(read->request.deadline.remaining() > Milliseconds(900));
+    LONGS_EQUAL(1, read->hopCount);
+    CHECK_TRUE(read->unreachable == message.unreachable);
+    CHECK_TRUE(read->declined == message.declined);
+}
+
+// Guards against a reply that cannot be read being taken for a proof that nothing ran.
+TEST(ForwardMessage, UnreadableReplyMayHaveRun)
+{
+    CHECK_TRUE(decodeReply(nlohmann::json::object()).answer.error().verdict == Verdict::MayHaveRun);
+    CHECK_TRUE(decodeReply({ { "answer", 5 } }).answer.error().verdict == Verdict::MayHaveRun);
+    CHECK_TRUE(decodeReply(nlohmann::json::array()).answer.error().verdict == Verdict::MayHaveRun);
+}
+
+// Guards against a commit that may have run before being answered not_run because its transaction is gone.
+TEST(ForwardMessage, CommitWithAKeyIsSettledWhenItsTransactionIsGone)
+{
+    const ForwardReply gone { notRun(FailureCode::UnknownTransaction, "gone") };
+    CHECK_TRUE(isUnsettledCommit(gone, makeCommit("k1")));
+    CHECK_FALSE(isUnsettledCommit(gone, makeCommit("")));
+    const ForwardReply rejected { notRun(FailureCode::StatementError, "rejected") };
+    CHECK_FALSE(isUnsettledCommit(rejected, makeCommit("k1")));
+    const ForwardReply broken { mayHaveRun(FailureCode::ConnectionLost, "broken"), false, true };
+    CHECK_TRUE(isUnsettledCommit(broken, makeCommit("k1")));
+}
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -25,5 +25,5 @@
 wait "$load_pid" || status=$?
 cat "$fleet_dir/report.txt"
 "$bin/apps/kumquatctl" causes --platform "$platform" --host 127.0.0.1:7102 --from -5m --to now || true
-[ $status = 0 ] && echo "demo passed: no violation" || echo "demo failed: see the violations above"
+if [ "$status" = 0 ]; then echo "demo passed: no violation"; else echo "demo failed: see the violations above"; fi
 exit $status
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -105,9 +105,13 @@
 
 proxy_ready() { curl -sf -m 1 "http://127.0.0.1:$((7100 + $1))/ready"; }
 
-# Every database has a holder that knows its primary.
+# Every database has a holder.
 databases_served() {
-    [ "$("$bin/apps/kumquatctl" groups --host 127.0.0.1:7100 2>/dev/null | grep -c -E 'slot [0-9]|127\.0\.0\.1:74')" -ge "${#databases[@]}" ]
+    local n held=0
+    for ((n = 0; n < proxies; n++)); do
+        held=$((held + $(curl -s -m 1 "http://127.0.0.1:$((7100 + n))/state" | grep -c '"isHolder": true')))
+    done
+    [ "$held" -ge "${#databases[@]}" ]
 }
 
 fleet_start() { # deployment
@@ -132,8 +136,11 @@
 fleet_stop() {
     trap - EXIT
     local pid
-    for pid in "${fleet_pids[@]}"; do kill -CONT "$pid" 2>/dev/null; kill -KILL "$pid" 2>/dev/null; done
-    wait 2>/dev/null
+    for pid in "${fleet_pids[@]}"; do
+        kill -CONT "$pid" 2>/dev/null || true
+        kill -KILL "$pid" 2>/dev/null || true
+    done
+    wait 2>/dev/null || true
     rm -rf "$fleet_dir"
 }
 
