--- a/scripts/install-packages.sh
+++ b/scripts/install-packages.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
 # Installs the Debian packages that the build, the tests, the formatter and the linter need.
 set -euo pipefail
-packages=(g++ cmake ninja-build ccache pkg-config clang-format clang-tidy curl
+packages=(g++ cmake ninja-build ccache pkg-config clang-format clang-tidy curl jq
     libcxxtools-dev libnng-dev prometheus-cpp-dev liblog4cxx-dev libcxxopts-dev libexpected-dev
     libcpputest-dev libxxhash-dev nlohmann-json3-dev libvalijson-dev)
 missing=()
