--- a/packages/proxy/src/ProxyProcess.cpp
+++ b/packages/proxy/src/ProxyProcess.cpp
@@ -83,7 +83,7 @@
     , m_membership(membershipOptions(), m_catalogue, m_peers, m_platform)
     , m_causeFlusher(m_causes, m_platform, m_self, [this] { return m_membership.members().size(); })
     , m_registry(groupOptions(), m_catalogue, m_membership, m_causes)
-    , m_resolver(m_catalogue, m_settings.deployment)
+    , m_resolver(m_catalogue, m_settings.deployment, m_settings.place, m_causes)
     , m_holder(m_self, m_registry, m_membership, m_peers)
     , m_router(m_self, m_membership, m_peers, m_holder, m_causes,
           static_cast<std::ptrdiff_t>(m_settings.callerThreads) / holderWaitDivisor)
--- a/packages/proxy/src/RequestResolver.h
+++ b/packages/proxy/src/RequestResolver.h
@@ -2,6 +2,7 @@
 
 #include "ServiceIndex.h"
 #include "kumquatbank/catalogue/catalogue.h"
+#include "kumquatbank/causes/causes.h"
 
 #include <memory>
 #include <optional>
@@ -21,7 +22,8 @@
 /// Checks requests against the catalogue. Thread-safe.
 class RequestResolver {
 public:
-    RequestResolver(const Catalogue& catalogue, std::string deployment);
+    /// @param place of this process, for the causes of refusals.
+    RequestResolver(const Catalogue& catalogue, std::string deployment, std::string place, CauseLedger& causes);
 
     /// NotRun when the entry or database is unknown, the entry does not allow the request, or the session
     /// token or transaction id cannot be used.
@@ -31,8 +33,13 @@
     static std::string qualifyTransaction(const HostAddress& holder, const std::string& transaction);
 
 private:
+    tl::unexpected<Failure> refuse(
+        const CallerRequest& request, const CatalogueEntry& entry, FailureCode code, std::string message);
+
     const Catalogue& m_catalogue;
     const std::string m_deployment;
+    const std::string m_place;
+    CauseLedger& m_causes;
     ServiceIndex m_serviceIndex;
 };
 
