Rank holders once per change of the member table

Cause: holderCandidates() sorted all members by hashes of their addresses for each database and was asked for every database five times a second. Ruled out: a larger cache of candidates; every change of the member table empties it.

--- a/packages/membership/include/kumquatbank/membership/Membership.h
+++ b/packages/membership/include/kumquatbank/membership/Membership.h
@@ -55,6 +55,12 @@
     /// The first 8 holder candidates, best first.
     std::vector<HostIdentity> holderCandidates(const DatabaseDefinition& database) const;
 
+    /// True when a live host stands in @p place; databases whose first slot is there are held there.
+    bool hasHosts(const std::string& place) const;
+
+    /// Grows with every change of the member table.
+    std::uint64_t version() const;
+
     /// True when the host list, as spread by the relays, says that the endpoint is leaving.
     bool isEndpointLeaving(const HostAddress& endpoint) const;
 
--- a/packages/membership/src/Membership.cpp
+++ b/packages/membership/src/Membership.cpp
@@ -2,11 +2,11 @@
 
 #include "CatalogueRelay.h"
 #include "FailureDetector.h"
+#include "HolderRanking.h"
 #include "Joiner.h"
 #include "kumquatbank/membership/Placement.h"
 
 #include <algorithm>
-#include <unordered_map>
 
 namespace kumquatbank {
 
@@ -14,7 +14,6 @@
 
     constexpr std::size_t leavingFanout = 8; ///< Peers that hear of a shutdown at once.
     constexpr std::size_t maxCandidates = 8; ///< A request tries three; the rest covers several deaths at once.
-    constexpr std::size_t maxCachedDatabases = 4096; ///< About 3 MB.
 
     std::string_view stateName(MemberState state)
     {
@@ -114,27 +113,13 @@
 
     std::vector<HostIdentity> holderCandidates(const DatabaseDefinition& database) const
     {
-        const std::lock_guard lock(m_cacheMutex);
-        if (const std::uint64_t version = m_table.version(); version != m_cacheVersion) {
-            m_cachedMembers = m_table.members();
-            m_cachedCandidates.clear();
-            m_cacheVersion = version;
-        }
-        // A definition that names another home has another order under the same name.
-        const std::string home = database.slots.empty() ? std::string() : database.slots.front().place;
-        const std::string key = database.name + '\0' + home;
-        if (const auto it = m_cachedCandidates.find(key); it != m_cachedCandidates.end())
-            return it->second;
-        std::vector<HostIdentity> candidates = kumquatbank::holderCandidates(database, m_cachedMembers);
-        if (candidates.size() > maxCandidates)
-            candidates.erase(candidates.begin() + maxCandidates, candidates.end());
-        candidates.shrink_to_fit();
-        if (m_cachedCandidates.size() >= maxCachedDatabases)
-            m_cachedCandidates.clear();
-        m_cachedCandidates.emplace(key, candidates);
-        return candidates;
+        return ranking()->candidates(database, maxCandidates);
     }
 
+    bool hasHosts(const std::string& place) const { return ranking()->hasHosts(place); }
+
+    std::uint64_t version() const { return m_table.version(); }
+
     nlohmann::json state() const
     {
         nlohmann::json members = nlohmann::json::array();
@@ -154,6 +139,17 @@
     }
 
 private:
+    /// Ranking of the present member table, made anew when the table has changed.
+    std::shared_ptr<const HolderRanking> ranking() const
+    {
+        const std::lock_guard lock(m_rankingMutex);
+        if (const auto version = m_table.version(); !m_ranking || version != m_rankedVersion) {
+            m_ranking = std::make_shared<const HolderRanking>(m_table.members());
+            m_rankedVersion = version;
+        }
+        return m_ranking;
+    }
+
     std::vector<HostIdentity> relays() const
     {
         return relaysOf(m_options.self.place, m_table.members(), m_options.relaysPerPlace);
@@ -194,10 +190,9 @@
     FailureDetector m_detector;
     Joiner m_joiner;
     CatalogueRelay m_relay;
-    mutable std::mutex m_cacheMutex;
-    mutable std::uint64_t m_cacheVersion = 0;
-    mutable std::vector<Member> m_cachedMembers;
-    mutable std::unordered_map<std::string, std::vector<HostIdentity>> m_cachedCandidates;
+    mutable std::mutex m_rankingMutex;
+    mutable std::uint64_t m_rankedVersion = 0;
+    mutable std::shared_ptr<const HolderRanking> m_ranking;
 };
 
 Membership::Membership(
@@ -227,6 +222,10 @@
     return m_impl->holderCandidates(database);
 }
 
+bool Membership::hasHosts(const std::string& place) const { return m_impl->hasHosts(place); }
+
+std::uint64_t Membership::version() const { return m_impl->version(); }
+
 bool Membership::isEndpointLeaving(const HostAddress& endpoint) const
 {
     return m_impl->isEndpointLeaving(endpoint);
--- a/packages/membership/src/Placement.cpp
+++ b/packages/membership/src/Placement.cpp
@@ -1,5 +1,7 @@
 #include "kumquatbank/membership/Placement.h"
 
+#include "HolderRanking.h"
+
 #include <algorithm>
 #include <string_view>
 #include <tuple>
@@ -10,7 +12,6 @@
 namespace {
 
     struct Candidate {
-        bool isElsewhere = false;
         std::uint64_t weight = 0;
         const HostIdentity* identity = nullptr;
     };
@@ -31,8 +32,7 @@
     {
         const auto end = candidates.begin() + static_cast<std::ptrdiff_t>(std::min(count, candidates.size()));
         std::ranges::partial_sort(candidates, end, [](const Candidate& a, const Candidate& b) {
-            return std::tie(a.isElsewhere, b.weight, a.identity->address)
-                < std::tie(b.isElsewhere, a.weight, b.identity->address);
+            return std::tie(b.weight, a.identity->address) < std::tie(a.weight, b.identity->address);
         });
         std::vector<HostIdentity> hosts;
         std::transform(
@@ -44,14 +44,7 @@
 
 std::vector<HostIdentity> holderCandidates(const DatabaseDefinition& database, const std::vector<Member>& members)
 {
-    const std::string home = database.slots.empty() ? std::string() : database.slots.front().place;
-    std::vector<Candidate> candidates;
-    for (const Member& member : members) {
-        if (takesDuties(member))
-            candidates.push_back(
-                { member.identity.place != home, weightOf(database.name, member.identity), &member.identity });
-    }
-    return ranked(std::move(candidates), members.size());
+    return HolderRanking(members).candidates(database, members.size());
 }
 
 std::vector<HostIdentity> relaysOf(const std::string& place, const std::vector<Member>& members, std::size_t count)
@@ -59,7 +52,7 @@
     std::vector<Candidate> candidates;
     for (const Member& member : members) {
         if (takesDuties(member) && member.identity.place == place)
-            candidates.push_back({ false, weightOf("relay " + place, member.identity), &member.identity });
+            candidates.push_back({ weightOf("relay " + place, member.identity), &member.identity });
     }
     return ranked(std::move(candidates), count);
 }
--- a/packages/proxy/src/GroupRegistry.cpp
+++ b/packages/proxy/src/GroupRegistry.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <ranges>
-#include <set>
 
 namespace kumquatbank {
 
@@ -101,14 +100,27 @@
 void GroupRegistry::reconcileLoop(const std::stop_token& stop)
 {
     while (!stop.stop_requested()) {
-        reconcile();
+        if (needsReconcile())
+            reconcile();
+        reclaimFromDeadHolders();
         std::unique_lock lock(m_mutex);
         m_wakeUp.wait_for(lock, stop, reconcileInterval, [] { return false; });
     }
 }
 
+bool GroupRegistry::needsReconcile() const
+{
+    if (m_seenMembers != m_membership.version() || m_seenRevision != m_catalogue.revision())
+        return true;
+    const std::lock_guard lock(m_mutex);
+    return std::ranges::any_of(
+        m_held, [](const auto& it) { return it.second.takenOverAt || it.second.unwantedSince; });
+}
+
 void GroupRegistry::reconcile()
 {
+    m_seenMembers = m_membership.version();
+    m_seenRevision = m_catalogue.revision();
     const auto databases = m_catalogue.databases();
     std::map<std::string, std::shared_ptr<const DatabaseDefinition>> wanted;
     for (const auto& it : databases) {
@@ -116,7 +128,6 @@
             wanted.emplace(it->name, it);
     }
 
-    reclaimFromDeadHolders();
     const std::lock_guard lock(m_mutex);
     if (m_isDraining)
         return;
@@ -138,18 +149,24 @@
 
 void GroupRegistry::reclaimFromDeadHolders()
 {
-    std::set<std::string> live;
-    for (const auto& it : m_membership.members())
-        live.insert(it.identity.address.toString());
-    for (const auto& [database, group] : held()) {
-        const auto holder = group->knownHolder();
-        if (!holder.empty() && !live.contains(holder))
+    auto superseded = held();
+    std::erase_if(superseded, [](const auto& it) { return it.second->knownHolder().empty(); });
+    if (superseded.empty())
+        return;
+    const auto members = m_membership.members();
+    for (const auto& [database, group] : superseded) {
+        const bool isLive = std::ranges::any_of(members,
+            [holder = group->knownHolder()](const Member& it) { return it.identity.address.toString() == holder; });
+        if (!isLive)
             group->reclaim();
     }
 }
 
 bool GroupRegistry::isWanted(const DatabaseDefinition& definition) const
 {
+    const auto& home = definition.slots.front().place;
+    if (home != m_options.self.place && m_membership.hasHosts(home))
+        return false;
     const auto candidates = m_membership.holderCandidates(definition);
     return !candidates.empty() && candidates.front().address == m_options.self.address;
 }
--- a/packages/proxy/src/GroupRegistry.h
+++ b/packages/proxy/src/GroupRegistry.h
@@ -53,6 +53,10 @@
 
     void reconcileLoop(const std::stop_token& stop);
     void reconcile();
+
+    /// False while neither the member table nor the catalogue has moved and no group waits to be handed over, so
+    /// that nothing is ranked in vain.
+    bool needsReconcile() const;
     /// Lets groups claim again whose claim was taken by a process that is no longer a member.
     void reclaimFromDeadHolders();
     bool isWanted(const DatabaseDefinition& definition) const;
@@ -72,6 +76,8 @@
     std::multimap<std::string, std::shared_ptr<DatabaseGroup>> m_retiring;
     std::vector<std::future<void>> m_retirements;
     bool m_isDraining = false;
+    std::uint64_t m_seenMembers = 0; ///< Version of the member table at the last complete reconcile().
+    std::uint64_t m_seenRevision = 0; ///< Revision of the catalogue at that time.
     std::jthread m_reconciler;
 };
 
