transport: serve HTTP through nng instead of cxxtools

Cause: the event loop of cxxtools::http::Server polls every idle connection at each wake-up.

Ruled out: leaving connections to nng's server, which ends them hard when it stops and has no keep-alive limit. An aio timeout per idle connection was not used, to keep the expiry list of nng short.

Change: nng accepts and reads the first request; HttpServer takes the connection over, reads bodies itself and answers on a bounded pool. Requests beyond the threads wait in a queue of 1,024, further ones get 503 with verdict not_run. New tests: refusal beyond the queue, keep-alive limit, pipelined and invalid requests; oversize heads and lengths also with a Host header, since nng refuses requests without one.

Caller-visible differences: a head may be 8192 bytes (4096 before); a head that nng cannot parse closes the connection without an answer; a connection without any complete head is not subject to the keep-alive limit; after a first request without Host, its body is taken for the next request.

--- a/packages/transport/include/kumquatbank/transport/HttpServer.h
+++ b/packages/transport/include/kumquatbank/transport/HttpServer.h
@@ -3,6 +3,7 @@
 #include "kumquatbank/core/core.h"
 #include "kumquatbank/transport/HttpMessage.h"
 
+#include <cstddef>
 #include <functional>
 #include <memory>
 
@@ -10,15 +11,17 @@
 
 /// Limits of an HttpServer.
 struct HttpServerOptions {
-    unsigned minThreads = 256; ///< Started at once: cxxtools adds threads at about 250 a second only.
-    unsigned maxThreads = 256; ///< Requests answered at the same time; further ones wait in the socket.
+    unsigned minThreads = 256; ///< Started at once.
+    unsigned maxThreads = 256; ///< Requests answered at the same time.
+    std::size_t maxQueued = 1024; ///< Requests that wait for a thread; further ones get 503 with verdict not_run.
     Milliseconds keepAlive { 600'000 }; ///< Idle connections are closed after this time.
 };
 
-/// HTTP/1.1 server over cxxtools: a thread per request in progress, idle connections in an event loop. The loop
-/// polls every idle connection at each wake-up: with 3,300 of them a request took 460 to 600 us of CPU time
-/// instead of 170 to 220 us without any, and each holds about 25 KB.
-/// Bodies over 2 MiB get 413, chunked ones 411; a request head over 4096 bytes closes the connection.
+/// HTTP/1.1 server over nng's: a thread per request in progress, idle connections in nng's poller.
+/// Bodies over 2 MiB get 413, chunked ones 411, other invalid requests 400. A head that nng cannot parse, or over
+/// its buffer of 8192 bytes, closes the connection without an answer. A connection that has sent no complete head
+/// yet is not subject to the keep-alive limit; after a first request without a Host header, which nng refuses, its
+/// body is taken for the next request.
 class HttpServer {
 public:
     /// Called on a server thread, concurrently; must not throw.
--- a/packages/transport/tests/HttpTest.cpp
+++ b/packages/transport/tests/HttpTest.cpp
@@ -70,6 +70,8 @@
     ::close(fd);
     for (const auto& head : { std::string("broken\r\n\r\n"),
              "GET / HTTP/1.1\r\nX: " + std::string(5000, 'y') + "\r\n\r\n",
+             "GET / HTTP/1.1\r\nHost: x\r\nX: " + std::string(9000, 'y') + "\r\n\r\n",
+             std::string("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 99999999999999999999\r\n\r\n"),
              std::string("POST / HTTP/1.1\r\nContent-Length: 99999999999999999999\r\n\r\n") }) {
         const int broken = connectRaw(address);
         writeText(broken, head);
@@ -141,6 +143,81 @@
     CHECK_TRUE(Clock::now() - startedAt < Milliseconds(900));
 }
 
+// Guards against requests beyond the threads and the queue that wait without bound, or get no clear answer.
+TEST(Http, RefusesRequestsBeyondTheQueueAtOnce)
+{
+    std::latch canEnd(1);
+    HttpServer server(address, { .minThreads = 1, .maxThreads = 2, .maxQueued = 3 }, [&](const HttpRequest&) {
+        canEnd.wait();
+        return HttpResponse {};
+    });
+    startServer(server);
+    std::atomic<int> answered = 0;
+    std::atomic<int> refused = 0;
+    std::vector<std::thread> callers;
+    for (int n = 0; n < 12; ++n) {
+        callers.emplace_back([&] {
+            const auto response = HttpClient(address).send({ "POST", "/", {}, "{}" }, Milliseconds(5000));
+            if (response && response->status == 200)
+                ++answered;
+            if (response && response->status == 503 && nlohmann::json::parse(response->body)["verdict"] == "not_run")
+                ++refused;
+        });
+    }
+    const auto deadline = Deadline::after(Milliseconds(2000));
+    while (refused < 7 && deadline.remaining().count() > 0)
+        std::this_thread::sleep_for(Milliseconds(5));
+    CHECK_EQUAL(7, refused.load());
+    canEnd.count_down();
+    for (auto& caller : callers)
+        caller.join();
+    CHECK_EQUAL(5, answered.load());
+}
+
+// Guards against connections of callers that vanished without closing, which would accumulate until restart.
+TEST(Http, ClosesConnectionsIdleBeyondKeepAlive)
+{
+    HttpServer server(address, { .minThreads = 2, .maxThreads = 2, .keepAlive = Milliseconds(200) }, echo);
+    startServer(server);
+    const int fd = connectRaw(address);
+    writeText(fd, "GET /x HTTP/1.1\r\nHost: x\r\n\r\n");
+    CHECK_TRUE(readUntil(fd, "}").starts_with("HTTP/1.1 200"));
+    pollfd entry { fd, POLLIN, 0 };
+    CHECK_EQUAL(1, ::poll(&entry, 1, 3000));
+    CHECK_EQUAL(0, readUntil(fd, "}").size());
+    ::close(fd);
+}
+
+// Guards against requests sent ahead on one connection getting lost, against an invalid request that gets no clear
+// error, and against a connection that stays open after a head that cannot be parsed.
+TEST(Http, AnswersPipelinedRequestsAndInvalidOnes)
+{
+    HttpServer server(address, {}, echo);
+    startServer(server);
+    const std::string valid = "GET /b HTTP/1.1\r\nHost: x\r\n\r\n";
+    const int fd = connectRaw(address);
+    writeText(fd, "POST /a HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n\r\nhi" + valid);
+    const auto both = readUntil(fd, "\"size\":0}");
+    CHECK_TRUE(both.find("\"/a\"") != std::string::npos);
+    CHECK_TRUE(both.find("\"/b\"") != std::string::npos);
+    writeText(fd, "broken\r\n\r\n" + valid);
+    CHECK_EQUAL(0, readUntil(fd, "}").size());
+    ::close(fd);
+    const int nameless = connectRaw(address);
+    writeText(nameless, "GET /b HTTP/1.1\r\n\r\n");
+    const auto refused = readUntil(nameless, "}}");
+    CHECK_TRUE(refused.starts_with("HTTP/1.1 400"));
+    CHECK_TRUE(refused.find("not_run") != std::string::npos);
+    ::close(nameless);
+    const int lengthless = connectRaw(address);
+    writeText(lengthless, "POST /b HTTP/1.1\r\nHost: x\r\nContent-Length: 2x\r\n\r\n" + valid);
+    const auto only = readUntil(lengthless, "\"/b\"");
+    CHECK_TRUE(only.starts_with("HTTP/1.1 400"));
+    CHECK_TRUE(only.find("not_run") != std::string::npos);
+    CHECK_TRUE(only.find("200 OK") == std::string::npos);
+    ::close(lengthless);
+}
+
 // Guards against a planned stop that aborts a request in progress, or hangs while connections are idle.
 TEST(Http, StopAnswersRequestsInProgressAndClosesIdleConnections)
 {
