--- a/scripts/fault_fleet.sh
+++ b/scripts/fault_fleet.sh
@@ -91,6 +91,19 @@
     databases_served
 }
 
+# Prints what keeps the fleet from being healthy: roles and positions of the slots, views of the holders.
+fleet_summary() {
+    local n slot
+    for n in "${!databases[@]}"; do
+        for slot in 0 1 2; do slot_status "$n" "$slot" | jq -c '[.slot, .role, .promisedTerm, .logTerm, .position, .claim, .leaving, .faults]'; done
+    done
+    for ((n = 0; n < proxies; n++)); do
+        curl -s -m 1 "http://$(caller_address "$n")/state" |
+            jq -c --arg n "$n" '[$n, .draining, (.groups[] | [.database, .isHolder, .claim, .primary, .knownHolder])]' ||
+            echo "proxy $n gives no state"
+    done
+}
+
 platform_faults() { curl -s -m 3 -X POST "http://$platform/faults" -d "$1" >/dev/null; }
 
 create_catalogue() {
