Let a superseded first candidate claim its group again

Cause: a held group that lost its claim never asked for it again, because requests reach a group only while its claim is held. After a process that had taken the group over left, every request at the first candidate waited 1 s for a claim and was then declined.

Ruled out: the load driver (its latencies of 1.0 s match claimWait), the claims of other processes (claim 5 and 6 of proxy 0 were granted at once).

Change: the registry requests the claim of every group whose first candidate this process is; the pause after a loss still applies. A forward to a successor that is gone is declined at once. A forward that may have run at the successor is returned as such; before, the request was run here as well. The matrix starts at a fixed port block, because the placement of groups depends on the addresses.

Ruled out as a fix: reclaiming without the pause when the member table lists the new holder as dead; two sides of a partition would take the group from each other without end.

--- a/packages/group/include/kumquatbank/group/DatabaseGroup.h
+++ b/packages/group/include/kumquatbank/group/DatabaseGroup.h
@@ -64,6 +64,9 @@
     /// named by knownHolder() is known to be dead.
     void reclaim();
 
+    /// Claims the group again once the pause after a lost claim has passed. Thread-safe.
+    void requestClaim();
+
     /// Runs one request to its final answer. @p index and @p count place this database in its service, for the
     /// entry's limits. NotRun/NotHolder when this process does not hold the group.
     Result<CallerAnswer> run(const CallerRequest& request, const CatalogueEntry& entry, const SessionToken& session,
--- a/packages/group/src/DatabaseGroup.cpp
+++ b/packages/group/src/DatabaseGroup.cpp
@@ -149,6 +149,8 @@
 
 void DatabaseGroup::reclaim() { m_impl->parts.claim.allowNow(); }
 
+void DatabaseGroup::requestClaim() { m_impl->parts.claim.request(); }
+
 Result<CallerAnswer> DatabaseGroup::run(const CallerRequest& request, const CatalogueEntry& entry,
     const SessionToken& session, std::size_t index, std::size_t count)
 {
--- a/packages/group/tests/ClaimTest.cpp
+++ b/packages/group/tests/ClaimTest.cpp
@@ -30,6 +30,24 @@
     CHECK_FALSE(successor.group().isHolder());
 }
 
+// Guards against a group that nobody claims after the process that took it over has gone.
+TEST(GroupClaim, SupersededHolderClaimsAgainOnRequestAfterItsPause)
+{
+    StandInGroup group;
+    TestHolder old(group, 1);
+    CHECK_TRUE(old.isReady());
+    {
+        TestHolder successor(group, 2);
+        CHECK_TRUE(successor.isReady());
+        CHECK_TRUE(eventually([&] { return old.group().knownHolder() == "127.0.0.1:2"; }));
+    }
+    CHECK_FALSE(old.group().isHolder());
+    old.group().requestClaim();
+    CHECK_FALSE(old.group().isHolder());
+    CHECK_TRUE(eventually([&] { return old.group().isHolder(); }));
+    CHECK_TRUE(old.write("append k v").has_value());
+}
+
 // Guards against two processes that take the group from each other without end.
 TEST(GroupClaim, ConcurrentClaimsSettle)
 {
--- a/packages/proxy/src/GroupRegistry.cpp
+++ b/packages/proxy/src/GroupRegistry.cpp
@@ -129,8 +129,11 @@
         it = m_held.erase(it);
     }
     for (const auto& [database, definition] : wanted) {
-        if (!m_held.contains(database))
+        const auto it = m_held.find(database);
+        if (it == m_held.end())
             startGroup(definition, std::nullopt);
+        else if (!it->second.group->isHolder())
+            it->second.group->requestClaim(); // A process that took the group over may have given it up.
     }
 }
 
--- a/packages/proxy/src/HolderService.cpp
+++ b/packages/proxy/src/HolderService.cpp
@@ -29,6 +29,11 @@
         return true;
     }
 
+    bool isUncertain(const ForwardReply& reply)
+    {
+        return !reply.answer && reply.answer.error().verdict == Verdict::MayHaveRun;
+    }
+
 } // namespace
 
 bool isUnsettledCommit(const ForwardReply& reply, const CallerRequest& request)
@@ -80,8 +85,11 @@
         const auto successor = HostAddress::parse(group->knownHolder());
         if (successor && *successor != m_self.address && message.hopCount < maxHops) {
             auto reply = relay(*successor, message, resolved);
-            if (!reply.isLinkFailure)
+            // A request that may have run there must not run here as well; the ingress process decides on a repeat.
+            if (!reply.isLinkFailure || isUncertain(reply))
                 return reply;
+            // The successor is gone, but this process may pause before its next claim; the next candidate need not.
+            return notHolderReply(resolved.database->name, true);
         }
     } else {
         if (const auto candidate = findServingCandidate(message, resolved))
--- a/scripts/fault_fleet.sh
+++ b/scripts/fault_fleet.sh
@@ -12,7 +12,7 @@
     local used
     used=$(awk 'NR > 1 { split($2, a, ":"); print strtonum("0x" a[2]) }' /proc/net/tcp 2>/dev/null ||
         awk 'NR > 1 { split($2, a, ":"); print a[2] }' /proc/net/tcp | while read -r n; do echo $((16#$n)); done)
-    for ((port_base = 20000 + $$ % 100 * 100; port_base < 32000; port_base += block_size)); do
+    for ((port_base = 20000; port_base < 32000; port_base += block_size)); do
         awk -v low=$port_base -v size=$block_size '$1 >= low && $1 < low + size { found = 1 } END { exit found }' \
             <<<"$used" && break
     done
