transport: name the ping and inspect message types

Cause: the table of names held five of the seven types, so sending a Ping (takeover probe) or an Inspect read past the end of the table and receiving one was refused as malformed.

Change: both types have their names; a test encodes and decodes every type.

--- a/packages/transport/src/PeerMessage.cpp
+++ b/packages/transport/src/PeerMessage.cpp
@@ -11,12 +11,14 @@
 
     using TypeName = std::pair<PeerMessageType, std::string_view>;
 
-    constexpr std::array<TypeName, 5> typeNames { {
+    constexpr std::array<TypeName, 7> typeNames { {
         { PeerMessageType::Forward, "forward" },
         { PeerMessageType::Exchange, "exchange" },
         { PeerMessageType::CataloguePush, "catalogue_push" },
         { PeerMessageType::IndirectProbe, "indirect_probe" },
         { PeerMessageType::Snapshot, "snapshot" },
+        { PeerMessageType::Ping, "ping" },
+        { PeerMessageType::Inspect, "inspect" },
     } };
 
 } // namespace
--- a/packages/transport/tests/PeerTest.cpp
+++ b/packages/transport/tests/PeerTest.cpp
@@ -73,6 +73,16 @@
     CHECK_EQUAL(bytes, client.controlBytes());
 }
 
+// Guards against a type without a name, which reads past the table of names when it is sent.
+TEST(Peer, CarriesEveryMessageType)
+{
+    using enum PeerMessageType;
+    for (const auto type : { Forward, Exchange, CataloguePush, IndirectProbe, Snapshot, Ping, Inspect }) {
+        const nlohmann::json json = makeMessage(1, type);
+        CHECK_TRUE(json.get<PeerMessage>().type == type);
+    }
+}
+
 // Guards against a request being run twice: its peer dies after receiving it and comes back on the same address.
 TEST(Peer, DeliversAtMostOnceWhenThePeerDiesMidRequest)
 {
