membership: spread a suspicion at once and confirm a Dead claim sooner

Cause, from log lines of a run with 8 processes: the first check failed at 32.42 s, but two more processes found the dead one by checks of their own at 35.35 s and 35.58 s, after the first suspicion had ended. Regular rounds had not brought them the suspicion in time, so each began its own.

Ruled out: restarted suspicions (pause of the process, late expiry). The log lines for them did not occur in these runs.

Change: a process that starts a suspicion exchanges with up to 8 peers at once. Rows are expired between the steps of the probe thread, whose timeouts added up to more than the 1 s that counts as a pause.

--- a/packages/membership/src/MemberTable.cpp
+++ b/packages/membership/src/MemberTable.cpp
@@ -17,6 +17,8 @@
     constexpr std::size_t updatesPerBurstMessage = 100;
     constexpr std::size_t burstBacklog = 200; ///< Only after a split or the loss of a data centre.
     constexpr std::size_t maxContested = 512;
+    /// A whole second suspicion after a peer's Dead claim would exceed the 5 s within which a death is known.
+    constexpr int claimedDeadDivisor = 4;
     constexpr std::chrono::seconds maxExpireGap { 1 }; ///< A probe that waits for its timeout takes 0.5 s.
 
     int stateOrder(MemberState state) { return static_cast<int>(state); }
@@ -125,14 +127,27 @@
 void MemberTable::suspect(const HostAddress& address, std::uint64_t incarnation, TimePoint now)
 {
     const std::lock_guard lock(m_mutex);
+    startSuspicion(address, incarnation, now);
+}
+
+void MemberTable::suspectClaimedDead(const HostAddress& address, std::uint64_t incarnation, TimePoint now)
+{
+    const std::lock_guard lock(m_mutex);
+    if (startSuspicion(address, incarnation, now))
+        m_rows.at(address).isClaimedDead = true;
+}
+
+bool MemberTable::startSuspicion(const HostAddress& address, std::uint64_t incarnation, TimePoint now)
+{
     const auto it = m_rows.find(address);
     if (address == m_selfAddress || it == m_rows.end() || it->second.member.identity.incarnation != incarnation)
-        return;
+        return false;
     Member next = it->second.member;
     if (next.state == MemberState::Suspect || next.state == MemberState::Dead)
-        return;
+        return false;
     next.state = next.state == MemberState::Leaving ? MemberState::Dead : MemberState::Suspect;
     store(next, now);
+    return true;
 }
 
 Milliseconds MemberTable::scaledSuspicionTime() const
@@ -144,13 +159,16 @@
 void MemberTable::expire(TimePoint now)
 {
     const std::lock_guard lock(m_mutex);
-    if (m_lastExpire && now - *m_lastExpire > maxExpireGap)
+    if (m_lastExpire && now - *m_lastExpire > maxExpireGap) {
+        LOG4CXX_INFO(partLogger("membership"), "no expiry for more than a second: suspicions start again");
         restartAll(now);
+    }
     m_lastExpire = now;
     std::vector<Member> dead;
     const Milliseconds limit = scaledSuspicionTime();
     for (const auto& [address, row] : m_rows) {
-        if (row.member.state == MemberState::Suspect && now - row.since >= limit)
+        const Milliseconds ownLimit = row.isClaimedDead ? limit / claimedDeadDivisor : limit;
+        if (row.member.state == MemberState::Suspect && now - row.since >= ownLimit)
             dead.push_back({ row.member.identity, MemberState::Dead });
     }
     for (const Member& member : dead)
--- a/packages/membership/src/MemberTable.h
+++ b/packages/membership/src/MemberTable.h
@@ -32,6 +32,10 @@
     /// Suspects a process that answered neither directly nor through others. A Leaving one is dead at once.
     void suspect(const HostAddress& address, std::uint64_t incarnation, TimePoint now);
 
+    /// As suspect(), for a process that a peer claims to be Dead and that did not answer this process or its
+    /// helpers either: the suspicion lasts a quarter of its usual time, because the peer waited a whole one.
+    void suspectClaimedDead(const HostAddress& address, std::uint64_t incarnation, TimePoint now);
+
     /// Turns expired suspicions into deaths and forgets rows that have been dead for a long time. Call it
     /// several times a second: a gap of more than a second means that this process was paused and may have
     /// missed refutations, so all suspicions start again.
@@ -73,6 +77,7 @@
     struct Row {
         Member member;
         TimePoint since {}; ///< When the state was entered; the time of death or start of the suspicion.
+        bool isClaimedDead = false; ///< A suspicion that confirms a peer's Dead claim.
     };
     struct Place {
         std::uint16_t rowCount = 0;
@@ -83,6 +88,7 @@
     void mergeOne(const Member& claim, TimePoint now);
     void refute(const Member& claim, TimePoint now);
     void store(const Member& member, TimePoint now);
+    bool startSuspicion(const HostAddress& address, std::uint64_t incarnation, TimePoint now);
     void restartAll(TimePoint now);
     void count(const Member& member, int sign, TimePoint now);
     Milliseconds scaledSuspicionTime() const;
--- a/packages/membership/src/ProbeQueue.cpp
+++ b/packages/membership/src/ProbeQueue.cpp
@@ -8,6 +8,8 @@
 
     constexpr Milliseconds wakeInterval { 100 };
     constexpr std::size_t helperCount = 2;
+    /// By regular rounds alone a suspicion reached some of 8 processes only after it had ended.
+    constexpr std::size_t suspicionFanout = 8;
     constexpr std::size_t maxWaiting = 64; ///< Peers that still do not answer are found again by later rounds.
     constexpr int contestedPerRound = 5; ///< 2.5 KB a second, only after a split.
     /// A check that takes this much longer than its timeout means that this process was paused.
@@ -58,6 +60,7 @@
 void ProbeQueue::forgiveAll(TimePoint now)
 {
     ++m_pauses;
+    LOG4CXX_INFO(partLogger("membership"), "this process was paused: suspicions start again");
     m_table.restartSuspicions(now);
     const std::lock_guard lock(m_mutex);
     m_waiting.clear();
@@ -72,8 +75,11 @@
             check(*peer);
             continue;
         }
+        // Each step may wait for its timeout; expire() takes the sum of them for a pause of this process.
         askSuspects();
+        m_table.expire(Clock::now());
         askContested();
+        m_table.expire(Clock::now());
         askLost(Clock::now());
     }
 }
@@ -88,11 +94,11 @@
     return peer;
 }
 
-void ProbeQueue::check(const HostAddress& peer)
+std::optional<Member> ProbeQueue::findUnreachable(const HostAddress& peer)
 {
     const auto row = m_table.find(peer);
     if (!row || row->state == MemberState::Dead || row->state == MemberState::Suspect)
-        return;
+        return std::nullopt;
     const std::uint64_t pauses = m_pauses;
     const TimePoint start = Clock::now();
     std::atomic<bool> isReachable { false };
@@ -106,9 +112,41 @@
     });
     const TimePoint now = Clock::now();
     if (isReachable || pauses != m_pauses || now - start > m_probeTimeout + pauseMargin)
-        return;
+        return std::nullopt;
     LOG4CXX_INFO(partLogger("membership"), "no answer from " << peer.toString() << " directly or through peers");
-    m_table.suspect(peer, row->identity.incarnation, now);
+    return row;
+}
+
+void ProbeQueue::check(const HostAddress& peer)
+{
+    const auto row = findUnreachable(peer);
+    if (!row)
+        return;
+    m_table.suspect(peer, row->identity.incarnation, Clock::now());
+    m_suspects.insert(peer);
+    spreadSuspicion(peer);
+}
+
+void ProbeQueue::spreadSuspicion(const HostAddress& suspect)
+{
+    PeerCaller::forEach(m_selector.randomPeers(suspicionFanout, suspect),
+        [this](const HostAddress& it) { m_gossip.exchangeWith(it, m_probeTimeout); });
+}
+
+void ProbeQueue::checkClaim(const Member& claim)
+{
+    const HostAddress& peer = claim.identity.address;
+    if (m_gossip.exchangeWith(peer, m_probeTimeout, claim))
+        return;
+    m_table.expire(Clock::now());
+    const auto row = findUnreachable(peer);
+    if (!row)
+        return;
+    // A claim about a former run says nothing of this one.
+    if (row->identity.incarnation == claim.identity.incarnation)
+        m_table.suspectClaimedDead(peer, row->identity.incarnation, Clock::now());
+    else
+        m_table.suspect(peer, row->identity.incarnation, Clock::now());
     m_suspects.insert(peer);
 }
 
@@ -135,10 +173,8 @@
     if (now < m_nextContestedAsk)
         return;
     m_nextContestedAsk = now + m_gossipInterval / contestedPerRound;
-    for (const Member& claim : m_table.takeContested(1)) {
-        if (!m_gossip.exchangeWith(claim.identity.address, m_probeTimeout, claim))
-            confirm(claim.identity.address);
-    }
+    for (const Member& claim : m_table.takeContested(1))
+        checkClaim(claim);
 }
 
 Milliseconds ProbeQueue::lostInterval() const
--- a/packages/membership/src/ProbeQueue.h
+++ b/packages/membership/src/ProbeQueue.h
@@ -35,6 +35,10 @@
     void run(const std::stop_token& stop);
     std::optional<HostAddress> takeConfirm(const std::stop_token& stop);
     void check(const HostAddress& peer);
+    /// @return the row of @p peer when neither this process nor its helpers reach it and it is not suspect yet.
+    std::optional<Member> findUnreachable(const HostAddress& peer);
+    void checkClaim(const Member& claim);
+    void spreadSuspicion(const HostAddress& suspect);
     void askSuspects();
     void askContested();
     void askLost(TimePoint now);
--- a/packages/membership/tests/FleetTest.cpp
+++ b/packages/membership/tests/FleetTest.cpp
@@ -264,6 +264,33 @@
     CHECK_TRUE(waitFor(Milliseconds(1500), [&] { return !fleet.processes[0]->stateOf(fleet.address(1)); }));
 }
 
+// Guards against a process that missed the suspicion and, told of the death, waits for a whole suspicion of its
+// own; and against a false Dead claim that changes anything about a live process. Has the production suspicion.
+TEST(Fleet, DeadClaimIsConfirmedSoonOrChangesNothing)
+{
+    PlatformProcess platform(platformPort);
+    MembershipOptions timing;
+    timing.gossipInterval = Milliseconds(2000); // No regular round finds the death within this test's limit.
+    Fleet fleet(24200, 4, platform.address(), timing);
+    fleet.startAll();
+    CHECK_TRUE(waitFor(Milliseconds(15'000), [&] { return fleet.isComplete(); }));
+    TestProcess& told = *fleet.processes[0];
+    const auto claimDead = [&](std::size_t index) {
+        Member claim { fleet.processes[index]->identity(), MemberState::Dead };
+        for (const Member& it : told.membership.members()) {
+            if (it.identity.address == claim.identity.address)
+                claim.identity = it.identity;
+        }
+        const nlohmann::json body = { { "v", 0 }, { "n", 0 }, { "r", packRows(std::vector<Member> { claim }) } };
+        told.membership.handle({ PeerMessageType::Exchange, { fleet.address(9), 1, "place-a" }, body });
+    };
+    claimDead(2);
+    CHECK_FALSE(waitFor(Milliseconds(1500), [&] { return told.stateOf(fleet.address(2)) != MemberState::Alive; }));
+    fleet.processes[1]->kill();
+    claimDead(1);
+    CHECK_TRUE(waitFor(Milliseconds(1900), [&] { return !told.stateOf(fleet.address(1)); }));
+}
+
 // Guards against a live process that is lost to a false suspicion because its refutation does not get through.
 TEST(Fleet, FalseSuspicionIsRefuted)
 {
--- a/packages/membership/tests/MemberTableTest.cpp
+++ b/packages/membership/tests/MemberTableTest.cpp
@@ -67,6 +67,24 @@
     CHECK_TRUE(stateOf(other) == MemberState::Dead);
 }
 
+// Guards against a second whole suspicion after a peer's Dead claim, against one that leaves no time to refute,
+// and against a restart or refutation that inherits the shorter time.
+TEST(MemberTable, ConfirmedDeadClaimShortensSuspicion)
+{
+    merge(row(other, 1, MemberState::Alive), start);
+    table.suspectClaimedDead(other, 2, start);
+    CHECK_TRUE(stateOf(other) == MemberState::Alive);
+    table.suspectClaimedDead(other, 1, start);
+    table.expire(start + Milliseconds(499));
+    CHECK_TRUE(stateOf(other) == MemberState::Suspect);
+    table.expire(start + Milliseconds(500));
+    CHECK_TRUE(stateOf(other) == MemberState::Dead);
+    merge(row(other, 2, MemberState::Alive), start + Milliseconds(600));
+    table.suspect(other, 2, start + Milliseconds(600));
+    table.expire(start + Milliseconds(1500));
+    CHECK_TRUE(stateOf(other) == MemberState::Suspect);
+}
+
 // Guards against a paused process that declares the others dead when it wakes, before their refutations arrive.
 TEST(MemberTable, PauseRestartsSuspicions)
 {
