Close peer links off the request path and end a drained process without closing them

A drain hung because two requests closed fresh links in their own threads; a request that replaces a lost link could hang in the same way. Conclusion: neither a request nor the exit waits for nng_close() any more.

--- a/apps/kumquatbank/main.cpp
+++ b/apps/kumquatbank/main.cpp
@@ -1,6 +1,7 @@
 #include "kumquatbank/proxy/proxy.h"
 
 #include <csignal>
+#include <cstdlib>
 #include <cxxopts.hpp>
 #include <iostream>
 #include <pthread.h>
@@ -43,7 +44,10 @@
     }
     waitForShutdown();
     process.drain();
-    return 0;
+    // Everything is finished and saved. Closing the peer connections is left to the kernel, because nng_close() of
+    // nng 1.5.2 can wait forever.
+    std::cout.flush();
+    std::_Exit(0);
 }
 
 int runCommandLine(int argc, char** argv)
--- a/packages/proxy/include/kumquatbank/proxy/ProxyProcess.h
+++ b/packages/proxy/include/kumquatbank/proxy/ProxyProcess.h
@@ -19,7 +19,7 @@
     Result<void> start();
 
     /// Graceful shutdown: ready turns false, peers choose other holders, requests and transactions in progress
-    /// finish, causes are saved. Returns when all of it is done.
+    /// finish, causes are saved. Returns when all of it is done; peer connections are still open then.
     void drain();
 
 private:
--- a/packages/proxy/src/GroupRegistry.cpp
+++ b/packages/proxy/src/GroupRegistry.cpp
@@ -102,7 +102,7 @@
     while (!stop.stop_requested()) {
         if (needsReconcile())
             reconcile();
-        reclaimFromDeadHolders();
+        requestClaims();
         std::unique_lock lock(m_mutex);
         m_wakeUp.wait_for(lock, stop, reconcileInterval, [] { return false; });
     }
@@ -142,26 +142,18 @@
         it = m_held.erase(it);
     }
     for (const auto& [database, definition] : wanted) {
-        const auto it = m_held.find(database);
-        if (it == m_held.end())
+        if (!m_held.contains(database))
             startGroup(definition, std::nullopt);
-        else if (!it->second.group->isHolder())
-            it->second.group->requestClaim(); // A process that took the group over may have given it up.
     }
 }
 
-void GroupRegistry::reclaimFromDeadHolders()
+void GroupRegistry::requestClaims()
 {
-    auto superseded = held();
-    std::erase_if(superseded, [](const auto& it) { return it.second->knownHolder().empty(); });
-    if (superseded.empty())
-        return;
-    const auto members = m_membership.members();
-    for (const auto& [database, group] : superseded) {
-        const bool isLive = std::ranges::any_of(members,
-            [holder = group->knownHolder()](const Member& it) { return it.identity.address.toString() == holder; });
-        if (!isLive)
-            group->reclaim();
+    const std::lock_guard lock(m_mutex);
+    for (const auto& [database, held] : m_held) {
+        const bool isWanted = !held.takenOverAt && !held.unwantedSince;
+        if (isWanted && !held.group->isHolder())
+            held.group->requestClaim();
     }
 }
 
--- a/packages/proxy/src/GroupRegistry.h
+++ b/packages/proxy/src/GroupRegistry.h
@@ -57,8 +57,9 @@
     /// False while neither the member table nor the catalogue has moved and no group waits to be handed over, so
     /// that nothing is ranked in vain.
     bool needsReconcile() const;
-    /// Lets groups claim again whose claim was taken by a process that is no longer a member.
-    void reclaimFromDeadHolders();
+    /// Asks for the claim of groups whose first candidate this process is; a process that took one over may have
+    /// given it up.
+    void requestClaims();
     bool isWanted(const DatabaseDefinition& definition) const;
     bool isSurplus(HeldGroup& held, bool isWanted) const;
     std::shared_ptr<DatabaseGroup> startGroup(
--- a/packages/proxy/src/ProxyProcess.cpp
+++ b/packages/proxy/src/ProxyProcess.cpp
@@ -5,6 +5,8 @@
 #include "StateMetrics.h"
 #include "StatementService.h"
 
+#include <condition_variable>
+#include <mutex>
 #include <prometheus/exposer.h>
 #include <thread>
 
@@ -15,6 +17,9 @@
     // Waiting for a holder may take a quarter of the threads; the rest keep serving other databases.
     constexpr std::ptrdiff_t holderWaitDivisor = 4;
 
+    constexpr Milliseconds peerIdleLimit { 60'000 };
+    constexpr Milliseconds maintenanceInterval { 10'000 };
+
     constexpr Milliseconds causesFlushLimit { 3000 };
 
     const log4cxx::LoggerPtr& logger()
@@ -49,6 +54,8 @@
     void drain();
 
 private:
+    /// Closes links to peers that are no longer used; a host needs links only to holders of its callers' databases.
+    void maintainLinks(const std::stop_token& stop);
     MembershipOptions membershipOptions() const;
     DatabaseGroupOptions groupOptions();
     HttpResponse serveHttp(const HttpRequest& request);
@@ -74,6 +81,9 @@
     PeerServer m_peerServer;
     HttpServer m_httpServer;
     std::unique_ptr<prometheus::Exposer> m_exposer;
+    std::mutex m_maintenanceMutex;
+    std::condition_variable_any m_maintenanceWakeUp;
+    std::jthread m_maintenance;
 };
 
 ProxyProcess::Impl::Impl(Settings settings)
@@ -118,6 +128,7 @@
     m_membership.start();
     m_causeFlusher.start();
     m_registry.start();
+    m_maintenance = std::jthread([this](const std::stop_token& stop) { maintainLinks(stop); });
     LOG4CXX_INFO(logger(), "serves callers on " << m_settings.callerAddress.toString() << ", peers on " << m_settings.peerAddress.toString());
     return {};
 }
@@ -134,11 +145,21 @@
     m_httpServer.stop();
     m_causeFlusher.stop(causesFlushLimit);
     m_membership.stop();
-    m_peerServer.stop();
     m_exposer.reset();
     LOG4CXX_INFO(logger(), "has stopped");
 }
 
+void ProxyProcess::Impl::maintainLinks(const std::stop_token& stop)
+{
+    while (!stop.stop_requested()) {
+        {
+            std::unique_lock lock(m_maintenanceMutex);
+            m_maintenanceWakeUp.wait_for(lock, stop, maintenanceInterval, [] { return false; });
+        }
+        m_peers.closeIdle(peerIdleLimit);
+    }
+}
+
 MembershipOptions ProxyProcess::Impl::membershipOptions() const
 {
     MembershipOptions options;
--- a/packages/transport/src/PeerClient.cpp
+++ b/packages/transport/src/PeerClient.cpp
@@ -1,16 +1,20 @@
 #include "kumquatbank/transport/PeerClient.h"
 
+#include "LinkCloser.h"
 #include "PeerEncoding.h"
 #include "PeerLink.h"
 
 #include <map>
 #include <mutex>
-#include <vector>
 
 namespace kumquatbank {
 
 class PeerClient::Impl {
 public:
+    std::shared_ptr<PeerLink> openLink(const HostAddress& peer)
+    {
+        return m_closer.manage(std::make_unique<PeerLink>(peer));
+    }
     std::shared_ptr<PeerLink> linkTo(const HostAddress& peer);
     Result<nlohmann::json> callOver(PeerLink& link, const PeerMessage& message, Milliseconds timeout);
     /// Forgets @p link once it is lost, which closes it after its last call.
@@ -20,19 +24,17 @@
     std::atomic<std::uint64_t> controlBytes = 0;
 
 private:
+    LinkCloser m_closer;
     std::mutex m_mutex;
     std::map<HostAddress, std::shared_ptr<PeerLink>> m_links;
 };
 
 std::shared_ptr<PeerLink> PeerClient::Impl::linkTo(const HostAddress& peer)
 {
-    std::shared_ptr<PeerLink> replaced; // Closed after the mutex is released; calls in progress keep it open.
     const std::lock_guard lock(m_mutex);
     auto& link = m_links[peer];
-    if (!link || !link->isUsable()) {
-        replaced = std::move(link);
-        link = std::make_shared<PeerLink>(peer);
-    }
+    if (!link || !link->isUsable())
+        link = openLink(peer);
     return link;
 }
 
@@ -61,22 +63,18 @@
     if (link->isUsable())
         return;
     const std::lock_guard lock(m_mutex);
-    // The caller still holds the link, so that erasing it here does not close it under the mutex.
     if (const auto it = m_links.find(peer); it != m_links.end() && it->second == link)
         m_links.erase(it);
 }
 
 std::size_t PeerClient::Impl::closeIdle(Milliseconds idle)
 {
-    std::vector<std::shared_ptr<PeerLink>> closing; // Destroyed, hence closed, after the mutex is released.
     const std::lock_guard lock(m_mutex);
     const auto oldest = Clock::now() - idle;
     for (auto it = m_links.begin(); it != m_links.end();) {
         // A count above one means that a call in progress uses the link.
         const bool isIdle = it->second.use_count() == 1 && it->second->lastUsed() <= oldest;
         const bool isClosing = isIdle || !it->second->isUsable();
-        if (isClosing)
-            closing.push_back(std::move(it->second));
         it = isClosing ? m_links.erase(it) : std::next(it);
     }
     return m_links.size();
@@ -102,8 +100,8 @@
 Result<nlohmann::json> PeerClient::callFresh(
     const HostAddress& peer, const PeerMessage& message, Milliseconds timeout)
 {
-    PeerLink link(peer);
-    return m_impl->callOver(link, message, timeout);
+    const auto link = m_impl->openLink(peer);
+    return m_impl->callOver(*link, message, timeout);
 }
 
 std::size_t PeerClient::closeIdle(Milliseconds idle) { return m_impl->closeIdle(idle); }
