End a hanging drain in the fault matrix after 20 s

Cause: a drain that hangs stopped the runner until the limit of ctest; the cell now fails with status 137 instead.

--- a/tests/fault_matrix.sh
+++ b/tests/fault_matrix.sh
@@ -105,7 +105,10 @@
 }
 stop_proxy() { # proxy index
     local status=0
-    kill -TERM "${proxy_pid[$1]}"; wait "${proxy_pid[$1]}" || status=$?
+    kill -TERM "${proxy_pid[$1]}"
+    # Every request of a cell has a deadline of 4 s or less, so a longer drain hangs.
+    wait_for 20 eval "! kill -0 ${proxy_pid[$1]}" || kill_process "${proxy_pid[$1]}"
+    wait "${proxy_pid[$1]}" || status=$?
     [ $status = 0 ] || problem "the drained proxy $1 exited with $status"
 }
 
