transport: start the dialer directly instead of nng_dial

Cause: nng_dial() closes its dialer when the dial fails and holds no reference to it. With a concurrent nng_close() from ~PeerLink the dialer may be freed already; gdb shows nng's panic "pthread_mutex_lock: Invalid argument" below nng_dial, nni_dialer_close, nni_task_wait. The hang of the reaper thread has a further cause, which is not proved.

Change: the thread of PeerLink creates the dialer and calls nng_dialer_start(), which holds a reference and closes nothing.

--- a/packages/transport/src/PeerLink.cpp
+++ b/packages/transport/src/PeerLink.cpp
@@ -38,9 +38,12 @@
     checkNng(nng_pipe_notify(m_socket, NNG_PIPE_EV_REM_POST, onPipeEvent, this));
     std::promise<int> dialed;
     m_dialed = dialed.get_future().share();
-    // nng reports a refused connection only to a blocking dial; closing the socket ends the dial.
+    // nng reports a refused connection only to a blocking start; closing the socket ends it. nng_dial() is not
+    // used: when it fails it closes a dialer that a concurrent nng_close() may already have freed.
     m_dialThread = std::thread([socket = m_socket, url = "tcp://" + m_peer, result = std::move(dialed)]() mutable {
-        result.set_value(nng_dial(socket, url.c_str(), nullptr, 0));
+        nng_dialer dialer = NNG_DIALER_INITIALIZER;
+        const int error = nng_dialer_create(&dialer, socket, url.c_str());
+        result.set_value(error != 0 ? error : nng_dialer_start(dialer, 0));
     });
 }
 
