--- a/packages/transport/src/PeerServer.cpp
+++ b/packages/transport/src/PeerServer.cpp
@@ -1,6 +1,7 @@
 #include "kumquatbank/transport/PeerServer.h"
 
 #include "PeerEncoding.h"
+#include "SocketCloser.h"
 
 #include <nng/protocol/reqrep0/rep.h>
 #include <optional>
@@ -84,7 +85,7 @@
     if (!m_workers.empty())
         std::this_thread::sleep_for(flushTime);
     m_workers.clear();
-    nng_close(*m_socket);
+    closeSocket(*m_socket);
     m_socket.reset();
 }
 
