--- a/packages/transport/src/HttpConnection.cpp
+++ b/packages/transport/src/HttpConnection.cpp
@@ -11,7 +11,6 @@
 #include <optional>
 #include <set>
 #include <string_view>
-#include <utility>
 
 namespace kumquatbank {
 
@@ -84,33 +83,22 @@
 
 } // namespace
 
-HttpConnection::HttpConnection(
-    nng_http_conn* connection, nng_http_req* request, ReadHandler onRead, WriteHandler onWritten)
+HttpConnection::HttpConnection(nng_http_conn* connection, nng_http_req* request, ReadHandler handler)
     : m_connection(connection)
     , m_request(request)
-    , m_onRead(std::move(onRead))
-    , m_onWritten(std::move(onWritten))
+    , m_handler(std::move(handler))
 {
-    const auto readEnded = [](void* self) {
+    const auto onRead = [](void* self) {
         auto& connection = *static_cast<HttpConnection*>(self);
         connection.m_readStartedAt = TimePoint::max();
-        connection.m_onRead(connection);
+        connection.m_handler(connection);
     };
-    const auto writeEnded = [](void* self) {
-        auto& connection = *static_cast<HttpConnection*>(self);
-        nng_http_res_free(std::exchange(connection.m_response, nullptr));
-        connection.m_responseBody = {};
-        connection.m_isDone = connection.m_isDone || nng_aio_result(connection.m_writeAio) != 0;
-        connection.m_onWritten(connection);
-    };
-    checkNng(nng_aio_alloc(&m_readAio, readEnded, this));
-    checkNng(nng_aio_alloc(&m_writeAio, writeEnded, this));
+    checkNng(nng_aio_alloc(&m_readAio, onRead, this));
 }
 
 HttpConnection::~HttpConnection()
 {
     nng_aio_free(m_readAio);
-    nng_aio_free(m_writeAio);
     nng_http_conn_close(m_connection);
     nng_http_req_free(m_request);
 }
@@ -155,52 +143,52 @@
     return true;
 }
 
-bool HttpConnection::reject(int status, const std::string& message, bool close)
+bool HttpConnection::reject(const NngAio& aio, int status, const std::string& message, bool close)
 {
-    return respond(makeError(status, notRun(FailureCode::BadRequest, message, Cause::BadRequest).value()), close);
+    return respond(
+        aio, makeError(status, notRun(FailureCode::BadRequest, message, Cause::BadRequest).value()), close);
 }
 
 bool HttpConnection::serve(const NngAio& aio, Milliseconds transferTimeout,
     const std::function<HttpResponse(const HttpRequest&)>& handler)
 {
     nng_aio_set_timeout(aio.get(), static_cast<nng_duration>(transferTimeout.count()));
-    nng_aio_set_timeout(m_writeAio, static_cast<nng_duration>(transferTimeout.count()));
     if (!std::string_view(nng_http_req_get_version(m_request)).starts_with("HTTP/1."))
-        return reject(505, "only HTTP/1.1 and HTTP/1.0 are supported", true);
+        return reject(aio, 505, "only HTTP/1.1 and HTTP/1.0 are supported", true);
     if (std::string_view(nng_http_req_get_version(m_request)) == "HTTP/1.1" && headerOf(m_request, "Host").empty())
-        return reject(400, "the request needs a Host header", true);
+        return reject(aio, 400, "the request needs a Host header", true);
     if (!headerOf(m_request, "Transfer-Encoding").empty())
-        return reject(411, "the request needs a Content-Length; chunked bodies are not accepted", true);
+        return reject(aio, 411, "the request needs a Content-Length; chunked bodies are not accepted", true);
     const auto lengthText = headerOf(m_request, "Content-Length");
     const auto length = lengthText.empty() ? 0 : parseLength(lengthText);
     if (!length)
-        return reject(400, "the Content-Length is no number of bytes", true);
+        return reject(aio, 400, "the Content-Length is no number of bytes", true);
     if (*length > maxBodyBytes) {
         const bool isSkipped = *length <= maxSkippedBytes && skip(aio, *length);
-        return reject(413, tooLargeMessage, !isSkipped || isLastRequest());
+        return reject(aio, 413, tooLargeMessage, !isSkipped || isLastRequest());
     }
     std::string body(*length, '\0');
     if (!read(aio, body.data(), body.size()))
         return false;
-    return respond(handler(makeRequest(m_request, std::move(body))), isLastRequest());
+    return respond(aio, handler(makeRequest(m_request, std::move(body))), isLastRequest());
 }
 
-bool HttpConnection::respond(HttpResponse response, bool close)
+bool HttpConnection::respond(const NngAio& aio, const HttpResponse& response, bool close)
 {
-    m_isDone = close;
-    m_responseBody = std::move(response.body);
-    checkNng(nng_http_res_alloc(&m_response));
-    checkNng(nng_http_res_set_status(m_response, static_cast<std::uint16_t>(response.status)));
-    checkNng(nng_http_res_set_header(m_response, "Content-Type", response.contentType.c_str()));
+    nng_http_res* raw = nullptr;
+    checkNng(nng_http_res_alloc(&raw));
+    const std::unique_ptr<nng_http_res, decltype(&nng_http_res_free)> outgoing(raw, &nng_http_res_free);
+    checkNng(nng_http_res_set_status(raw, static_cast<std::uint16_t>(response.status)));
+    checkNng(nng_http_res_set_header(raw, "Content-Type", response.contentType.c_str()));
     if (close)
-        checkNng(nng_http_res_set_header(m_response, "Connection", "close"));
+        checkNng(nng_http_res_set_header(raw, "Connection", "close"));
     const auto* method = nng_http_req_get_method(m_request);
-    if (m_responseBody.empty() || (method && std::string_view(method) == "HEAD"))
-        checkNng(nng_http_res_set_header(m_response, "Content-Length", std::to_string(m_responseBody.size()).c_str()));
-    else
-        checkNng(nng_http_res_set_data(m_response, m_responseBody.data(), m_responseBody.size()));
-    nng_http_conn_write_res(m_connection, m_response, m_writeAio);
-    return true;
+    if (response.body.empty() || (method && std::string_view(method) == "HEAD"))
+        checkNng(nng_http_res_set_header(raw, "Content-Length", std::to_string(response.body.size()).c_str()));
+    else // The response outlives the write, so its body need not be copied.
+        checkNng(nng_http_res_set_data(raw, response.body.data(), response.body.size()));
+    nng_http_conn_write_res(m_connection, raw, aio.get());
+    return aio.wait() == 0 && !close;
 }
 
 } // namespace kumquatbank
--- a/packages/transport/src/HttpConnection.h
+++ b/packages/transport/src/HttpConnection.h
@@ -21,12 +21,8 @@
     /// the connection.
     using ReadHandler = std::function<void(HttpConnection&)>;
 
-    /// Called in the same way when an answer was written; the connection can be read from again unless isDone().
-    using WriteHandler = std::function<void(HttpConnection&)>;
-
-    /// Takes ownership of @p connection and @p request.
-    HttpConnection(
-        nng_http_conn* connection, nng_http_req* request, ReadHandler onRead, WriteHandler onWritten);
+    /// Takes ownership of both arguments.
+    HttpConnection(nng_http_conn* connection, nng_http_req* request, ReadHandler handler);
     ~HttpConnection();
     HttpConnection(const HttpConnection&) = delete;
     HttpConnection& operator=(const HttpConnection&) = delete;
@@ -43,37 +39,28 @@
     /// True when the read in progress started before @p time. Thread-safe.
     bool isIdleSince(TimePoint time) const { return m_readStartedAt.load() < time; }
 
-    /// True after the last answer of the connection, or one that could not be written.
-    bool isDone() const { return m_isDone; }
-
-    /// Makes isDone() true, so that no further request is served.
-    void setDone() { m_isDone = true; }
-
-    /// Reads the body of the current request, has @p handler answer it and starts to write the answer; answers
-    /// invalid requests itself. The body has to arrive, and the answer to be taken, within @p transferTimeout each.
-    /// @return false when the connection has to be closed; otherwise the caller must not use it afterwards.
+    /// Reads the body of the current request, then has @p handler answer it; answers invalid requests itself.
+    /// The body has to arrive, and the answer to be taken, within @p transferTimeout each.
+    /// @return false when the connection has to be closed.
     bool serve(const NngAio& aio, Milliseconds transferTimeout,
         const std::function<HttpResponse(const HttpRequest&)>& handler);
 
+    /// Answers with @p response. @return false when the write failed or @p close is set.
+    bool respond(const NngAio& aio, const HttpResponse& response, bool close);
+
     /// JSON answer with verdict not_run.
     static HttpResponse makeError(int status, const Failure& failure);
 
 private:
     bool isLastRequest() const;
-    bool reject(int status, const std::string& message, bool close);
-    bool respond(HttpResponse response, bool close);
+    bool reject(const NngAio& aio, int status, const std::string& message, bool close);
     bool read(const NngAio& aio, char* data, std::size_t size);
     bool skip(const NngAio& aio, std::size_t size);
 
     nng_http_conn* m_connection;
     nng_http_req* m_request;
     nng_aio* m_readAio = nullptr;
-    nng_aio* m_writeAio = nullptr;
-    nng_http_res* m_response = nullptr;
-    std::string m_responseBody; ///< Referred to by m_response.
-    bool m_isDone = false;
-    ReadHandler m_onRead;
-    WriteHandler m_onWritten;
+    ReadHandler m_handler;
     std::atomic<TimePoint> m_readStartedAt = TimePoint::max();
 };
 
--- a/packages/transport/src/HttpServer.cpp
+++ b/packages/transport/src/HttpServer.cpp
@@ -59,8 +59,6 @@
     int listen();
     void adopt(nng_http_conn* connection, nng_http_req* request);
     void dispatch(HttpConnection& connection);
-    void proceed(HttpConnection& connection);
-    void end(HttpConnection& connection);
     void serve(HttpConnection& connection, const NngAio& aio);
     void close(HttpConnection& connection);
     void abortIdle(TimePoint before, int error);
@@ -162,7 +160,7 @@
 void HttpServer::Impl::adopt(nng_http_conn* connection, nng_http_req* request)
 {
     auto owned = std::make_unique<HttpConnection>(
-        connection, request, [this](HttpConnection& read) { dispatch(read); }, [this](HttpConnection& written) { proceed(written); });
+        connection, request, [this](HttpConnection& read) { dispatch(read); });
     auto& adopted = *owned;
     {
         const std::lock_guard lock(m_connectionsMutex);
@@ -173,21 +171,8 @@
 
 void HttpServer::Impl::dispatch(HttpConnection& connection)
 {
-    if (connection.readError() != 0 || !m_workers.submit(connection))
-        end(connection);
-}
-
-void HttpServer::Impl::proceed(HttpConnection& connection)
-{
-    if (m_isStopping)
-        connection.setDone();
-    if (connection.isDone())
-        return end(connection);
-    connection.startRead();
-}
-
-void HttpServer::Impl::end(HttpConnection& connection)
-{
+    if (connection.readError() == 0 && m_workers.submit(connection))
+        return;
     {
         const std::lock_guard lock(m_endedMutex);
         m_ended.push_back(&connection);
@@ -197,8 +182,9 @@
 
 void HttpServer::Impl::serve(HttpConnection& connection, const NngAio& aio)
 {
-    if (!connection.serve(aio, transferTimeout, m_handler))
-        close(connection);
+    if (connection.serve(aio, transferTimeout, m_handler) && !m_isStopping)
+        return connection.startRead();
+    close(connection);
 }
 
 void HttpServer::Impl::close(HttpConnection& connection)
@@ -222,11 +208,11 @@
 
 void HttpServer::Impl::endConnection(HttpConnection& connection, const NngAio& aio)
 {
-    if (!connection.isDone() && connection.readError() == 0) { // nng has closed it otherwise, also after a head that it cannot parse.
+    if (connection.readError() == 0) { // nng has closed it otherwise, also after a head that it cannot parse.
         const auto failure = notRun(FailureCode::Unavailable, "too many requests wait for a thread").value();
         const auto refuse = [&](const HttpRequest&) { return HttpConnection::makeError(503, failure); };
-        if (connection.serve(aio, refusalTimeout, refuse))
-            return;
+        if (connection.serve(aio, refusalTimeout, refuse) && !m_isStopping)
+            return connection.startRead();
     }
     close(connection);
 }
