--- a/packages/proxy/src/ForwardingRouter.cpp
+++ b/packages/proxy/src/ForwardingRouter.cpp
@@ -1,7 +1,7 @@
 #include "ForwardingRouter.h"
 
 #include <algorithm>
-#include <ranges>
+#include <span>
 #include <thread>
 
 namespace kumquatbank {
@@ -96,7 +96,7 @@
     ForwardMessage message { resolved.request, 0, {}, {} };
     ForwardReply reply = notHolderReply(resolved.database->name, false);
     const auto candidates = m_membership.holderCandidates(*resolved.database);
-    for (const auto& candidate : candidates | std::views::take(maxCandidates)) {
+    for (const auto& candidate : std::span(candidates).first(std::min(maxCandidates, candidates.size()))) {
         const bool isSelf = candidate.address == m_self.address;
         if (!isSelf && isAvoided(candidate.address)) {
             message.unreachable.push_back(candidate.address);
