--- a/packages/group/src/GroupParts.cpp
+++ b/packages/group/src/GroupParts.cpp
@@ -102,6 +102,23 @@
     return notHolder();
 }
 
+Result<LogPosition> GroupParts::confirmChange(const nlohmann::json& reply, const PrimaryView& primary,
+    TimePoint sentAt, const Deadline& deadline, RequestTrace& trace)
+{
+    if (!reply.contains("logTerm") || !reply.contains("position"))
+        return mayHaveRun(FailureCode::Internal, "the primary's answer names no position", Cause::EndpointDown);
+    const LogPosition position { reply.at("logTerm").get<Term>(), reply.at("position").get<std::uint64_t>() };
+    view.samplePrimary(primary.term, position, sentAt);
+    if (options.confirmByReplica) {
+        const RequestTrace::Span span(trace, Cause::ReplicaLag);
+        const auto confirmed = confirmation.confirm(primary, position, deadline);
+        if (!confirmed)
+            return tl::unexpected(confirmed.error());
+    }
+    failoverGap.recordConfirmedWrite(primary.term);
+    return position;
+}
+
 Result<PrimaryView> GroupParts::waitForPrimary(Term leastTerm, const Deadline& deadline, RequestTrace& trace)
 {
     std::optional<PrimaryView> primary;
--- a/packages/group/src/GroupParts.h
+++ b/packages/group/src/GroupParts.h
@@ -27,6 +27,11 @@
     /// or NotRun/Unavailable at the deadline and at once when a majority of slots is down.
     Result<PrimaryView> waitForPrimary(Term leastTerm, const Deadline& deadline, RequestTrace& trace);
 
+    /// Waits until the change that the primary answered with @p reply is confirmed, and returns its position.
+    /// MayHaveRun when it is not confirmed before the deadline. @p sentAt is when the request was sent.
+    Result<LogPosition> confirmChange(const nlohmann::json& reply, const PrimaryView& primary, TimePoint sentAt,
+        const Deadline& deadline, RequestTrace& trace);
+
     const DatabaseDefinition definition;
     const DatabaseGroupOptions options;
     CauseLedger& causes;
--- a/packages/group/src/WriteService.cpp
+++ b/packages/group/src/WriteService.cpp
@@ -105,19 +105,11 @@
     if (!reply)
         return tl::unexpected(withCause(reply.error()));
 
-    if (!reply->contains("logTerm") || !reply->contains("position"))
-        return mayHaveRun(FailureCode::Internal, "the primary's answer names no position", Cause::EndpointDown);
-    const LogPosition position { reply->at("logTerm").get<Term>(), reply->at("position").get<std::uint64_t>() };
-    m_parts.view.samplePrimary(primary.term, position, sentAt);
-    if (m_parts.options.confirmByReplica) {
-        const RequestTrace::Span span(trace, Cause::ReplicaLag);
-        const auto confirmed = m_parts.confirmation.confirm(primary, position, request.deadline);
-        if (!confirmed)
-            return tl::unexpected(confirmed.error());
-    }
-    m_parts.failoverGap.recordConfirmedWrite(primary.term);
+    const auto position = m_parts.confirmChange(*reply, primary, sentAt, request.deadline, trace);
+    if (!position)
+        return tl::unexpected(position.error());
     auto advanced = session;
-    advanced.advance(m_parts.definition.name, position);
+    advanced.advance(m_parts.definition.name, *position);
     CallerAnswer answer;
     answer.requestId = request.requestId;
     answer.result = { { "rows", reply->value("rows", nlohmann::json::array()) } };
--- a/packages/transport/src/LinkCloser.cpp
+++ b/packages/transport/src/LinkCloser.cpp
@@ -1,6 +1,7 @@
 #include "LinkCloser.h"
 
 #include "PeerLink.h"
+#include "SocketCloser.h"
 
 #include <condition_variable>
 #include <deque>
@@ -9,12 +10,6 @@
 
 namespace kumquatbank {
 
-namespace {
-
-    constexpr Milliseconds closeLimit { 1000 };
-
-} // namespace
-
 struct LinkCloser::Queue {
     std::mutex mutex;
     std::condition_variable changed;
@@ -59,8 +54,7 @@
     std::unique_lock lock(m_queue->mutex);
     m_queue->isStopped = true;
     m_queue->changed.notify_all();
-    m_queue->changed.wait_for(
-        lock, closeLimit, [this] { return m_queue->links.empty() && !m_queue->isClosing; });
+    awaitClose(lock, m_queue->changed, [this] { return m_queue->links.empty() && !m_queue->isClosing; });
 }
 
 std::shared_ptr<PeerLink> LinkCloser::manage(std::unique_ptr<PeerLink> link)
--- a/packages/transport/src/SocketCloser.cpp
+++ b/packages/transport/src/SocketCloser.cpp
@@ -1,8 +1,7 @@
 #include "SocketCloser.h"
 
-#include "kumquatbank/core/core.h"
-
-#include <future>
+#include <atomic>
+#include <memory>
 #include <thread>
 
 namespace kumquatbank {
@@ -11,18 +10,35 @@
 
     constexpr Milliseconds closeLimit { 1000 };
 
+    struct Closing {
+        std::mutex mutex;
+        std::condition_variable changed;
+        bool isClosed = false;
+    };
+
 } // namespace
 
 void closeSocket(nng_socket socket)
 {
-    std::promise<void> closed;
-    const auto isClosed = closed.get_future();
-    std::thread([socket, result = std::move(closed)]() mutable {
+    const auto closing = std::make_shared<Closing>();
+    std::thread([socket, closing] {
         nng_close(socket);
-        result.set_value();
+        const std::lock_guard lock(closing->mutex);
+        closing->isClosed = true;
+        closing->changed.notify_all();
     }).detach();
-    if (isClosed.wait_for(closeLimit) != std::future_status::ready)
-        LOG4CXX_WARN(partLogger("transport"), "nng does not close a socket; it is left behind");
+    std::unique_lock lock(closing->mutex);
+    awaitClose(lock, closing->changed, [&] { return closing->isClosed; });
+}
+
+void awaitClose(
+    std::unique_lock<std::mutex>& lock, std::condition_variable& changed, const std::function<bool()>& isClosed)
+{
+    static std::atomic<bool> s_hasHung = false;
+    if (s_hasHung || changed.wait_for(lock, closeLimit, isClosed))
+        return;
+    if (!s_hasHung.exchange(true))
+        LOG4CXX_ERROR(partLogger("transport"), "nng does not close connections any more; restart this process");
 }
 
 } // namespace kumquatbank
