--- a/packages/transport/src/SocketCloser.cpp
+++ b/packages/transport/src/SocketCloser.cpp
@@ -34,10 +34,10 @@
 void awaitClose(
     std::unique_lock<std::mutex>& lock, std::condition_variable& changed, const std::function<bool()>& isClosed)
 {
-    static std::atomic<bool> s_hasHung = false;
-    if (s_hasHung || changed.wait_for(lock, closeLimit, isClosed))
+    static std::atomic<bool> hasHung = false;
+    if (hasHung || changed.wait_for(lock, closeLimit, isClosed))
         return;
-    if (!s_hasHung.exchange(true))
+    if (!hasHung.exchange(true))
         LOG4CXX_ERROR(partLogger("transport"), "nng does not close connections any more; restart this process");
 }
 
