Name the group's supervising thread and its delays by usual terms

Cause: GroupKeeper, keepPrimary and several constants called patience read as metaphors. Change: GroupSupervisor, supervisePrimary, electionDelay, demotedDelay, isolatedDelay; waitLimit for the deadline of a read's wait. No behaviour changes.

--- a/packages/group/src/DatabaseGroup.cpp
+++ b/packages/group/src/DatabaseGroup.cpp
@@ -1,6 +1,6 @@
 #include "kumquatbank/group/DatabaseGroup.h"
 
-#include "GroupKeeper.h"
+#include "GroupSupervisor.h"
 #include "ReadService.h"
 #include "TransactionService.h"
 #include "WriteService.h"
@@ -23,7 +23,7 @@
         , reads(parts)
         , writes(parts)
         , transactions(parts)
-        , keeper(parts)
+        , supervisor(parts)
     {
     }
 
@@ -34,7 +34,7 @@
         isClosed = true;
         parts.claim.stop();
         waitForRequests();
-        keeper.stop();
+        supervisor.stop();
         parts.transactions.closeAll();
         for (const auto& endpoint : parts.endpoints)
             endpoint->stop();
@@ -57,7 +57,7 @@
     ReadService reads;
     WriteService writes;
     TransactionService transactions;
-    GroupKeeper keeper;
+    GroupSupervisor supervisor;
     std::atomic<int> openRequests { 0 };
     std::atomic<bool> isDraining { false };
     std::atomic<bool> isClosed { false };
@@ -128,7 +128,7 @@
 {
     for (const auto& endpoint : m_impl->parts.endpoints)
         endpoint->start();
-    m_impl->keeper.start();
+    m_impl->supervisor.start();
 }
 
 void DatabaseGroup::drain(Milliseconds idle)
--- a/packages/group/src/GroupParts.h
+++ b/packages/group/src/GroupParts.h
@@ -13,7 +13,7 @@
 namespace kumquatbank {
 
 /// The collaborating objects of one DatabaseGroup. Each is thread-safe on its own; Promotion is used by the
-/// GroupKeeper's thread only.
+/// GroupSupervisor's thread only.
 struct GroupParts {
     GroupParts(DatabaseDefinition groupDefinition, DatabaseGroupOptions groupOptions, CauseLedger& ledger);
 
--- a/packages/group/src/GroupKeeper.cpp
+++ b/packages/group/src/GroupSupervisor.cpp
@@ -1,4 +1,4 @@
-#include "GroupKeeper.h"
+#include "GroupSupervisor.h"
 
 #include <algorithm>
 
@@ -19,31 +19,31 @@
 
 } // namespace
 
-GroupKeeper::GroupKeeper(GroupParts& parts)
+GroupSupervisor::GroupSupervisor(GroupParts& parts)
     : m_parts(parts)
     , m_trigger(parts.view, parts.options.promoteAnyway)
     , m_random(std::random_device {}())
 {
 }
 
-void GroupKeeper::start()
+void GroupSupervisor::start()
 {
     m_thread = std::jthread([this](const std::stop_token& stop) { run(stop); });
 }
 
-void GroupKeeper::stop()
+void GroupSupervisor::stop()
 {
     m_thread.request_stop();
     if (m_thread.joinable())
         m_thread.join();
 }
 
-void GroupKeeper::run(const std::stop_token& stop)
+void GroupSupervisor::run(const std::stop_token& stop)
 {
     while (!stop.stop_requested()) {
         m_parts.claim.tick();
         if (m_parts.claim.isHeld()) {
-            keepPrimary();
+            supervisePrimary();
             m_parts.promotion.repair();
         }
         m_parts.transactions.closeIdle(m_parts.options.transactionIdle);
@@ -52,7 +52,7 @@
     }
 }
 
-void GroupKeeper::keepPrimary()
+void GroupSupervisor::supervisePrimary()
 {
     if (Clock::now() < m_nextAttempt)
         return;
@@ -67,7 +67,7 @@
         changeLeavingPrimary();
 }
 
-void GroupKeeper::changeLeavingPrimary()
+void GroupSupervisor::changeLeavingPrimary()
 {
     const auto primary = m_parts.view.primary();
     if (!m_heldSince) {
@@ -82,7 +82,7 @@
     m_parts.view.holdWrites(false);
 }
 
-bool GroupKeeper::hasCaughtUp(const PrimaryView& primary)
+bool GroupSupervisor::hasCaughtUp(const PrimaryView& primary)
 {
     const auto status = m_parts.endpoints[primary.slot]->control().call(
         "status", nlohmann::json::object(), Deadline::after(statusTimeout));
@@ -96,7 +96,7 @@
     });
 }
 
-void GroupKeeper::attempt(const std::string& reason, std::optional<std::size_t> excluded)
+void GroupSupervisor::attempt(const std::string& reason, std::optional<std::size_t> excluded)
 {
     const auto primary = m_parts.promotion.attempt(reason, excluded);
     for (const auto& endpoint : m_parts.endpoints)
--- a/packages/group/src/GroupKeeper.h
+++ b/packages/group/src/GroupSupervisor.h
@@ -10,18 +10,18 @@
 
 namespace kumquatbank {
 
-/// The thread that keeps one group's claim and primary: claims, replaces a primary that failed or leaves,
+/// The thread that supervises one group: claims it, replaces a primary that failed or leaves,
 /// repairs slots and closes idle transactions.
-class GroupKeeper {
+class GroupSupervisor {
 public:
-    explicit GroupKeeper(GroupParts& parts);
+    explicit GroupSupervisor(GroupParts& parts);
 
     void start();
     void stop();
 
 private:
     void run(const std::stop_token& stop);
-    void keepPrimary();
+    void supervisePrimary();
     void changeLeavingPrimary();
     bool hasCaughtUp(const PrimaryView& primary);
     void attempt(const std::string& reason, std::optional<std::size_t> excluded = std::nullopt);
--- a/packages/group/src/PromotionTrigger.cpp
+++ b/packages/group/src/PromotionTrigger.cpp
@@ -10,14 +10,14 @@
     constexpr Milliseconds contactLimit { 1000 };
 
     // Another promoter may be at work; its promotion takes a few round trips.
-    constexpr Milliseconds patience { 1000 };
+    constexpr Milliseconds electionDelay { 1000 };
 
     // A primary that answers without the role was fenced, and its promoter may have failed.
-    constexpr Milliseconds demotedPatience { 300 };
+    constexpr Milliseconds demotedDelay { 300 };
 
     // A primary cut off from its replicas, but not from this process, can run no write to the end. Replicas
     // that lost the `follow` message look the same; they are told again within this time.
-    constexpr Milliseconds isolatedPatience { 1500 };
+    constexpr Milliseconds isolatedDelay { 1500 };
 
 } // namespace
 
@@ -43,7 +43,7 @@
     if (m_view.reachableCount() < m_view.majority())
         return std::nullopt;
     const auto primary = m_view.primary();
-    if (hasLasted(m_withoutPrimary, !primary, patience))
+    if (hasLasted(m_withoutPrimary, !primary, electionDelay))
         return Decision { "no primary is known", std::nullopt };
     if (!primary)
         return std::nullopt;
@@ -52,13 +52,13 @@
     const auto& slot = slots[primary->slot];
     if (slot.isSuspect)
         return checkSuspect(slots, primary->slot);
-    if (hasLasted(m_demoted, slot.isReachable && !slot.isPrimary, demotedPatience))
+    if (hasLasted(m_demoted, slot.isReachable && !slot.isPrimary, demotedDelay))
         return Decision { "the primary gave up its role", std::nullopt };
     const bool isOvertaken = std::ranges::any_of(slots,
         [&](const SlotView& other) { return other.isReachable && other.promisedTerm > primary->term; });
-    if (hasLasted(m_greaterTerm, isOvertaken, patience))
+    if (hasLasted(m_greaterTerm, isOvertaken, electionDelay))
         return Decision { "a slot is in a greater term than the primary", std::nullopt };
-    if (hasLasted(m_isolated, isIsolated(slots, primary->slot), isolatedPatience))
+    if (hasLasted(m_isolated, isIsolated(slots, primary->slot), isolatedDelay))
         return Decision { "the primary answers but no replica hears it", primary->slot };
     return std::nullopt;
 }
--- a/packages/group/src/ReadRouter.cpp
+++ b/packages/group/src/ReadRouter.cpp
@@ -81,20 +81,20 @@
         return ReadRoute { *choice.replica, choice.minimum };
 
     const auto primary = usablePrimary(excluded);
-    auto patience = deadline;
+    auto waitLimit = deadline;
     if (primary) {
         const auto primaryWait = m_endpoints[*primary]->admission().expectedWait(entry.rank);
         const bool isReplicaFaster
             = choice.closest && m_view.expectedCatchUp(*choice.closest, choice.minimum) < primaryWait;
         if (!isReplicaFaster)
             return ReadRoute { *primary, required };
-        patience = deadline.cappedTo(primaryWait);
+        waitLimit = deadline.cappedTo(primaryWait);
     }
 
     // Either a replica is about to be faster than the primary, or nothing can serve yet.
     const RequestTrace::Span span(trace, primary ? Cause::ReplicaLag : Cause::PrimaryFailover);
     std::optional<std::size_t> newPrimary;
-    m_view.waitUntil(patience, [&] {
+    m_view.waitUntil(waitLimit, [&] {
         choice = look(entry, required, excluded);
         if (!primary)
             newPrimary = usablePrimary(excluded);
--- a/packages/group/src/ReadService.cpp
+++ b/packages/group/src/ReadService.cpp
@@ -24,8 +24,8 @@
     std::optional<Failure> lastFailure;
     for (;;) {
         // With every slot failed, or the only ones left unable to serve, the failed ones get another chance.
-        const auto patience = failed.empty() ? request.deadline : request.deadline.cappedTo(retryPause);
-        const auto route = m_parts.router.choose(entry, required, failed, patience, trace);
+        const auto waitLimit = failed.empty() ? request.deadline : request.deadline.cappedTo(retryPause);
+        const auto route = m_parts.router.choose(entry, required, failed, waitLimit, trace);
         if (!route && (failed.empty() || request.deadline.hasPassed()))
             return tl::unexpected(lastFailure.value_or(route.error()));
         if (!route) {
