Keep one isUncertain() beside the forward reply

Cause: ForwardingRouter and HolderService each had the same function. Change: declared with ForwardReply in ForwardMessage.h; no behaviour changes. Conclusion: one place says when a reply may have run.

--- a/packages/proxy/src/ForwardMessage.cpp
+++ b/packages/proxy/src/ForwardMessage.cpp
@@ -29,6 +29,11 @@
 
 } // namespace
 
+bool isUncertain(const ForwardReply& reply)
+{
+    return !reply.answer && reply.answer.error().verdict == Verdict::MayHaveRun;
+}
+
 Json encodeForward(const ForwardMessage& message)
 {
     return { { "request", message.request }, { "hop", message.hopCount },
--- a/packages/proxy/src/ForwardMessage.h
+++ b/packages/proxy/src/ForwardMessage.h
@@ -23,6 +23,9 @@
     bool isLinkFailure = false; ///< Made up locally: the peer did not reply. Not sent.
 };
 
+/// True when the request of this reply may have run.
+bool isUncertain(const ForwardReply& reply);
+
 nlohmann::json encodeForward(const ForwardMessage& message);
 
 /// NotRun/BadRequest for a message that cannot be read.
--- a/packages/proxy/src/ForwardingRouter.cpp
+++ b/packages/proxy/src/ForwardingRouter.cpp
@@ -41,11 +41,6 @@
         return reply.isLinkFailure && isRepeatable(request);
     }
 
-    bool isUncertain(const ForwardReply& reply)
-    {
-        return !reply.answer && reply.answer.error().verdict == Verdict::MayHaveRun;
-    }
-
 } // namespace
 
 ForwardingRouter::ForwardingRouter(HostIdentity self, Membership& membership, PeerClient& peers,
--- a/packages/proxy/src/HolderService.cpp
+++ b/packages/proxy/src/HolderService.cpp
@@ -29,11 +29,6 @@
         return true;
     }
 
-    bool isUncertain(const ForwardReply& reply)
-    {
-        return !reply.answer && reply.answer.error().verdict == Verdict::MayHaveRun;
-    }
-
 } // namespace
 
 bool isUnsettledCommit(const ForwardReply& reply, const CallerRequest& request)
