pooler: keep temporaries out of awaited calls of the promotion duty

Cause: processes ended with code 139 about 0.15 s after a primary was reported draining, in the promotion duty. g++ 12 destroys some temporaries of a co_await expression inside a condition twice. Ruled out: the peers' opinions (not asked for a planned change) and the connection pool (the same code serves statements). Change: the commands and ids are named before the call.

--- a/packages/pooler/src/PromotionDuty.cpp
+++ b/packages/pooler/src/PromotionDuty.cpp
@@ -122,12 +122,14 @@
 
 Task<std::vector<EndpointStatus>> PromotionDuty::statuses(std::shared_ptr<DatabaseService> service, std::string except)
 {
+    const auto statusCommand = WireDialect::status();
     std::vector<EndpointStatus> found;
     const auto endpoints = service->endpoints();
     for (const auto& [id, endpoint] : endpoints) {
         if (id == except || endpoint->missingSince)
             continue;
-        if (auto answered = co_await status(service, endpoint, WireDialect::status()))
+        auto answered = co_await status(service, endpoint, statusCommand);
+        if (answered)
             found.push_back(std::move(*answered));
     }
     co_return found;
@@ -194,17 +196,19 @@
     const auto successor = service->find(candidate.id);
     if (!primary || !successor)
         co_return false;
-    const auto before = co_await status(service, primary, WireDialect::status());
+    const auto statusCommand = WireDialect::status();
+    const auto before = co_await status(service, primary, statusCommand);
     if (!before || !before->isPrimary || candidate.received.position + handOverBacklog < before->received.position) {
         EventLog::info("hand_over_waits", { { "service", service->name() }, { "candidate", candidate.id }, { "reason", before ? "successor is behind" : "primary has no status" } });
         co_return false;
     }
-    const auto stopped = co_await status(service, primary, WireDialect::demote(before->term + 1));
+    const auto demoteCommand = WireDialect::demote(before->term + 1);
+    const auto stopped = co_await status(service, primary, demoteCommand);
     EventLog::info("primary_demoted", { { "service", service->name() }, { "endpoint", primary->entry.id }, { "term", before->term + 1 }, { "accepted", stopped && !stopped->isPrimary } });
     const auto target = stopped ? stopped->received : before->received;
     const auto until = BootClock::now() + catchUpTime;
     while (BootClock::now() < until) {
-        const auto now = co_await status(service, successor, WireDialect::status());
+        const auto now = co_await status(service, successor, statusCommand);
         if (now && now->received >= target)
             co_return true;
         co_await sleepFor(m_io, catchUpPoll);
@@ -230,7 +234,8 @@
         if (!isLost)
             co_return;
     }
-    const auto found = co_await statuses(service, service->primary() ? lost : "");
+    const std::string except = service->primary() ? lost : "";
+    const auto found = co_await statuses(service, except);
     for (const auto& status : found) {
         if (status.isPrimary && !status.isDraining) {
             co_await service->probe(service->find(status.id));
