--- a/apps/kumquatbank_pooler/main.cpp
+++ b/apps/kumquatbank_pooler/main.cpp
@@ -46,7 +46,8 @@
         return 0;
     }
     std::signal(SIGPIPE, SIG_IGN);
-    PoolerProcess process(*settings, file);
+    asio::io_context io(1);
+    PoolerProcess process(io, *settings, file);
     process.run();
     return 0;
 }
--- a/packages/core/include/kumquatbank/core/BootClock.h
+++ b/packages/core/include/kumquatbank/core/BootClock.h
@@ -13,7 +13,7 @@
     using rep = duration::rep;
     using period = duration::period;
     using time_point = std::chrono::time_point<BootClock>;
-    static constexpr bool is_steady = true;
+    static constexpr bool is_steady = true; // NOLINT(readability-identifier-naming): name of the standard's Clock
 
     static time_point now() noexcept
     {
--- a/packages/engine/include/kumquatbank/engine/Async.h
+++ b/packages/engine/include/kumquatbank/engine/Async.h
@@ -20,12 +20,14 @@
 /// Completion token whose result carries the error code instead of throwing it.
 constexpr auto asTuple = asio::as_tuple(asio::use_awaitable);
 
-/// Waits on the clock that goes on while the host is suspended.
+/// Waits on the clock that goes on while the host is suspended. Asio prescribes the names of the functions.
 struct BootWaitTraits {
     /// Longest single wait; after a suspension a timer is checked again within this time.
     static constexpr BootClock::duration maxStep = std::chrono::seconds(1);
 
+    // NOLINTNEXTLINE(readability-identifier-naming)
     static BootClock::duration to_wait_duration(const BootClock::duration& remaining) { return std::min(remaining, maxStep); }
+    // NOLINTNEXTLINE(readability-identifier-naming)
     static BootClock::duration to_wait_duration(const BootClock::time_point& at)
     {
         return to_wait_duration(at - BootClock::now());
--- a/packages/engine/include/kumquatbank/engine/HttpListener.h
+++ b/packages/engine/include/kumquatbank/engine/HttpListener.h
@@ -4,6 +4,7 @@
 #include "kumquatbank/engine/LineListener.h"
 
 #include <functional>
+#include <map>
 #include <string>
 
 namespace kumquatbank {
@@ -12,9 +13,13 @@
     std::string method;
     std::string target;
     std::string body;
+    std::map<std::string, std::string> headers; ///< Names in lower case.
 };
 
 struct HttpAnswer {
+    /// Closes the connection instead of answering.
+    static constexpr int noAnswer = 0;
+
     int status = 200;
     std::string body;
     std::string contentType = "application/json";
@@ -23,7 +28,7 @@
 /// HTTP/1.1 server on one address, one coroutine a connection.
 class HttpListener {
 public:
-    using Handler = std::function<HttpAnswer(const HttpRequest&)>;
+    using Handler = std::function<Task<HttpAnswer>(HttpRequest)>;
 
     /// Throws boost::system::system_error if the address cannot be bound.
     HttpListener(asio::io_context& io, const HostAddress& address, Handler handler);
--- a/packages/engine/src/EventLog.cpp
+++ b/packages/engine/src/EventLog.cpp
@@ -38,6 +38,7 @@
         BootTime m_windowStart {};
     };
 
+    constexpr std::chrono::seconds dropReportInterval { 1 };
     constexpr unsigned defaultInfoPerSecond = 100;
     constexpr unsigned defaultWarnPerSecond = 500;
 
@@ -47,6 +48,7 @@
         RateLimit infoLimit { defaultInfoPerSecond };
         RateLimit warnLimit { defaultWarnPerSecond };
         std::uint64_t reportedDrops = 0;
+        BootTime reportedAt {};
         std::string line;
     };
 
@@ -101,8 +103,10 @@
     {
         auto& log = state();
         const auto dropped = log.sink->dropped();
-        if (dropped == log.reportedDrops)
+        const auto now = BootClock::now();
+        if (dropped == log.reportedDrops || now - log.reportedAt < dropReportInterval)
             return;
+        log.reportedAt = now;
         const auto missing = dropped - std::exchange(log.reportedDrops, dropped);
         write(spdlog::level::warn, "warn", "log_lines_dropped", { { "count", missing } });
     }
--- a/packages/engine/src/HttpListener.cpp
+++ b/packages/engine/src/HttpListener.cpp
@@ -3,6 +3,7 @@
 #include "OperationTimer.h"
 #include "kumquatbank/engine/LineChannel.h"
 
+#include <boost/algorithm/string/case_conv.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -39,7 +40,16 @@
         if (const auto [ec, n] = co_await http::async_read(socket, buf, parser, asTuple); ec)
             co_return;
         auto request = parser.release();
-        const auto answer = handler({ std::string(request.method_string()), std::string(request.target()), std::move(request.body()) });
+        timer.stop();
+        HttpRequest received;
+        received.method = request.method_string();
+        received.target = request.target();
+        received.body = std::move(request.body());
+        for (const auto& field : request)
+            received.headers[boost::algorithm::to_lower_copy(std::string(field.name_string()))] = field.value();
+        const auto answer = co_await handler(std::move(received));
+        if (answer.status == HttpAnswer::noAnswer)
+            co_return;
         http::response<http::string_body> response(static_cast<http::status>(answer.status), request.version());
         response.set(http::field::content_type, answer.contentType);
         response.keep_alive(request.keep_alive());
--- a/packages/pooler/include/kumquatbank/pooler/PoolerProcess.h
+++ b/packages/pooler/include/kumquatbank/pooler/PoolerProcess.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "kumquatbank/engine/Async.h"
 #include "kumquatbank/pooler/PoolerSettings.h"
 
 #include <memory>
@@ -7,17 +8,22 @@
 
 namespace kumquatbank {
 
-/// One proxy process: everything it runs on one event loop in the calling thread.
+/// One proxy process: everything it runs, on one event loop.
 class PoolerProcess {
 public:
     /// @p settingsFile is read again on SIGHUP and when it changes.
-    PoolerProcess(PoolerSettings settings, std::string settingsFile);
+    PoolerProcess(asio::io_context& io, PoolerSettings settings, std::string settingsFile);
     ~PoolerProcess();
 
-    /// Serves until SIGTERM or SIGINT has been carried out. Throws boost::system::system_error if an address cannot
-    /// be bound.
+    /// Binds all addresses and starts serving. Throws boost::system::system_error if an address cannot be bound.
+    void start();
+
+    /// Starts, runs the event loop, and returns when SIGTERM or SIGINT has been carried out.
     void run();
 
+    /// Reports not ready, lets the sessions end within the grace period, and closes the rest.
+    Task<void> drain();
+
 private:
     class Impl;
     std::unique_ptr<Impl> m_impl;
--- a/packages/pooler/src/DatabaseService.cpp
+++ b/packages/pooler/src/DatabaseService.cpp
@@ -14,7 +14,7 @@
     constexpr milliseconds connectTimeout { 700 };
     constexpr milliseconds probeTimeout { 500 };
     constexpr milliseconds rollbackTimeout { 1000 };
-    /// No new work for an endpoint after a failure, so that others are tried first.
+    /// No new work for an endpoint that could not be connected to, so that others are tried first.
     constexpr milliseconds failurePause { 200 };
     /// No new connections after the endpoint refused one for their number.
     constexpr milliseconds connectionLimitPause { 250 };
@@ -172,8 +172,6 @@
     endpoint.lastFailure = now;
     ++endpoint.failures;
     EventLog::warn("endpoint_failure", { { "service", m_name }, { "endpoint", endpoint.entry.id }, { "what", what }, { "failures", endpoint.failures }, { "last_answer_ms", toMs(now - endpoint.lastAnswer) } });
-    endpoint.unusableUntil = now + failurePause;
-    refreshScheduler(endpoint);
 }
 
 void DatabaseService::noteAnswer(Endpoint& endpoint, BootTime sentAt)
@@ -243,6 +241,8 @@
     }
     if (!opened.refusal) {
         noteFailure(*endpoint, "connect");
+        endpoint->unusableUntil = BootClock::now() + failurePause;
+        refreshScheduler(*endpoint);
         co_return tl::unexpected(ErrorCode::Other);
     }
     noteAnswer(*endpoint, sentAt);
--- a/packages/pooler/src/PeerService.cpp
+++ b/packages/pooler/src/PeerService.cpp
@@ -66,25 +66,25 @@
     return opinion;
 }
 
-HttpAnswer PeerService::answer(const HttpRequest& request)
+Task<HttpAnswer> PeerService::answer(HttpRequest request)
 {
     const auto url = boost::urls::parse_origin_form(request.target);
     if (!url)
-        return { 400, R"({"error":"invalid target"})" };
+        co_return HttpAnswer { 400, R"({"error":"invalid target"})" };
     const auto parameter = [&url](const char* name) {
         const auto it = url->params().find(name);
         return it == url->params().end() ? std::string() : std::string((*it).value);
     };
     if (url->path() == "/v1/primary")
-        return { 200, describePrimary(parameter("service"), parameter("endpoint")).dump() };
+        co_return HttpAnswer { 200, describePrimary(parameter("service"), parameter("endpoint")).dump() };
     if (url->path() == "/v1/config") {
         const auto config = m_registry.config();
         const bool isNewer = config && std::to_string(config->version) != parameter("version") && !m_sync.configContent().is_null();
-        return isNewer ? HttpAnswer { 200, m_sync.configContent().dump() } : HttpAnswer { 204, "" };
+        co_return isNewer ? HttpAnswer { 200, m_sync.configContent().dump() } : HttpAnswer { 204, "" };
     }
     if (url->path() == "/v1/state")
-        return { 200, describeState().dump() };
-    return { 404, R"({"error":"unknown path"})" };
+        co_return HttpAnswer { 200, describeState().dump() };
+    co_return HttpAnswer { 404, R"({"error":"unknown path"})" };
 }
 
 Task<std::vector<PeerOpinion>> PeerService::askAboutPrimary(std::string service, std::string endpoint)
--- a/packages/pooler/src/PeerService.h
+++ b/packages/pooler/src/PeerService.h
@@ -15,7 +15,7 @@
 
     void start();
 
-    HttpAnswer answer(const HttpRequest& request);
+    Task<HttpAnswer> answer(HttpRequest request);
 
     /// Opinions of some peers about @p endpoint as the primary of @p service.
     Task<std::vector<PeerOpinion>> askAboutPrimary(std::string service, std::string endpoint);
--- a/packages/pooler/src/PoolerProcess.cpp
+++ b/packages/pooler/src/PoolerProcess.cpp
@@ -35,8 +35,9 @@
 
 class PoolerProcess::Impl {
 public:
-    Impl(PoolerSettings settings, std::string settingsFile)
-        : m_settings(std::move(settings))
+    Impl(asio::io_context& io, PoolerSettings settings, std::string settingsFile)
+        : m_io(io)
+        , m_settings(std::move(settings))
         , m_settingsFile(std::move(settingsFile))
         , m_settingsTime(modificationTime(m_settingsFile))
         , m_registry(m_io, m_settings.host, m_metrics)
@@ -44,31 +45,60 @@
         , m_sync(m_io, m_store, m_registry, m_metrics)
         , m_hosts(m_io, m_store, m_settings, m_registry, m_metrics)
         , m_peers(m_io, m_hosts, m_registry, m_sync)
-        , m_promotions(m_io, m_store, m_settings, m_registry, m_hosts, m_peers, m_metrics)
+        , m_promotions(m_io, m_store, m_settings, m_registry, m_peers, m_metrics)
         , m_signals(m_io, SIGTERM, SIGINT, SIGHUP)
     {
     }
 
-    void run()
+    void start()
     {
         EventLog::setRates(m_settings.logLinesPerSecond, m_settings.failureLinesPerSecond);
         EventLog::info("start", { { "version", KUMQUATBANK_VERSION }, { "host", m_settings.host }, { "data_centre", m_settings.dataCentre }, { "clients", m_settings.clientAddress.toString() }, { "ready", m_settings.readyAddress.toString() }, { "peers", m_settings.peerAddress.toString() }, { "metrics", m_settings.metricsAddress.toString() }, { "store", m_settings.storeAddress.toString() }, { "promotions", m_settings.promotionAddress.toString() }, { "grace_s", m_settings.grace.count() } });
-        LineListener clients(m_io, m_settings.clientAddress, [this](asio::ip::tcp::socket socket) { accept(std::move(socket)); });
-        HttpListener ready(m_io, m_settings.readyAddress, [this](const HttpRequest& request) { return answerReady(request); });
-        HttpListener peers(m_io, m_settings.peerAddress, [this](const HttpRequest& request) { return m_peers.answer(request); });
-        HttpListener metrics(m_io, m_settings.metricsAddress, [this](const HttpRequest& request) { return answerMetrics(request); });
+        m_clients.emplace(m_io, m_settings.clientAddress, [this](asio::ip::tcp::socket socket) { accept(std::move(socket)); });
+        m_ready.emplace(m_io, m_settings.readyAddress, [this](HttpRequest request) { return answerReady(std::move(request)); });
+        m_peerListener.emplace(m_io, m_settings.peerAddress, [this](HttpRequest request) { return m_peers.answer(std::move(request)); });
+        m_metricsListener.emplace(m_io, m_settings.metricsAddress, [this](HttpRequest request) { return answerMetrics(std::move(request)); });
         m_sync.start();
         m_hosts.start();
         m_peers.start();
         m_promotions.start();
         asio::co_spawn(m_io, upkeep(), asio::detached);
         asio::co_spawn(m_io, watchSettings(), asio::detached);
+    }
+
+    void run()
+    {
+        start();
         asio::co_spawn(m_io, handleSignals(), asio::detached);
         m_io.run();
         EventLog::info("stop", { { "sessions", m_gate.open } });
         EventLog::flushAll(logFlushTimeoutMs);
     }
 
+    /// Not ready at once; sessions end after an answer, idle ones after a third of the grace period, and open
+    /// transactions have until shortly before its end.
+    Task<void> drain()
+    {
+        const auto since = BootClock::now();
+        EventLog::info("drain", { { "sessions", m_gate.open }, { "grace_s", m_settings.grace.count() } });
+        m_gate.isDraining = true;
+        const auto idleClose = since + m_settings.grace / 3;
+        const auto end = since + m_settings.grace - exitMargin;
+        asio::co_spawn(m_io, m_hosts.deregister(), asio::detached);
+        while (BootClock::now() < end) {
+            if (BootClock::now() >= idleClose) {
+                for (const auto& known : m_sessions) {
+                    if (const auto session = known.lock())
+                        session->closeIfIdle();
+                }
+                if (m_gate.open == 0)
+                    break;
+            }
+            co_await sleepFor(m_io, upkeepInterval / 2);
+        }
+        EventLog::info("drained", { { "sessions", m_gate.open }, { "took_ms", toMs(BootClock::now() - since) } });
+    }
+
 private:
     void accept(asio::ip::tcp::socket socket)
     {
@@ -81,20 +111,20 @@
 
     bool isReady() const { return !m_gate.isDraining && m_registry.config() && m_registry.knowsEndpoints(); }
 
-    HttpAnswer answerReady(const HttpRequest& request) const
+    Task<HttpAnswer> answerReady(HttpRequest request) const
     {
         if (request.target != "/ready")
-            return { 404, R"({"error":"unknown path"})" };
-        return isReady() ? HttpAnswer { 200, R"({"ready":true})" } : HttpAnswer { 503, R"({"ready":false})" };
+            co_return HttpAnswer { 404, R"({"error":"unknown path"})" };
+        co_return isReady() ? HttpAnswer { 200, R"({"ready":true})" } : HttpAnswer { 503, R"({"ready":false})" };
     }
 
-    HttpAnswer answerMetrics(const HttpRequest& request)
+    Task<HttpAnswer> answerMetrics(HttpRequest request)
     {
         if (request.target == "/metrics")
-            return { 200, m_metrics.serialize(), "text/plain; version=0.0.4" };
+            co_return HttpAnswer { 200, m_metrics.serialize(), "text/plain; version=0.0.4" };
         if (request.target == "/state")
-            return { 200, m_peers.describeState().dump() };
-        return { 404, R"({"error":"unknown path"})" };
+            co_return HttpAnswer { 200, m_peers.describeState().dump() };
+        co_return HttpAnswer { 404, R"({"error":"unknown path"})" };
     }
 
     Task<void> upkeep()
@@ -159,43 +189,18 @@
                 reload("SIGHUP");
                 continue;
             }
-            asio::co_spawn(m_io, drain(), asio::detached);
-        }
-    }
-
-    /// Not ready at once; sessions end after an answer, idle ones after a third of the grace period, and open
-    /// transactions have until shortly before its end.
-    Task<void> drain()
-    {
-        if (m_gate.isDraining)
+            co_await drain();
+            m_io.stop();
             co_return;
-        const auto since = BootClock::now();
-        EventLog::info("drain", { { "sessions", m_gate.open }, { "grace_s", m_settings.grace.count() } });
-        m_gate.isDraining = true;
-        const auto idleClose = since + m_settings.grace / 3;
-        const auto end = since + m_settings.grace - exitMargin;
-        asio::co_spawn(m_io, m_hosts.deregister(), asio::detached);
-        while (BootClock::now() < end) {
-            if (BootClock::now() >= idleClose) {
-                for (const auto& known : m_sessions) {
-                    if (const auto session = known.lock())
-                        session->closeIfIdle();
-                }
-                if (m_gate.open == 0)
-                    break;
-            }
-            co_await sleepFor(m_io, upkeepInterval / 2);
         }
-        EventLog::info("drained", { { "sessions", m_gate.open }, { "took_ms", toMs(BootClock::now() - since) } });
-        m_io.stop();
     }
 
     static constexpr milliseconds clientSilenceLimit { 10'000 };
 
+    asio::io_context& m_io;
     PoolerSettings m_settings;
     std::string m_settingsFile;
     std::int64_t m_settingsTime;
-    asio::io_context m_io { 1 };
     PoolerMetrics m_metrics;
     SessionGate m_gate;
     ServiceRegistry m_registry;
@@ -205,16 +210,24 @@
     PeerService m_peers;
     PromotionDuty m_promotions;
     asio::signal_set m_signals;
+    std::optional<LineListener> m_clients;
+    std::optional<HttpListener> m_ready;
+    std::optional<HttpListener> m_peerListener;
+    std::optional<HttpListener> m_metricsListener;
     std::vector<std::weak_ptr<ClientSession>> m_sessions;
 };
 
-PoolerProcess::PoolerProcess(PoolerSettings settings, std::string settingsFile)
-    : m_impl(std::make_unique<Impl>(std::move(settings), std::move(settingsFile)))
+PoolerProcess::PoolerProcess(asio::io_context& io, PoolerSettings settings, std::string settingsFile)
+    : m_impl(std::make_unique<Impl>(io, std::move(settings), std::move(settingsFile)))
 {
 }
 
 PoolerProcess::~PoolerProcess() = default;
 
+void PoolerProcess::start() { m_impl->start(); }
+
 void PoolerProcess::run() { m_impl->run(); }
 
+Task<void> PoolerProcess::drain() { return m_impl->drain(); }
+
 } // namespace kumquatbank
--- a/packages/pooler/src/PromotionDuty.cpp
+++ b/packages/pooler/src/PromotionDuty.cpp
@@ -46,12 +46,11 @@
 
 } // namespace
 
-PromotionDuty::PromotionDuty(asio::io_context& io, std::shared_ptr<ObjectStore> store, const PoolerSettings& settings, ServiceRegistry& registry, HostDirectory& hosts, PeerService& peers, PoolerMetrics& metrics)
+PromotionDuty::PromotionDuty(asio::io_context& io, std::shared_ptr<ObjectStore> store, const PoolerSettings& settings, ServiceRegistry& registry, PeerService& peers, PoolerMetrics& metrics)
     : m_io(io)
     , m_store(std::move(store))
     , m_settings(settings)
     , m_registry(registry)
-    , m_hosts(hosts)
     , m_peers(peers)
     , m_metrics(metrics)
     , m_call(std::make_shared<PromotionCall>(io, settings.promotionAddress))
--- a/packages/pooler/src/PromotionDuty.h
+++ b/packages/pooler/src/PromotionDuty.h
@@ -11,7 +11,7 @@
 /// newest token may use it again while the store is down, since nobody else can take a newer one then.
 class PromotionDuty {
 public:
-    PromotionDuty(asio::io_context& io, std::shared_ptr<ObjectStore> store, const PoolerSettings& settings, ServiceRegistry& registry, HostDirectory& hosts, PeerService& peers, PoolerMetrics& metrics);
+    PromotionDuty(asio::io_context& io, std::shared_ptr<ObjectStore> store, const PoolerSettings& settings, ServiceRegistry& registry, PeerService& peers, PoolerMetrics& metrics);
 
     void start();
     void setStore(std::shared_ptr<ObjectStore> store) { m_store = std::move(store); }
@@ -49,7 +49,6 @@
     std::shared_ptr<ObjectStore> m_store;
     const PoolerSettings& m_settings;
     ServiceRegistry& m_registry;
-    HostDirectory& m_hosts;
     PeerService& m_peers;
     PoolerMetrics& m_metrics;
     std::shared_ptr<PromotionCall> m_call;
--- a/packages/pooler/src/StatementRunner.cpp
+++ b/packages/pooler/src/StatementRunner.cpp
@@ -66,7 +66,6 @@
 {
     m_transaction->lease.reset();
     m_transaction->failed = true;
-    m_transaction->failure = reason;
     // The transaction's COMMIT was never sent, so the database rolls all of it back.
     refuse(answer, ErrorCode::Aborted, reason);
 }
--- a/packages/pooler/src/StatementRunner.h
+++ b/packages/pooler/src/StatementRunner.h
@@ -23,8 +23,7 @@
     std::optional<ConnectionLease> lease;
     bool wrote = false;
     bool failed = false;
-    std::string failure; ///< Why it failed.
-    int priority = 0;
+    std::string failure; ///< Why the proxy ended it while no statement was running; the next statement is told.
 };
 
 /// Takes a statement from its session to an endpoint and back: route, floor, connection, session state, retries, and
--- /dev/null
+++ b/packages/pooler/tests/ConfigurationTest.cpp
@@ -0,0 +1,125 @@
+#include "PoolerFixture.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace kumquatbank;
+using std::chrono::milliseconds;
+
+namespace {
+
+const std::string primaryDb = EmulatedPlatform::databaseName(0, ReadPolicy::Primary);
+const std::string boundedDb = EmulatedPlatform::databaseName(0, ReadPolicy::Bounded);
+
+} // namespace
+
+TEST_GROUP(Configuration) {};
+
+TEST(Configuration, ARemovedRouteIsRefusedFromTheNextOperationOn)
+{
+    PoolerFixture fixture;
+    fixture.run([](PoolerFixture& f) -> Task<void> {
+        TestClient client(f.io());
+        co_await client.start(f.clientAddress(), boundedDb);
+        f.platform().config().routes.erase(boundedDb);
+        f.platform().putConfig();
+        co_await f.sleep(milliseconds(200));
+        const auto answer = co_await client.query("READ item");
+        STRCMP_EQUAL("NODB", answer.code().c_str());
+        TestClient late(f.io());
+        const auto refused = co_await late.start(f.clientAddress(), boundedDb);
+        STRCMP_EQUAL("NODB", refused.code().c_str());
+    }(fixture));
+}
+
+// Guards against a return to an older version, here written by a confused operator.
+TEST(Configuration, AnOlderVersionIsNeverPutInForce)
+{
+    PoolerFixture fixture;
+    fixture.run([](PoolerFixture& f) -> Task<void> {
+        const auto old = f.platform().config();
+        f.platform().config().routes.erase(boundedDb);
+        f.platform().putConfig();
+        co_await f.sleep(milliseconds(200));
+        f.platform().config() = old;
+        f.platform().config().version -= 1;
+        f.platform().putConfig();
+        co_await f.sleep(milliseconds(200));
+        TestClient late(f.io());
+        const auto refused = co_await late.start(f.clientAddress(), boundedDb);
+        STRCMP_EQUAL("NODB", refused.code().c_str());
+    }(fixture));
+}
+
+// A watch that is told that its history is gone has to list again, or it would miss every later change.
+TEST(Configuration, ALostHistoryIsListedAgain)
+{
+    PoolerFixture fixture;
+    fixture.run([](PoolerFixture& f) -> Task<void> {
+        f.platform().store().behaviour().isDown = true;
+        co_await f.sleep(milliseconds(2600));
+        f.platform().config().routes.erase(boundedDb);
+        f.platform().putConfig();
+        f.platform().store().forgetHistory();
+        f.platform().store().behaviour().isDown = false;
+        co_await f.sleep(milliseconds(1500));
+        TestClient late(f.io());
+        const auto refused = co_await late.start(f.clientAddress(), boundedDb);
+        STRCMP_EQUAL("NODB", refused.code().c_str());
+    }(fixture));
+}
+
+// Entries of other writers may lack fields; they name no endpoint, and the others hold.
+TEST(Configuration, UnreadableEntriesAreSkipped)
+{
+    PoolerFixture fixture;
+    fixture.run([](PoolerFixture& f) -> Task<void> {
+        f.platform().store().put("servers", "i-broken", { { "Service", "service-0" }, { "State", 17 } });
+        f.platform().store().put("servers", "i-text", "not an object");
+        co_await f.sleep(milliseconds(200));
+        TestClient client(f.io());
+        co_await client.start(f.clientAddress(), primaryDb);
+        const auto written = co_await client.query("WRITE item x");
+        CHECK_TRUE(written.isSuccess());
+    }(fixture));
+}
+
+// A process that starts while the store is down has to serve as soon as a peer tells it the configuration.
+TEST(Configuration, SurvivesAStoreThatIsDown)
+{
+    PoolerFixture fixture;
+    fixture.run([](PoolerFixture& f) -> Task<void> {
+        TestClient client(f.io());
+        co_await client.start(f.clientAddress(), primaryDb);
+        f.platform().store().behaviour().isDown = true;
+        co_await f.sleep(milliseconds(3500));
+        const auto written = co_await client.query("WRITE item x");
+        CHECK_TRUE(written.isSuccess());
+    }(fixture));
+}
+
+// Guards against a planned stop that cuts a request or an open transaction.
+TEST(Configuration, ADrainFinishesTransactionsAndClosesIdleSessions)
+{
+    PoolerFixture fixture;
+    fixture.run([](PoolerFixture& f) -> Task<void> {
+        TestClient busy(f.io());
+        TestClient idle(f.io());
+        co_await busy.start(f.clientAddress(), primaryDb);
+        co_await idle.start(f.clientAddress(), primaryDb);
+        co_await busy.query("BEGIN");
+        co_await busy.query("WRITE item x");
+        bool isDrained = false;
+        asio::co_spawn(f.io(), f.process(0).drain(), [&](std::exception_ptr) { isDrained = true; });
+        co_await f.sleep(milliseconds(100));
+        const auto status = co_await f.ready(0);
+        LONGS_EQUAL(503, status);
+        co_await f.sleep(milliseconds(1200));
+        const auto closed = co_await idle.query("READ item");
+        STRCMP_EQUAL("", closed.ready.c_str());
+        CHECK_FALSE(isDrained);
+        const auto committed = co_await busy.query("COMMIT");
+        CHECK_TRUE(committed.isSuccess());
+        co_await f.sleep(milliseconds(700));
+        CHECK_TRUE(isDrained);
+    }(fixture));
+}
--- /dev/null
+++ b/packages/pooler/tests/PoolerFixture.h
@@ -0,0 +1,78 @@
+#pragma once
+
+#include "EmulatedPlatform.h"
+#include "kumquatbank/pooler/pooler.h"
+
+#include <functional>
+
+namespace kumquatbank {
+
+/// A client of the wire protocol.
+class TestClient {
+public:
+    struct Answer {
+        std::vector<std::string> rows;
+        std::string result; ///< The DONE or ERR line.
+        std::string ready; ///< The READY line; empty if the connection closed.
+
+        bool isSuccess() const { return result.starts_with("DONE"); }
+        std::string code() const { return result.starts_with("ERR ") ? result.substr(4, result.find(' ', 4) - 4) : ""; }
+        char state() const { return ready.size() > 6 ? ready[6] : '?'; }
+    };
+
+    explicit TestClient(asio::io_context& io)
+        : m_io(io)
+    {
+    }
+
+    /// Connects and starts a session.
+    Task<Answer> start(HostAddress address, std::string database);
+    /// Runs one statement under a new id.
+    Task<Answer> query(std::string text);
+    Task<Answer> raw(std::string bytes);
+    void close() { m_channel.reset(); }
+    const std::string& lastId() const { return m_lastId; }
+
+private:
+    Task<Answer> receive();
+
+    asio::io_context& m_io;
+    std::optional<LineChannel> m_channel;
+    std::string m_lastId;
+};
+
+/// Proxies in front of an emulated platform, all on one event loop.
+class PoolerFixture {
+public:
+    explicit PoolerFixture(EmulatedPlatform::Shape shape = {}, int hosts = 1);
+
+    /// Runs @p task on the event loop; fails the test if it takes longer than @p limit.
+    void run(Task<void> task, std::chrono::seconds limit = std::chrono::seconds(20));
+
+    asio::io_context& io() { return *m_io; }
+    EmulatedPlatform& platform() { return *m_platform; }
+    HostAddress clientAddress(int host = 0) const { return address(host, 0); }
+    PoolerProcess& process(int host) { return *m_processes.at(static_cast<std::size_t>(host)); }
+    void startHost(int host);
+
+    /// Status of the ready probe.
+    Task<int> ready(int host);
+    Task<void> waitUntilReady(int host);
+    Task<void> sleep(std::chrono::milliseconds duration) { return sleepFor(*m_io, duration); }
+    /// Repeats a write until it succeeds; the number of attempts.
+    Task<int> writeUntilSuccess(std::string database, std::string text, int host = 0);
+
+    /// Fails the test if a statement ran in a transaction of another one, outside its own, or with other values.
+    void checkTransactions() const;
+
+private:
+    HostAddress address(int host, int offset) const;
+
+    // Coroutines that are still suspended refer to the loop and the processes, so neither is ever destroyed.
+    asio::io_context* m_io;
+    std::string m_ip;
+    EmulatedPlatform* m_platform;
+    std::vector<PoolerProcess*> m_processes;
+};
+
+} // namespace kumquatbank
--- /dev/null
+++ b/packages/pooler/tests/PromotionTest.cpp
@@ -0,0 +1,125 @@
+#include "PoolerFixture.h"
+
+#include <CppUTest/TestHarness.h>
+#include <fmt/format.h>
+
+using namespace kumquatbank;
+using std::chrono::milliseconds;
+
+namespace {
+
+const std::string primaryDb = EmulatedPlatform::databaseName(0, ReadPolicy::Primary);
+
+/// Fails the test if two hosts used one token, or if the accepted tokens of a service decreased.
+void checkTokens(const EmulatedPlatform& platform)
+{
+    std::map<std::uint64_t, std::string> holders;
+    for (const auto& order : platform.promotions()) {
+        const auto [it, isNew] = holders.emplace(order.token, order.holder);
+        CHECK_TRUE_TEXT(it->second == order.holder, "two hosts promoted with one token");
+    }
+}
+
+} // namespace
+
+TEST_GROUP(Promotion) {};
+
+TEST(Promotion, ACrashedPrimaryIsReplacedOnceByTheNewestReplica)
+{
+    PoolerFixture fixture({}, 3);
+    fixture.run([](PoolerFixture& f) -> Task<void> {
+        co_await f.sleep(milliseconds(1700));
+        co_await f.writeUntilSuccess(primaryDb, "WRITE item before");
+        f.platform().service(0).log("i-0-1").isDeaf = true;
+        co_await f.writeUntilSuccess(primaryDb, "WRITE item newest");
+        f.platform().primary(0).crash();
+        co_await f.writeUntilSuccess(primaryDb, "WRITE other after");
+        TestClient client(f.io());
+        co_await client.start(f.clientAddress(1), primaryDb);
+        const auto read = co_await client.query("READ item");
+        STRCMP_EQUAL("newest", read.rows.at(0).c_str());
+    }(fixture));
+    STRCMP_EQUAL("i-0-2", fixture.platform().service(0).primary().c_str());
+    LONGS_EQUAL(1, std::ranges::count(fixture.platform().promotions(), 200, &OrderedPromotion::status));
+    checkTokens(fixture.platform());
+}
+
+// Guards against a host that is cut off from a healthy primary and replaces it on its own.
+TEST(Promotion, APrimaryThatPeersSeeIsNotReplaced)
+{
+    PoolerFixture fixture({}, 3);
+    fixture.run([](PoolerFixture& f) -> Task<void> {
+        co_await f.sleep(milliseconds(1700));
+        co_await f.writeUntilSuccess(primaryDb, "WRITE item x", 0);
+        co_await f.sleep(milliseconds(3000));
+    }(fixture));
+    LONGS_EQUAL(0, fixture.platform().promotions().size());
+}
+
+// Guards against acknowledged writes that are lost when a primary is replaced as planned.
+TEST(Promotion, APlannedReplacementLosesNoAcknowledgedWrite)
+{
+    EmulatedPlatform::Shape shape;
+    shape.lag = milliseconds(40);
+    PoolerFixture fixture(shape, 2);
+    std::vector<std::string> acknowledged;
+    fixture.run([](PoolerFixture& f, std::vector<std::string>& written) -> Task<void> {
+        co_await f.sleep(milliseconds(1700));
+        bool isDone = false;
+        const auto work = [&]() -> Task<void> {
+            TestClient client(f.io());
+            co_await client.start(f.clientAddress(0), primaryDb);
+            for (int n = 0; !isDone; ++n) {
+                const auto write = fmt::format("WRITE item-{} x", n);
+                const auto answer = co_await client.query(write);
+                if (answer.isSuccess())
+                    written.push_back(client.lastId());
+                co_await f.sleep(milliseconds(2));
+            }
+        };
+        asio::co_spawn(f.io(), work(), asio::detached);
+        co_await f.sleep(milliseconds(300));
+        f.platform().announce(f.platform().primary(0), true);
+        while (f.platform().service(0).primary() == "i-0-0" || f.platform().service(0).primary().empty())
+            co_await f.sleep(milliseconds(20));
+        co_await f.sleep(milliseconds(500));
+        isDone = true;
+        co_await f.sleep(milliseconds(100));
+    }(fixture, acknowledged));
+    CHECK_TRUE(acknowledged.size() > 20);
+    const auto& kept = fixture.platform().service(0).survivingCommits();
+    for (const auto& id : acknowledged)
+        CHECK_TRUE_TEXT(std::ranges::find(kept, id, &LoggedCommit::statementId) != kept.end(), "an acknowledged write was lost");
+    checkTokens(fixture.platform());
+}
+
+// Guards against a host without a primary for as long as the store is down: the holder of the newest token may go on.
+TEST(Promotion, TheHolderOfTheTokenPromotesWhileTheStoreIsDown)
+{
+    PoolerFixture fixture({}, 1);
+    fixture.run([](PoolerFixture& f) -> Task<void> {
+        f.platform().primary(0).crash();
+        co_await f.writeUntilSuccess(primaryDb, "WRITE item one");
+        f.platform().store().behaviour().isDown = true;
+        co_await f.sleep(milliseconds(2300));
+        f.platform().primary(0).crash();
+        co_await f.writeUntilSuccess(primaryDb, "WRITE item two");
+    }(fixture),
+        std::chrono::seconds(30));
+    checkTokens(fixture.platform());
+}
+
+// Guards against two deciders with one token: the store takes the write and loses its answer.
+TEST(Promotion, ALostAnswerOfTheStoreLeavesTheTokenUnique)
+{
+    PoolerFixture fixture({}, 3);
+    fixture.run([](PoolerFixture& f) -> Task<void> {
+        co_await f.sleep(milliseconds(1700));
+        co_await f.writeUntilSuccess(primaryDb, "WRITE item before");
+        f.platform().store().behaviour().answersToLose = 2;
+        f.platform().primary(0).crash();
+        co_await f.writeUntilSuccess(primaryDb, "WRITE item after");
+    }(fixture),
+        std::chrono::seconds(30));
+    checkTokens(fixture.platform());
+}
--- /dev/null
+++ b/packages/routing/tests/PromotionPolicyTest.cpp
@@ -0,0 +1,59 @@
+#include "kumquatbank/routing/PromotionPolicy.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace kumquatbank;
+
+namespace {
+
+EndpointStatus status(const std::string& id, Term term, std::uint64_t position, bool isDraining = false)
+{
+    EndpointStatus result;
+    result.id = id;
+    result.received = { term, position };
+    result.isDraining = isDraining;
+    return result;
+}
+
+std::vector<PeerOpinion> opinions(int seeing, int notSeeing, int silent)
+{
+    std::vector<PeerOpinion> result;
+    result.insert(result.end(), seeing, { true, true });
+    result.insert(result.end(), notSeeing, { true, false });
+    result.insert(result.end(), silent, { false, false });
+    return result;
+}
+
+} // namespace
+
+TEST_GROUP(PromotionPolicy) {};
+
+TEST(PromotionPolicy, ChoosesTheNewestReceivedPosition)
+{
+    STRCMP_EQUAL("b", choosePromotionCandidate({ status("a", 1, 10), status("b", 1, 12) })->id.c_str());
+    STRCMP_EQUAL("b", choosePromotionCandidate({ status("a", 1, 99), status("b", 2, 12) })->id.c_str());
+    CHECK_FALSE(choosePromotionCandidate({}).has_value());
+}
+
+// An endpoint about to leave would have to be replaced again at once.
+TEST(PromotionPolicy, TakesALeavingEndpointOnlyIfThereIsNoOther)
+{
+    STRCMP_EQUAL("a", choosePromotionCandidate({ status("a", 1, 10), status("b", 1, 12, true) })->id.c_str());
+    STRCMP_EQUAL("b", choosePromotionCandidate({ status("b", 1, 12, true) })->id.c_str());
+}
+
+// A host that alone is cut off from a healthy primary must not replace it.
+TEST(PromotionPolicy, MostAnsweringPeersHaveToMissThePrimary)
+{
+    CHECK_FALSE(isPrimaryLost(opinions(7, 0, 0), true));
+    CHECK_FALSE(isPrimaryLost(opinions(4, 3, 0), true));
+    CHECK_TRUE(isPrimaryLost(opinions(3, 4, 0), true));
+    CHECK_TRUE(isPrimaryLost(opinions(0, 2, 5), true));
+}
+
+TEST(PromotionPolicy, DecidesAloneOnlyIfAllowed)
+{
+    CHECK_TRUE(isPrimaryLost(opinions(0, 0, 7), true));
+    CHECK_FALSE(isPrimaryLost(opinions(0, 0, 7), false));
+    CHECK_TRUE(isPrimaryLost({}, false));
+}
--- /dev/null
+++ b/packages/routing/tests/ServiceSchedulerTest.cpp
@@ -0,0 +1,153 @@
+#include "kumquatbank/routing/ServiceScheduler.h"
+
+#include <CppUTest/TestHarness.h>
+#include <algorithm>
+
+using namespace kumquatbank;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr int urgent = 0;
+constexpr int background = 2;
+
+} // namespace
+
+TEST_GROUP(ServiceScheduler)
+{
+    ServiceScheduler scheduler;
+    BootTime now = BootTime(std::chrono::seconds(100));
+    std::vector<std::string> order; ///< Names of requests in the order of their grants.
+    std::vector<std::unique_ptr<ServiceScheduler::Ticket>> tickets;
+
+    void setup() override
+    {
+        scheduler.setEndpoint("p", true, true, 2);
+        scheduler.setEndpoint("r1", true, false, 2);
+        scheduler.setEndpoint("r2", true, false, 2);
+    }
+
+    PermitRequest request(Eligibility eligibility, int priority, std::set<std::string> excluded = {})
+    {
+        PermitRequest request;
+        request.eligibility = eligibility;
+        request.priority = priority;
+        request.giveUpAt = now + milliseconds(500);
+        request.excluded = std::move(excluded);
+        return request;
+    }
+
+    void wait(const std::string& name, const PermitRequest& waiting)
+    {
+        tickets.push_back(scheduler.enqueue(waiting, now += milliseconds(1), [this, name](const std::string&) { order.push_back(name); }));
+    }
+
+    void takeAll(Eligibility eligibility)
+    {
+        while (scheduler.tryTake(request(eligibility, urgent))) { }
+    }
+};
+
+// A write sent to a replica would be refused, and the client would wait for nothing.
+TEST(ServiceScheduler, WritesGoToThePrimaryOnly)
+{
+    STRCMP_EQUAL("p", scheduler.tryTake(request(Eligibility::PrimaryOnly, urgent))->c_str());
+    STRCMP_EQUAL("p", scheduler.tryTake(request(Eligibility::PrimaryOnly, urgent))->c_str());
+    CHECK_FALSE(scheduler.tryTake(request(Eligibility::PrimaryOnly, urgent)).has_value());
+}
+
+// Reads that fill the primary's connections would make writes wait while replicas stand idle.
+TEST(ServiceScheduler, ReadsLeavePartOfThePrimaryToWrites)
+{
+    takeAll(Eligibility::Any);
+    LONGS_EQUAL(2, scheduler.endpoints().at("r1").inUse);
+    LONGS_EQUAL(2, scheduler.endpoints().at("r2").inUse);
+    LONGS_EQUAL(1, scheduler.endpoints().at("p").inUse);
+    CHECK_TRUE(scheduler.tryTake(request(Eligibility::PrimaryOnly, urgent)).has_value());
+}
+
+TEST(ServiceScheduler, ExcludedAndUnusableEndpointsGetNothing)
+{
+    scheduler.setEndpoint("r2", false, false, 2);
+    const auto taken = scheduler.tryTake(request(Eligibility::Any, urgent, { "r1" }));
+    STRCMP_EQUAL("p", taken->c_str());
+    CHECK_FALSE(scheduler.tryTake(request(Eligibility::Any, urgent, { "r1", "p" })).has_value());
+}
+
+// Load pattern: a burst of background reads is queued when urgent requests arrive.
+TEST(ServiceScheduler, UrgentRequestsOvertakeAQueueOfBackgroundWork)
+{
+    takeAll(Eligibility::PrimaryOnly);
+    for (int n = 0; n < 5; ++n)
+        wait("background", request(Eligibility::PrimaryOnly, background));
+    wait("urgent", request(Eligibility::PrimaryOnly, urgent));
+    scheduler.release("p", milliseconds(10));
+    STRCMP_EQUAL("urgent", order.at(0).c_str());
+}
+
+// Load pattern: urgent work without end. Strict priority would starve everything else.
+TEST(ServiceScheduler, AFloodOfUrgentWorkLeavesAFloorToTheOldestRequest)
+{
+    takeAll(Eligibility::PrimaryOnly);
+    wait("background", request(Eligibility::PrimaryOnly, background));
+    for (int n = 0; n < 40; ++n)
+        wait("urgent", request(Eligibility::PrimaryOnly, urgent));
+    for (int n = 0; n < 16; ++n)
+        scheduler.release("p", milliseconds(10));
+    LONGS_EQUAL(1, std::ranges::count(order, "background"));
+}
+
+TEST(ServiceScheduler, RequestsOfOneClassAreServedInOrderOfArrival)
+{
+    takeAll(Eligibility::PrimaryOnly);
+    for (const auto* name : { "first", "second", "third" })
+        wait(name, request(Eligibility::PrimaryOnly, background));
+    for (int n = 0; n < 3; ++n)
+        scheduler.release("p", milliseconds(10));
+    STRCMP_EQUAL("first", order.at(0).c_str());
+    STRCMP_EQUAL("second", order.at(1).c_str());
+    STRCMP_EQUAL("third", order.at(2).c_str());
+}
+
+// A client that left must not be granted a connection that nobody gives back.
+TEST(ServiceScheduler, ADestroyedTicketIsNotGranted)
+{
+    takeAll(Eligibility::PrimaryOnly);
+    wait("left", request(Eligibility::PrimaryOnly, urgent));
+    tickets.clear();
+    LONGS_EQUAL(0, scheduler.waiting());
+    scheduler.release("p", milliseconds(10));
+    LONGS_EQUAL(0, order.size());
+    LONGS_EQUAL(1, scheduler.endpoints().at("p").inUse);
+}
+
+TEST(ServiceScheduler, ANewPrimaryServesTheWritesThatWait)
+{
+    scheduler.setEndpoint("p", false, false, 2);
+    wait("write", request(Eligibility::PrimaryOnly, urgent));
+    LONGS_EQUAL(0, order.size());
+    scheduler.setEndpoint("r1", true, true, 2);
+    LONGS_EQUAL(1, order.size());
+}
+
+TEST(ServiceScheduler, ExpectedWaitGrowsWithTheQueueAndIsEndlessWithoutEndpoints)
+{
+    const auto write = request(Eligibility::PrimaryOnly, urgent);
+    LONGS_EQUAL(0, scheduler.expectedWait(write).count());
+    takeAll(Eligibility::PrimaryOnly);
+    const auto one = scheduler.expectedWait(write);
+    for (int n = 0; n < 20; ++n)
+        wait("ahead", write);
+    CHECK_TRUE(scheduler.expectedWait(write) > one * 10);
+    scheduler.removeEndpoint("p");
+    CHECK_TRUE(scheduler.expectedWait(write) == milliseconds::max());
+}
+
+TEST(ServiceScheduler, PermitsOfARemovedEndpointAreGivenBackToNothing)
+{
+    CHECK_TRUE(scheduler.tryTake(request(Eligibility::PrimaryOnly, urgent)).has_value());
+    scheduler.removeEndpoint("p");
+    scheduler.release("p", milliseconds(1));
+    scheduler.setEndpoint("p", true, true, 2);
+    LONGS_EQUAL(0, scheduler.endpoints().at("p").inUse);
+}
--- /dev/null
+++ b/packages/routing/tests/SessionStateTest.cpp
@@ -0,0 +1,49 @@
+#include "kumquatbank/routing/SessionState.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace kumquatbank;
+
+TEST_GROUP(SessionState)
+{
+    SessionState session;
+    ConnectionState connection;
+};
+
+TEST(SessionState, SetsOnlyWhatDiffers)
+{
+    session.values = { { "a", "1" }, { "b", "2" } };
+    connection.noteValue("a", "1");
+    const auto missing = connection.missingValues(session);
+    LONGS_EQUAL(1, missing.size());
+    STRCMP_EQUAL("2", missing.at("b").c_str());
+    CHECK_FALSE(connection.needsReset(session));
+}
+
+// A value left behind by another client would change what this client's statements mean.
+TEST(SessionState, AForeignValueNeedsAResetAndAllOwnValuesAgain)
+{
+    session.values = { { "a", "1" } };
+    connection.noteValue("a", "1");
+    connection.noteValue("foreign", "x");
+    CHECK_TRUE(connection.needsReset(session));
+    LONGS_EQUAL(1, connection.missingValues(session).size());
+    connection.noteReset();
+    CHECK_FALSE(connection.needsReset(session));
+}
+
+TEST(SessionState, AResetForgetsPreparedStatements)
+{
+    connection.notePrepared("r1");
+    CHECK_TRUE(connection.hasPrepared("r1"));
+    connection.noteReset();
+    CHECK_FALSE(connection.hasPrepared("r1"));
+}
+
+// Two clients choose the same name for different statements; on a shared connection they must not meet.
+TEST(SessionState, ConnectionNamesDependOnWhatIsPrepared)
+{
+    CHECK_TRUE(preparedConnectionName(false, "q1") == preparedConnectionName(false, "q1"));
+    CHECK_FALSE(preparedConnectionName(false, "q1") == preparedConnectionName(true, "q1"));
+    CHECK_FALSE(preparedConnectionName(false, "q1") == preparedConnectionName(false, "q2"));
+}
--- /dev/null
+++ b/tools/emulator/EmulatedDatabase.h
@@ -0,0 +1,85 @@
+#pragma once
+
+#include "EmulatedService.h"
+#include "kumquatbank/adapter/WireDialect.h"
+#include "kumquatbank/engine/LineChannel.h"
+#include "kumquatbank/engine/LineListener.h"
+#include "kumquatbank/engine/Waiter.h"
+#include "kumquatbank/routing/EndpointEntry.h"
+
+#include <deque>
+#include <memory>
+#include <set>
+
+namespace kumquatbank {
+
+/// How a database behaves; may change at any time.
+struct DatabaseBehaviour {
+    std::chrono::milliseconds work { 1 }; ///< Time that a read, write or commit holds a slot.
+    std::chrono::milliseconds connect { 1 }; ///< Time that a new connection holds a slot.
+    int maxConnections = 20;
+    int queue = 24; ///< Statements that wait for a slot; more are refused.
+    bool isSilent = false; ///< Accepts connections and answers nothing.
+    int answersToLose = 0; ///< So many answers to reads, writes and commits are lost after they ran.
+};
+
+/// A statement as a database ran it.
+struct RanStatement {
+    std::string id;
+    std::string text;
+    std::string database;
+    std::uint64_t connection = 0;
+    std::uint64_t transaction = 0; ///< 0 outside a transaction.
+    std::map<std::string, std::string> values; ///< Of the session, at that moment.
+};
+
+/// One database server: the wire protocol, slots, session values, prepared statements and transactions.
+class EmulatedDatabase {
+public:
+    EmulatedDatabase(asio::io_context& io, EndpointEntry entry, std::shared_ptr<EmulatedService> service);
+    ~EmulatedDatabase();
+
+    EmulatedDatabase(const EmulatedDatabase&) = delete;
+    EmulatedDatabase& operator=(const EmulatedDatabase&) = delete;
+
+    const EndpointEntry& entry() const { return m_entry; }
+    DatabaseBehaviour& behaviour() { return m_behaviour; }
+    const std::vector<RanStatement>& ran() const { return m_ran; }
+    int connections() const { return m_connections; }
+    int mostConnections() const { return m_mostConnections; }
+    /// Closes every connection and refuses new ones.
+    void crash();
+    bool isRunning() const { return m_listener != nullptr; }
+
+private:
+    struct Session;
+
+    Task<void> serve(asio::ip::tcp::socket socket);
+    Task<void> answer(Session& session, std::string line);
+    Task<std::string> run(Session& session, const std::string& id, std::string text);
+    std::string runOwnCommand(Session& session, std::string_view word, std::string_view rest);
+    Task<bool> takeSlot();
+    void freeSlot();
+    std::string position();
+    std::string ready(const Session& session);
+    std::string refuse(Session& session, std::string_view code);
+    bool hasLostLead(const Session& session) const;
+    std::string statusRow();
+    void record(const Session& session, const std::string& id, const std::string& text);
+
+    asio::io_context& m_io;
+    EndpointEntry m_entry;
+    std::shared_ptr<EmulatedService> m_service;
+    DatabaseBehaviour m_behaviour;
+    std::unique_ptr<LineListener> m_listener;
+    std::set<std::shared_ptr<Session>> m_sessions;
+    std::vector<RanStatement> m_ran;
+    std::deque<std::shared_ptr<Waiter>> m_slotWaiters;
+    int m_busySlots = 0;
+    int m_connections = 0;
+    int m_mostConnections = 0;
+    std::uint64_t m_nextConnection = 0;
+    std::uint64_t m_nextTransaction = 0;
+};
+
+} // namespace kumquatbank
--- /dev/null
+++ b/tools/emulator/EmulatedPlatform.cpp
@@ -0,0 +1,131 @@
+#include "EmulatedPlatform.h"
+
+#include "kumquatbank/adapter/PromotionCall.h"
+#include "kumquatbank/adapter/StoreCodec.h"
+
+#include <fmt/format.h>
+
+namespace kumquatbank {
+
+namespace {
+
+    constexpr std::array<ReadPolicy, 3> policies { ReadPolicy::Primary, ReadPolicy::Bounded, ReadPolicy::ReadYourWrites };
+
+    std::string serviceName(int n) { return fmt::format("service-{}", n); }
+
+} // namespace
+
+EmulatedPlatform::EmulatedPlatform(asio::io_context& io, Shape shape)
+    : m_io(io)
+    , m_shape(std::move(shape))
+    , m_store(io, storeAddress())
+    , m_promotionListener(io, promotionAddress(), [this](HttpRequest request) { return promote(std::move(request)); })
+{
+    auto port = static_cast<std::uint16_t>(m_shape.basePort + 2);
+    for (int s = 0; s < m_shape.services; ++s) {
+        const auto service = std::make_shared<EmulatedService>(serviceName(s));
+        m_services.push_back(service);
+        for (int n = 0; n < m_shape.databasesPerService; ++n) {
+            EndpointEntry entry;
+            entry.id = fmt::format("i-{}-{}", s, n);
+            entry.service = service->name();
+            entry.address = { m_shape.ip, port++ };
+            entry.dataCentre = fmt::format("dc-{}", n);
+            entry.slots = m_shape.slots;
+            entry.bornMs = 1;
+            auto database = std::make_unique<EmulatedDatabase>(io, entry, service);
+            database->behaviour().work = m_shape.work;
+            database->behaviour().maxConnections = m_shape.maxConnections;
+            service->log(entry.id).lag = m_shape.lag;
+            m_databases.push_back(std::move(database));
+        }
+        service->promote(database(s, 0).entry().id);
+        announceAll(*service);
+        m_config.services[service->name()] = { service->name(), m_shape.maxConnections, 0 };
+        for (const auto policy : policies) {
+            Route route;
+            route.name = "route-" + databaseName(s, policy);
+            route.database = databaseName(s, policy);
+            route.service = service->name();
+            route.policy = policy;
+            route.statementTimeout = std::chrono::milliseconds(1000);
+            route.targetLatency = std::chrono::milliseconds(policy == ReadPolicy::Primary ? 400 : 800);
+            route.maxStaleness = std::chrono::milliseconds(policy == ReadPolicy::Primary ? 0 : 1500);
+            route.priority = static_cast<int>(policy);
+            m_config.routes[route.database] = route;
+        }
+    }
+    m_config.transactionIdle = std::chrono::milliseconds(3000);
+    putConfig();
+}
+
+std::string EmulatedPlatform::databaseName(int service, ReadPolicy policy) { return fmt::format("{}-{}", readPolicyName(policy), service); }
+
+EmulatedDatabase& EmulatedPlatform::primary(int service)
+{
+    const auto& id = this->service(service).primary();
+    return **std::ranges::find_if(m_databases, [&](const auto& database) { return database->entry().id == id; });
+}
+
+std::vector<RanStatement> EmulatedPlatform::ran() const
+{
+    std::vector<RanStatement> all;
+    for (const auto& database : m_databases)
+        all.insert(all.end(), database->ran().begin(), database->ran().end());
+    return all;
+}
+
+void EmulatedPlatform::putConfig()
+{
+    ++m_config.version;
+    m_store.put(std::string(StoreCodec::configKind), std::string(StoreCodec::configName), StoreCodec::formatConfig(m_config));
+}
+
+void EmulatedPlatform::announce(EmulatedDatabase& database, bool isDraining)
+{
+    auto entry = database.entry();
+    m_draining[entry.id] = isDraining;
+    entry.isDraining = isDraining;
+    const auto service = std::ranges::find(m_services, entry.service, [](const auto& known) { return known->name(); });
+    entry.role = (*service)->isPrimary(entry.id) ? EndpointRole::Primary : EndpointRole::Replica;
+    m_store.put(std::string(StoreCodec::endpointKind), entry.id, StoreCodec::formatEndpoint(entry));
+}
+
+void EmulatedPlatform::announceAll(const EmulatedService& service)
+{
+    for (const auto& database : m_databases) {
+        if (database->entry().service == service.name() && database->isRunning())
+            announce(*database, m_draining[database->entry().id]);
+    }
+}
+
+Task<void> EmulatedPlatform::takeEffect(std::shared_ptr<EmulatedService> service, std::string id)
+{
+    co_await sleepFor(m_io, m_shape.promote);
+    service->promote(id);
+    announceAll(*service);
+}
+
+Task<HttpAnswer> EmulatedPlatform::promote(HttpRequest request)
+{
+    const auto order = PromotionCall::parseRequest(request.headers, request.body);
+    if (!order)
+        co_return HttpAnswer { 400, "{}" };
+    auto& highest = m_tokens[order->service];
+    const auto service = std::ranges::find(m_services, order->service, [](const auto& known) { return known->name(); });
+    const auto database = std::ranges::find_if(m_databases, [&](const auto& known) { return known->entry().id == order->endpoint; });
+    int status = 200;
+    if (service == m_services.end() || database == m_databases.end())
+        status = 404;
+    else if (order->token < highest || !(*database)->isRunning())
+        status = 409;
+    m_promotions.push_back({ order->service, order->endpoint, order->holder, order->token, status });
+    if (status == 200) {
+        highest = order->token;
+        if (!(*service)->isPrimary(order->endpoint))
+            asio::co_spawn(m_io, takeEffect(*service, order->endpoint), asio::detached);
+    }
+    co_return HttpAnswer { status, "{}" };
+}
+
+} // namespace kumquatbank
--- /dev/null
+++ b/tools/emulator/EmulatedPlatform.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include "EmulatedDatabase.h"
+#include "EmulatedStore.h"
+#include "kumquatbank/routing/RoutingConfig.h"
+
+namespace kumquatbank {
+
+/// A promotion as it was ordered.
+struct OrderedPromotion {
+    std::string service;
+    std::string endpoint;
+    std::string holder;
+    std::uint64_t token = 0;
+    int status = 0; ///< HTTP status that it got.
+};
+
+/// Everything that the platform provides, on loopback: groups of databases that register in the store, and the call
+/// that changes a primary.
+class EmulatedPlatform {
+public:
+    struct Shape {
+        std::string ip = "127.0.0.1";
+        std::uint16_t basePort = 0; ///< Store, promote call and databases take ports from here on.
+        int services = 1;
+        int databasesPerService = 3;
+        int slots = 3;
+        int maxConnections = 21;
+        std::chrono::milliseconds lag { 5 };
+        std::chrono::milliseconds work { 1 };
+        std::chrono::milliseconds promote { 200 }; ///< Until a promotion takes effect.
+    };
+
+    EmulatedPlatform(asio::io_context& io, Shape shape);
+
+    HostAddress storeAddress() const { return { m_shape.ip, m_shape.basePort }; }
+    HostAddress promotionAddress() const { return { m_shape.ip, static_cast<std::uint16_t>(m_shape.basePort + 1) }; }
+    EmulatedStore& store() { return m_store; }
+    EmulatedService& service(int n) { return *m_services.at(static_cast<std::size_t>(n)); }
+    /// Database @p n of service @p service, as they were created.
+    EmulatedDatabase& database(int service, int n) { return *m_databases.at(static_cast<std::size_t>(service * m_shape.databasesPerService + n)); }
+    EmulatedDatabase& primary(int service);
+    const std::vector<OrderedPromotion>& promotions() const { return m_promotions; }
+    std::vector<RanStatement> ran() const;
+
+    /// Names of the databases that clients may give, by policy of their route.
+    static std::string databaseName(int service, ReadPolicy policy);
+
+    /// Writes the next version of the configuration.
+    void putConfig();
+    RoutingConfig& config() { return m_config; }
+    /// Writes the entry of a database again after a change of its state or role.
+    void announce(EmulatedDatabase& database, bool isDraining);
+
+private:
+    Task<HttpAnswer> promote(HttpRequest request);
+    Task<void> takeEffect(std::shared_ptr<EmulatedService> service, std::string id);
+    void announceAll(const EmulatedService& service);
+
+    asio::io_context& m_io;
+    Shape m_shape;
+    EmulatedStore m_store;
+    std::vector<std::shared_ptr<EmulatedService>> m_services;
+    std::vector<std::unique_ptr<EmulatedDatabase>> m_databases;
+    std::map<std::string, std::uint64_t> m_tokens; ///< Highest seen by service.
+    std::map<std::string, bool> m_draining;
+    std::vector<OrderedPromotion> m_promotions;
+    RoutingConfig m_config;
+    HttpListener m_promotionListener;
+};
+
+} // namespace kumquatbank
--- /dev/null
+++ b/tools/emulator/EmulatedService.cpp
@@ -0,0 +1,60 @@
+#include "EmulatedService.h"
+
+namespace kumquatbank {
+
+void ReplicaLog::apply(BootTime now)
+{
+    while (applied < received.size() && receivedAt[applied] + lag <= now) {
+        for (const auto& [item, value] : received[applied].changes)
+            items[item] = value;
+        ++applied;
+    }
+}
+
+LogPosition ReplicaLog::appliedPosition(Term heldTerm) const
+{
+    return applied == 0 ? LogPosition { std::min<Term>(heldTerm, 1), 0 } : received[applied - 1].position;
+}
+
+LogPosition ReplicaLog::receivedPosition(Term heldTerm) const
+{
+    return received.empty() ? LogPosition { std::min<Term>(heldTerm, 1), 0 } : received.back().position;
+}
+
+LogPosition EmulatedService::commit(std::map<std::string, std::string> changes, const std::string& statementId)
+{
+    const LogPosition position { m_term, m_commits.size() + 1 };
+    m_commits.push_back({ position, std::move(changes), statementId });
+    const auto now = BootClock::now();
+    for (auto& [id, log] : m_logs) {
+        if (log.isDeaf && id != m_primary)
+            continue;
+        // A member that was deaf receives what it missed.
+        while (log.received.size() < m_commits.size()) {
+            log.received.push_back(m_commits[log.received.size()]);
+            log.receivedAt.push_back(id == m_primary ? now - log.lag : now);
+        }
+    }
+    return position;
+}
+
+void EmulatedService::promote(const std::string& id)
+{
+    auto& winner = m_logs.at(id);
+    ++m_term;
+    m_primary = id;
+    m_commits = winner.received;
+    for (auto& [member, log] : m_logs) {
+        if (log.received.size() > m_commits.size()) {
+            log.received = m_commits;
+            log.receivedAt.resize(m_commits.size());
+            log.applied = 0;
+            log.items.clear();
+        }
+    }
+    for (auto& receivedAt : winner.receivedAt)
+        receivedAt = std::min(receivedAt, BootClock::now() - winner.lag);
+    winner.apply(BootClock::now());
+}
+
+} // namespace kumquatbank
--- /dev/null
+++ b/tools/emulator/EmulatedService.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include "kumquatbank/core/BootClock.h"
+#include "kumquatbank/core/LogPosition.h"
+
+#include <chrono>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace kumquatbank {
+
+/// One change of the log that a group of databases replicates.
+struct LoggedCommit {
+    LogPosition position;
+    std::map<std::string, std::string> changes;
+    std::string statementId; ///< Of the statement that committed it.
+};
+
+/// One database's copy of the log. `received` grows with the network, `applied` follows with the replication lag.
+struct ReplicaLog {
+    std::vector<LoggedCommit> received;
+    std::vector<BootTime> receivedAt;
+    std::size_t applied = 0;
+    std::map<std::string, std::string> items;
+    std::chrono::milliseconds lag { 5 };
+    bool isDeaf = false; ///< Receives nothing, as behind a partition.
+
+    void apply(BootTime now);
+    LogPosition appliedPosition(Term heldTerm) const;
+    LogPosition receivedPosition(Term heldTerm) const;
+};
+
+/// A group of databases with one primary at most. Promotions take effect at once for all members, as on the platform.
+class EmulatedService {
+public:
+    explicit EmulatedService(std::string name)
+        : m_name(std::move(name))
+    {
+    }
+
+    const std::string& name() const { return m_name; }
+    ReplicaLog& addMember(const std::string& id) { return m_logs[id]; }
+    ReplicaLog& log(const std::string& id) { return m_logs.at(id); }
+    bool hasMember(const std::string& id) const { return m_logs.contains(id); }
+
+    bool isPrimary(const std::string& id) const { return m_primary == id; }
+    const std::string& primary() const { return m_primary; }
+    Term term() const { return m_term; }
+
+    /// Appends a commit at the primary and sends it to the members that receive.
+    LogPosition commit(std::map<std::string, std::string> changes, const std::string& statementId);
+    /// Makes a member the primary of the next term; commits that it has not received are rolled back everywhere.
+    void promote(const std::string& id);
+    /// Takes the lead away without giving it to another member.
+    void demote() { m_primary.clear(); }
+
+    /// All commits that were acknowledged and not rolled back by a promotion.
+    const std::vector<LoggedCommit>& survivingCommits() const { return m_commits; }
+
+private:
+    std::string m_name;
+    std::map<std::string, ReplicaLog> m_logs;
+    std::string m_primary;
+    Term m_term = 0;
+    std::vector<LoggedCommit> m_commits;
+};
+
+} // namespace kumquatbank
--- /dev/null
+++ b/tools/emulator/EmulatedStore.cpp
@@ -0,0 +1,139 @@
+#include "EmulatedStore.h"
+
+#include <boost/url/parse.hpp>
+
+namespace kumquatbank {
+
+using Json = nlohmann::json;
+
+namespace {
+
+    /// Answer that the listener replaces by closing the connection.
+    HttpAnswer lostAnswer() { return { HttpAnswer::noAnswer, "" }; }
+
+} // namespace
+
+EmulatedStore::EmulatedStore(asio::io_context& io, const HostAddress& address)
+    : m_io(io)
+    , m_listener(io, address, [this](HttpRequest request) { return answer(std::move(request)); })
+{
+}
+
+void EmulatedStore::store(const std::string& kind, const std::string& name, Json object)
+{
+    auto& meta = object["meta"];
+    meta["Name"] = name;
+    meta["Revision"] = ++m_revision;
+    m_objects[kind][name] = object;
+    m_events.push_back({ m_revision, kind, std::move(object), false });
+    for (const auto& waiter : std::exchange(m_waiters, {}))
+        waiter->wake();
+}
+
+void EmulatedStore::put(const std::string& kind, const std::string& name, const Json& spec)
+{
+    store(kind, name, { { "meta", { { "Finalizers", Json::array() } } }, { "spec", spec }, { "status", nullptr } });
+}
+
+void EmulatedStore::remove(const std::string& kind, const std::string& name)
+{
+    auto& objects = m_objects[kind];
+    const auto it = objects.find(name);
+    if (it == objects.end())
+        return;
+    m_events.push_back({ ++m_revision, kind, it->second, true });
+    objects.erase(it);
+    for (const auto& waiter : std::exchange(m_waiters, {}))
+        waiter->wake();
+}
+
+Json EmulatedStore::get(const std::string& kind, const std::string& name) const
+{
+    const auto objects = m_objects.find(kind);
+    if (objects == m_objects.end())
+        return {};
+    const auto it = objects->second.find(name);
+    return it == objects->second.end() ? Json() : it->second;
+}
+
+Task<HttpAnswer> EmulatedStore::watch(std::string kind, std::uint64_t revision, std::chrono::milliseconds wait)
+{
+    const auto until = BootClock::now() + wait;
+    while (true) {
+        if (revision + 1 < m_firstRevision)
+            co_return HttpAnswer { 410, "{}" };
+        Json events = Json::array();
+        for (const auto& event : m_events) {
+            if (event.kind == kind && event.revision > revision)
+                events.push_back({ { "Object", event.object }, { "Deleted", event.isRemoved } });
+        }
+        if (!events.empty() || BootClock::now() >= until)
+            co_return HttpAnswer { 200, Json { { "events", std::move(events) }, { "AsOf", m_revision } }.dump() };
+        const auto waiter = std::make_shared<Waiter>(m_io);
+        m_waiters.push_back(waiter);
+        co_await waiter->wait(until);
+    }
+}
+
+HttpAnswer EmulatedStore::change(const std::string& method, const std::string& kind, const std::string& name, const std::string& body)
+{
+    const auto json = Json::parse(body, nullptr, false);
+    const auto stored = get(kind, name);
+    if (method == "DELETE") {
+        remove(kind, name);
+        return stored.is_null() ? HttpAnswer { 404, "{}" } : HttpAnswer { 200, stored.dump() };
+    }
+    if (!json.is_object() || !json.contains("meta"))
+        return { 400, "{}" };
+    const auto target = method == "POST" ? json["meta"].value("Name", "") : name;
+    const auto current = get(kind, target);
+    if (method == "POST" && !current.is_null())
+        return { 409, current.dump() };
+    if (method == "PUT" && current.is_null())
+        return { 404, "{}" };
+    const auto expected = json["meta"].find("Revision");
+    if (method == "PUT" && expected != json["meta"].end() && *expected != current["meta"]["Revision"])
+        return { 409, current.dump() };
+    store(kind, target, { { "meta", { { "Finalizers", Json::array() } } }, { "spec", json.value("spec", Json()) }, { "status", nullptr } });
+    if (m_behaviour.answersToLose > 0) {
+        --m_behaviour.answersToLose;
+        return lostAnswer();
+    }
+    return { 200, get(kind, target).dump() };
+}
+
+Task<HttpAnswer> EmulatedStore::answer(HttpRequest request)
+{
+    ++m_calls;
+    if (m_behaviour.isDown)
+        co_return HttpAnswer { 503, "{}" };
+    const auto url = boost::urls::parse_origin_form(request.target);
+    if (!url)
+        co_return HttpAnswer { 400, "{}" };
+    std::vector<std::string> segments;
+    for (const auto& segment : url->segments())
+        segments.push_back(segment);
+    if (segments.size() < 2 || segments[0] != "objects")
+        co_return HttpAnswer { 404, "{}" };
+    const auto kind = segments[1];
+    const std::string name = segments.size() > 2 ? segments[2] : "";
+    if (request.method != "GET")
+        co_return change(request.method, kind, name, request.body);
+    if (!name.empty()) {
+        const auto object = get(kind, name);
+        co_return object.is_null() ? HttpAnswer { 404, "{}" } : HttpAnswer { 200, object.dump() };
+    }
+    const auto parameters = url->params();
+    const auto since = parameters.find("Watch");
+    if (since != parameters.end()) {
+        const auto wait = std::chrono::milliseconds(std::stoll(std::string((*parameters.find("WaitMs")).value)));
+        const auto revision = std::stoull(std::string((*since).value));
+        co_return co_await watch(kind, revision, wait);
+    }
+    Json items = Json::array();
+    for (const auto& [objectName, object] : m_objects[kind])
+        items.push_back(object);
+    co_return HttpAnswer { 200, Json { { "items", std::move(items) }, { "More", false }, { "AsOf", m_revision } }.dump() };
+}
+
+} // namespace kumquatbank
--- /dev/null
+++ b/tools/emulator/EmulatedStore.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include "kumquatbank/engine/HttpListener.h"
+#include "kumquatbank/engine/Waiter.h"
+
+#include <nlohmann/json.hpp>
+
+namespace kumquatbank {
+
+/// How the store behaves; may change at any time.
+struct StoreBehaviour {
+    bool isDown = false; ///< Every call gets 503.
+    int answersToLose = 0; ///< So many writes are done, and their answers lost.
+};
+
+/// The platform's object store: kinds, conditional writes, watches and a bounded history.
+class EmulatedStore {
+public:
+    EmulatedStore(asio::io_context& io, const HostAddress& address);
+
+    StoreBehaviour& behaviour() { return m_behaviour; }
+    void put(const std::string& kind, const std::string& name, const nlohmann::json& spec);
+    void remove(const std::string& kind, const std::string& name);
+    /// Null if there is no such object.
+    nlohmann::json get(const std::string& kind, const std::string& name) const;
+    /// Drops the history, so that watches have to list again.
+    void forgetHistory() { m_firstRevision = m_revision + 1; }
+    std::uint64_t calls() const { return m_calls; }
+
+private:
+    struct Event {
+        std::uint64_t revision;
+        std::string kind;
+        nlohmann::json object;
+        bool isRemoved;
+    };
+
+    Task<HttpAnswer> answer(HttpRequest request);
+    Task<HttpAnswer> watch(std::string kind, std::uint64_t revision, std::chrono::milliseconds wait);
+    HttpAnswer change(const std::string& method, const std::string& kind, const std::string& name, const std::string& body);
+    void store(const std::string& kind, const std::string& name, nlohmann::json object);
+
+    asio::io_context& m_io;
+    StoreBehaviour m_behaviour;
+    std::map<std::string, std::map<std::string, nlohmann::json>> m_objects;
+    std::vector<Event> m_events;
+    std::uint64_t m_revision = 1;
+    std::uint64_t m_firstRevision = 1;
+    std::uint64_t m_calls = 0;
+    std::vector<std::shared_ptr<Waiter>> m_waiters;
+    HttpListener m_listener;
+};
+
+} // namespace kumquatbank
