pooler: serve a full database through the open connections

Cause: after a restart of many hosts the connections of their earlier run count for about 3 s more. Ruled out: the order of the queue (few requests waited). Change: a full endpoint keeps its open connections in use; a write waits for one; the host's entry stays on a stop; idle connections beyond one are closed after 2 s. Test: AFullDatabaseIsServedThroughTheOpenConnections.

--- a/packages/pooler/src/ClientSession.cpp
+++ b/packages/pooler/src/ClientSession.cpp
@@ -15,15 +15,13 @@
     constexpr milliseconds configWait { 1500 };
     /// A client that reads nothing for this long is dropped.
     constexpr milliseconds writeTimeout { 10'000 };
-    constexpr milliseconds silenceLimit { 10'000 };
     /// How long a closing session waits for its client to have read everything.
     constexpr milliseconds closeTimeout { 500 };
 
 } // namespace
 
 ClientSession::ClientSession(asio::io_context& io, asio::ip::tcp::socket socket, ServiceRegistry& registry, PoolerMetrics& metrics, SessionGate& gate)
-    : m_io(io)
-    , m_channel(std::move(socket), WireDialect::maxMessageBytes)
+    : m_channel(std::move(socket), WireDialect::maxMessageBytes)
     , m_registry(registry)
     , m_metrics(metrics)
     , m_gate(gate)
--- a/packages/pooler/src/ClientSession.h
+++ b/packages/pooler/src/ClientSession.h
@@ -35,7 +35,6 @@
     Task<void> closeGracefully();
     void logAnswer(const ClientMessage& message, const StatementAnswer& answer, BootTime since) const;
 
-    asio::io_context& m_io;
     LineChannel m_channel;
     ServiceRegistry& m_registry;
     PoolerMetrics& m_metrics;
--- a/packages/pooler/src/DatabaseConnection.cpp
+++ b/packages/pooler/src/DatabaseConnection.cpp
@@ -13,11 +13,13 @@
 
 Task<DatabaseConnection::Opened> DatabaseConnection::open(asio::io_context& io, EndpointEntry endpoint, std::string hostName, std::chrono::milliseconds timeout)
 {
-    const auto until = BootClock::now() + timeout;
+    const auto connectedFrom = BootClock::now();
+    const auto until = connectedFrom + timeout;
     Opened opened;
     auto channel = co_await LineChannel::connect(io, endpoint.address, WireDialect::maxMessageBytes, timeout, silenceLimit);
     if (!channel)
         co_return opened;
+    opened.roundTrip = std::chrono::duration_cast<std::chrono::microseconds>(BootClock::now() - connectedFrom);
     auto connection = std::make_unique<DatabaseConnection>(std::move(*channel));
     if (co_await connection->send(WireDialect::start(endpoint.service, hostName, endpoint.id), 1, until) != ExchangeStatus::Ok)
         co_return opened;
--- a/packages/pooler/src/DatabaseConnection.h
+++ b/packages/pooler/src/DatabaseConnection.h
@@ -33,6 +33,7 @@
     struct Opened {
         std::unique_ptr<DatabaseConnection> connection; ///< Null if it failed.
         std::optional<ErrorCode> refusal; ///< Set if the database refused it; else it could not be reached.
+        std::chrono::microseconds roundTrip { 0 }; ///< Of the network, as the connect took it.
     };
 
     static Task<Opened> open(asio::io_context& io, EndpointEntry endpoint, std::string hostName, std::chrono::milliseconds timeout);
--- a/packages/pooler/src/DatabaseService.cpp
+++ b/packages/pooler/src/DatabaseService.cpp
@@ -18,6 +18,10 @@
     constexpr milliseconds failurePause { 200 };
     /// No new connections after the endpoint refused one for their number.
     constexpr milliseconds connectionLimitPause { 250 };
+    /// Idle connections beyond the first one are closed after this time, so that hosts which start find room.
+    constexpr milliseconds spareIdleTime { 2000 };
+    /// With more hosts than connections, each host keeps them only while it needs them.
+    constexpr milliseconds scarceIdleTime { 500 };
     constexpr milliseconds minLagBackoff { 50 };
     constexpr milliseconds maxLagBackoff { 400 };
     /// Age of the newest primary position above which it is asked again while reads need one.
@@ -53,9 +57,12 @@
     const auto now = BootClock::now();
     const bool isPrimary = endpoint.entry.id == m_primary;
     // A primary that is about to leave serves until its successor is known; a replica gets nothing more.
-    const bool isUsable = now >= endpoint.unusableUntil && (!endpoint.entry.isDraining || isPrimary);
-    const int limit = std::max(1, m_limits.maxConnections / m_hosts);
-    m_scheduler.setEndpoint(endpoint.entry.id, isUsable, isPrimary, limit);
+    const bool isFull = now < endpoint.fullUntil;
+    // A primary that is about to leave serves until its successor is known; a replica gets nothing more.
+    const bool isServing = !endpoint.entry.isDraining || isPrimary;
+    const bool isUsable = isServing && now >= endpoint.unusableUntil && (!isFull || endpoint.open > 0);
+    const int share = std::max(1, m_limits.maxConnections / m_hosts);
+    m_scheduler.setEndpoint(endpoint.entry.id, isUsable, isPrimary, isFull ? std::min(share, endpoint.open) : share);
     m_scheduler.setRoundTrip(endpoint.entry.id, endpoint.roundTrip);
 }
 
@@ -75,7 +82,7 @@
         const bool hasRestarted = !isNew && (before.bornMs != entry.bornMs || before.address != entry.address);
         if (hasRestarted) {
             // Under the same id it has forgotten everything; what is known of it is void.
-            endpoint->idle.clear();
+            closeAllIdle(*endpoint);
             endpoint->position = {};
             endpoint->unusableUntil = {};
             if (m_primary == entry.id)
@@ -83,8 +90,8 @@
         }
         endpoint->entry = entry;
         endpoint->missingSince.reset();
-        if (entry.isDraining && !before.isDraining)
-            endpoint->idle.clear();
+        if (entry.isDraining && !before.isDraining && entry.id != m_primary)
+            closeAllIdle(*endpoint);
         if (isNew || before != entry)
             EventLog::info("endpoint_changed", { { "service", m_name }, { "endpoint", entry.id }, { "data_centre", entry.dataCentre }, { "role", entry.role == EndpointRole::Primary ? "primary" : "replica" }, { "draining", entry.isDraining }, { "address", entry.address.toString() }, { "is_new", isNew }, { "evidence", "store" } });
         if (entry.role == EndpointRole::Primary && (isNew || before.role != EndpointRole::Primary || m_primary.empty()))
@@ -218,25 +225,47 @@
     while (!endpoint.idle.empty()) {
         auto it = std::prev(endpoint.idle.end());
         if (session != nullptr) {
-            const auto matching = std::ranges::find_if(endpoint.idle, [&](const auto& connection) { return connection->state().hasValuesOf(*session); });
+            const auto matching = std::ranges::find_if(endpoint.idle, [&](const IdleConnection& idle) { return idle.connection->state().hasValuesOf(*session); });
             if (matching != endpoint.idle.end())
                 it = matching;
         }
-        auto connection = std::move(*it);
+        auto connection = std::move(it->connection);
         endpoint.idle.erase(it);
         if (!connection->hasClosed())
             return connection;
+        --endpoint.open;
     }
     return nullptr;
 }
 
+void DatabaseService::closeAllIdle(Endpoint& endpoint)
+{
+    endpoint.open -= static_cast<int>(endpoint.idle.size());
+    endpoint.idle.clear();
+}
+
+void DatabaseService::closeIdle(Endpoint& endpoint, BootTime now)
+{
+    const bool isScarce = m_limits.maxConnections < m_hosts;
+    const std::size_t kept = isScarce ? 0 : 1;
+    const auto limit = isScarce ? scarceIdleTime : spareIdleTime;
+    // The front is the one that has been idle for longest.
+    while (endpoint.idle.size() > kept && now - endpoint.idle.front().since >= limit) {
+        endpoint.idle.erase(endpoint.idle.begin());
+        --endpoint.open;
+    }
+}
+
 Task<tl::expected<std::unique_ptr<DatabaseConnection>, ErrorCode>> DatabaseService::open(std::shared_ptr<Endpoint> endpoint, milliseconds timeout)
 {
     const auto sentAt = BootClock::now();
     auto opened = co_await DatabaseConnection::open(m_io, endpoint->entry, m_hostName, std::min(timeout, connectTimeout));
     m_metrics.connectionOpened(m_name, opened.connection != nullptr);
     if (opened.connection) {
+        ++endpoint->open;
         noteAnswer(*endpoint, sentAt);
+        endpoint->roundTrip += endpoint->roundTrip.count() == 0 ? opened.roundTrip : (opened.roundTrip - endpoint->roundTrip) / roundTripSmoothing;
+        refreshScheduler(*endpoint);
         co_return std::move(opened.connection);
     }
     if (!opened.refusal) {
@@ -246,8 +275,11 @@
         co_return tl::unexpected(ErrorCode::Other);
     }
     noteAnswer(*endpoint, sentAt);
-    endpoint->unusableUntil = BootClock::now() + (*opened.refusal == ErrorCode::TooManyConnections ? connectionLimitPause : failurePause);
-    EventLog::warn("connection_refused", { { "service", m_name }, { "endpoint", endpoint->entry.id }, { "code", errorCodeName(*opened.refusal) }, { "limit", m_limits.maxConnections / m_hosts }, { "hosts", m_hosts } });
+    if (*opened.refusal == ErrorCode::TooManyConnections)
+        endpoint->fullUntil = BootClock::now() + connectionLimitPause;
+    else
+        endpoint->unusableUntil = BootClock::now() + failurePause;
+    EventLog::warn("connection_refused", { { "service", m_name }, { "endpoint", endpoint->entry.id }, { "code", errorCodeName(*opened.refusal) }, { "open", endpoint->open }, { "share", m_limits.maxConnections / m_hosts }, { "hosts", m_hosts } });
     refreshScheduler(*endpoint);
     co_return tl::unexpected(*opened.refusal);
 }
@@ -282,9 +314,11 @@
             auto opened = co_await open(endpoint, std::chrono::duration_cast<milliseconds>(until - since));
             if (!opened) {
                 m_scheduler.release(*granted, {});
-                request.excluded.insert(*granted);
-                if (request.eligibility == Eligibility::PrimaryOnly || BootClock::now() >= request.giveUpAt)
-                    co_return tl::unexpected(AcquireFailure { ErrorCode::Busy, "connection failed", failurePause });
+                // A write has only one endpoint and waits until it can be tried again; a read tries another one.
+                if (request.eligibility == Eligibility::Any)
+                    request.excluded.insert(*granted);
+                if (BootClock::now() >= request.giveUpAt)
+                    co_return tl::unexpected(AcquireFailure { ErrorCode::Busy, "no connection could be opened", failurePause });
                 continue;
             }
             connection = std::move(*opened);
@@ -314,9 +348,11 @@
         asio::co_spawn(m_io, rollBack(endpoint, std::move(connection), since), asio::detached);
         return;
     }
-    const bool isWanted = endpoint && !endpoint->entry.isDraining && connection->isReusable();
+    const bool isWanted = endpoint && (!endpoint->entry.isDraining || id == m_primary) && connection->isReusable();
     if (isWanted)
-        endpoint->idle.push_back(std::move(connection));
+        endpoint->idle.push_back({ std::move(connection), BootClock::now() });
+    else if (endpoint)
+        --endpoint->open;
     m_scheduler.release(id, std::chrono::duration_cast<std::chrono::microseconds>(BootClock::now() - since));
 }
 
@@ -346,9 +382,6 @@
             noteFailure(*endpoint, "probe");
         } else {
             noteAnswer(*endpoint, sentAt);
-            const auto took = std::chrono::duration_cast<std::chrono::microseconds>(BootClock::now() - sentAt);
-            endpoint->roundTrip += endpoint->roundTrip.count() == 0 ? took : (took - endpoint->roundTrip) / roundTripSmoothing;
-            refreshScheduler(*endpoint);
             if (replies[0].isSuccess())
                 notePrimary(*endpoint, replies[0].position, sentAt);
             else if (replies[0].code == ErrorCode::ReadOnly)
@@ -368,8 +401,10 @@
 {
     const auto now = BootClock::now();
     dropMissing(now);
-    for (const auto& [id, endpoint] : m_endpoints)
+    for (const auto& [id, endpoint] : m_endpoints) {
+        closeIdle(*endpoint, now);
         refreshScheduler(*endpoint);
+    }
     const auto known = primary();
     if (known) {
         if (wantsFloor(now) || now - known->lastAnswer > primaryProbeAge)
--- a/packages/pooler/src/DatabaseService.h
+++ b/packages/pooler/src/DatabaseService.h
@@ -78,6 +78,8 @@
     Task<tl::expected<std::unique_ptr<DatabaseConnection>, ErrorCode>> open(std::shared_ptr<Endpoint> endpoint, std::chrono::milliseconds timeout);
     Task<void> rollBack(std::shared_ptr<Endpoint> endpoint, std::unique_ptr<DatabaseConnection> connection, BootTime since);
     std::unique_ptr<DatabaseConnection> takeIdle(Endpoint& endpoint, const SessionState* session);
+    static void closeAllIdle(Endpoint& endpoint);
+    void closeIdle(Endpoint& endpoint, BootTime now);
     void refreshScheduler(const Endpoint& endpoint);
     void setPrimary(const std::string& id, std::string_view evidence);
     void dropMissing(BootTime now);
--- a/packages/pooler/src/HostDirectory.cpp
+++ b/packages/pooler/src/HostDirectory.cpp
@@ -38,7 +38,7 @@
 Task<void> HostDirectory::maintain()
 {
     std::size_t n = 0;
-    while (!m_isLeaving) {
+    while (true) {
         // Only the first round and every later renewal write; the rounds between only read.
         const bool writes = n == 0 || n > firstRenewals.size();
         bool succeeded = true;
@@ -121,14 +121,4 @@
     m_registry.setHostCount(static_cast<int>(m_peers.size()) + 1);
 }
 
-Task<void> HostDirectory::deregister()
-{
-    m_isLeaving = true;
-    if (m_revision == 0)
-        co_return;
-    const auto removed = co_await m_store->remove(hostKind, m_settings.host, callTimeout);
-    m_metrics.storeCall("deregister", storeStatusName(removed.status));
-    EventLog::info("host_deregistered", { { "status", storeStatusName(removed.status) } });
-}
-
 } // namespace kumquatbank
--- a/packages/pooler/src/HostDirectory.h
+++ b/packages/pooler/src/HostDirectory.h
@@ -15,7 +15,8 @@
 };
 
 /// The hosts of the deployment, registered in the store. A host renews its entry; one that is not renewed for several
-/// periods is taken as gone and its entry is removed.
+/// periods is taken as gone and its entry is removed. A stop leaves the entry: hosts restart far more often than they
+/// leave, and until then the others must not take over the host's share of the connections.
 class HostDirectory {
 public:
     HostDirectory(asio::io_context& io, std::shared_ptr<ObjectStore> store, const PoolerSettings& settings, ServiceRegistry& registry, PoolerMetrics& metrics);
@@ -23,9 +24,6 @@
     void start();
     void setStore(std::shared_ptr<ObjectStore> store) { m_store = std::move(store); }
 
-    /// Removes the own entry, at the end of a drain.
-    Task<void> deregister();
-
     /// The other hosts, as far as they are known.
     const std::vector<PeerHost>& peers() const { return m_peers; }
 
@@ -51,7 +49,6 @@
     std::uint64_t m_revision = 0; ///< Of the own entry; 0 before it is stored.
     std::map<std::string, Seen> m_seen;
     std::vector<PeerHost> m_peers;
-    bool m_isLeaving = false;
 };
 
 } // namespace kumquatbank
--- a/packages/pooler/src/PoolerProcess.cpp
+++ b/packages/pooler/src/PoolerProcess.cpp
@@ -84,7 +84,6 @@
         m_gate.isDraining = true;
         const auto idleClose = since + m_settings.grace / 3;
         const auto end = since + m_settings.grace - exitMargin;
-        asio::co_spawn(m_io, m_hosts.deregister(), asio::detached);
         while (BootClock::now() < end) {
             if (BootClock::now() >= idleClose) {
                 for (const auto& known : m_sessions) {
--- a/packages/pooler/tests/PromotionTest.cpp
+++ b/packages/pooler/tests/PromotionTest.cpp
@@ -10,6 +10,9 @@
 
 const std::string primaryDb = EmulatedPlatform::databaseName(0, ReadPolicy::Primary);
 
+/// Bound on the writes of one client, far above what a test makes.
+constexpr int maxWrites = 100'000;
+
 /// Fails the test if two hosts used one token, or if the accepted tokens of a service decreased.
 void checkTokens(const EmulatedPlatform& platform)
 {
@@ -65,11 +68,11 @@
     std::vector<std::string> acknowledged;
     fixture.run([](PoolerFixture& f, std::vector<std::string>& written) -> Task<void> {
         co_await f.sleep(milliseconds(1700));
-        bool isDone = false;
-        const auto work = [&]() -> Task<void> {
+        const auto isDone = std::make_shared<bool>(false);
+        const auto work = [&, isDone]() -> Task<void> {
             TestClient client(f.io());
             co_await client.start(f.clientAddress(0), primaryDb);
-            for (int n = 0; !isDone; ++n) {
+            for (int n = 0; n < maxWrites && !*isDone; ++n) {
                 const auto write = fmt::format("WRITE item-{} x", n);
                 const auto answer = co_await client.query(write);
                 if (answer.isSuccess())
@@ -83,7 +86,7 @@
         while (f.platform().service(0).primary() == "i-0-0" || f.platform().service(0).primary().empty())
             co_await f.sleep(milliseconds(20));
         co_await f.sleep(milliseconds(500));
-        isDone = true;
+        *isDone = true;
         co_await f.sleep(milliseconds(100));
     }(fixture, acknowledged));
     CHECK_TRUE(acknowledged.size() > 20);
--- a/packages/pooler/tests/StatementPathTest.cpp
+++ b/packages/pooler/tests/StatementPathTest.cpp
@@ -327,6 +327,35 @@
     }(fixture));
 }
 
+// Load pattern: hosts restart while connections of their earlier run still count, so a database refuses new ones. The
+// connections that are open have to go on serving.
+TEST(StatementPath, AFullDatabaseIsServedThroughTheOpenConnections)
+{
+    EmulatedPlatform::Shape shape;
+    shape.work = milliseconds(5);
+    PoolerFixture fixture(shape);
+    fixture.run([](PoolerFixture& f) -> Task<void> {
+        co_await f.writeUntilSuccess(primaryDb, "WRITE item first");
+        f.platform().database(0, 0).behaviour().maxConnections = 1;
+        int left = 4;
+        int failed = 0;
+        const auto work = [&]() -> Task<void> {
+            TestClient client(f.io());
+            co_await client.start(f.clientAddress(), primaryDb);
+            for (int n = 0; n < 10; ++n) {
+                const auto answer = co_await client.query("WRITE item x");
+                failed += answer.isSuccess() ? 0 : 1;
+            }
+            --left;
+        };
+        for (int n = 0; n < 4; ++n)
+            asio::co_spawn(f.io(), work(), asio::detached);
+        while (left > 0)
+            co_await f.sleep(milliseconds(20));
+        LONGS_EQUAL(0, failed);
+    }(fixture));
+}
+
 // Guards against more connections than the databases accept from all hosts together.
 TEST(StatementPath, HostsShareTheConnectionsOfADatabase)
 {
