routing: count urgent work to come in the expected wait

Background requests were let in on the length of the queue alone, urgent ones kept overtaking them, and they were refused after 900 ms (1,495 of 5,420 refusals: no connection became free). Change: the estimate uses the connections that a read may take, all requests that compete for them, and the part of the grants that more urgent classes take. Test: ExpectedWaitOfBackgroundWorkCountsUrgentWorkToCome.

--- a/packages/routing/include/kumquatbank/routing/ServiceScheduler.h
+++ b/packages/routing/include/kumquatbank/routing/ServiceScheduler.h
@@ -81,12 +81,16 @@
     bool isEligible(const std::string& id, const EndpointView& endpoint, const PermitRequest& request) const;
     std::optional<std::string> bestEndpoint(const PermitRequest& request) const;
     bool hasFreePermit() const;
+    void noteGrant(int priority);
+    /// Part of the recent grants that was left to requests of @p priority and below.
+    double shareLeftBy(int priority) const;
     WaitingList::iterator nextServable();
     void grantWaiting();
 
     std::map<std::string, EndpointView> m_endpoints;
     WaitingList m_waiting; ///< By priority, then by arrival.
     std::chrono::microseconds m_holdTime { 20'000 }; ///< Smoothed time that a permit is held.
+    std::map<int, double> m_grantShares; ///< Smoothed part of the grants that each priority got.
     unsigned m_grants = 0;
 };
 
--- a/packages/routing/src/ServiceScheduler.cpp
+++ b/packages/routing/src/ServiceScheduler.cpp
@@ -1,6 +1,7 @@
 #include "kumquatbank/routing/ServiceScheduler.h"
 
 #include <algorithm>
+#include <numeric>
 
 namespace kumquatbank {
 
@@ -13,12 +14,22 @@
     /// Weight of a new sample in the smoothed hold time: 1/16.
     constexpr int holdTimeSmoothing = 16;
 
+    /// Weight of a new grant in the classes' shares: 1/64.
+    constexpr double grantShareSmoothing = 64.0;
+
     /// A read goes to the primary only if the replicas are this much slower, because writes have no other endpoint.
     constexpr std::chrono::microseconds primaryReadPenalty { 30'000 };
 
-    /// Part of the primary's permits that reads leave to writes.
+    /// Permits of the primary that reads leave to writes.
     int reservedForWrites(int limit) { return limit / 2; }
 
+    /// Permits of an endpoint that a request may take.
+    int limitFor(const ServiceScheduler::EndpointView& endpoint, const PermitRequest& request)
+    {
+        const bool isReadOnPrimary = endpoint.isPrimary && request.eligibility == Eligibility::Any;
+        return isReadOnPrimary ? std::max(1, endpoint.limit - reservedForWrites(endpoint.limit)) : endpoint.limit;
+    }
+
 } // namespace
 
 ServiceScheduler::Ticket::~Ticket()
@@ -64,10 +75,9 @@
     for (const auto& [id, endpoint] : m_endpoints) {
         if (!isEligible(id, endpoint, request))
             continue;
-        const bool isReadOnPrimary = endpoint.isPrimary && request.eligibility == Eligibility::Any;
-        const int limit = isReadOnPrimary ? std::max(1, endpoint.limit - reservedForWrites(endpoint.limit)) : endpoint.limit;
-        if (endpoint.inUse >= limit)
+        if (endpoint.inUse >= limitFor(endpoint, request))
             continue;
+        const bool isReadOnPrimary = endpoint.isPrimary && request.eligibility == Eligibility::Any;
         const auto cost = endpoint.roundTrip + m_holdTime * endpoint.inUse / std::max(1, endpoint.limit)
             + (isReadOnPrimary ? primaryReadPenalty : std::chrono::microseconds(0));
         if (cost < bestCost) {
@@ -86,8 +96,10 @@
     if (hasMoreUrgent)
         return std::nullopt;
     auto best = bestEndpoint(request);
-    if (best)
+    if (best) {
         ++m_endpoints[*best].inUse;
+        noteGrant(request.priority);
+    }
     return best;
 }
 
@@ -141,6 +153,7 @@
         const auto endpoint = *bestEndpoint(it->request);
         ++m_endpoints[endpoint].inUse;
         ++m_grants;
+        noteGrant(it->request.priority);
         const auto granted = std::move(it->granted);
         it->ticket->m_it.reset();
         m_waiting.erase(it);
@@ -148,25 +161,43 @@
     }
 }
 
+void ServiceScheduler::noteGrant(int priority)
+{
+    m_grantShares.try_emplace(priority, 0.0);
+    for (auto& [other, share] : m_grantShares)
+        share += ((other == priority ? 1.0 : 0.0) - share) / grantShareSmoothing;
+}
+
+double ServiceScheduler::shareLeftBy(int priority) const
+{
+    const auto end = m_grantShares.lower_bound(priority);
+    const auto urgent = std::accumulate(m_grantShares.begin(), end, 0.0, [](double sum, const auto& item) { return sum + item.second; });
+    return std::max(1.0 - urgent, 1.0 / floorInterval);
+}
+
 std::chrono::milliseconds ServiceScheduler::expectedWait(const PermitRequest& request) const
 {
     int permits = 0;
     bool hasFree = false;
+    std::vector<std::pair<const std::string*, const EndpointView*>> eligible;
     for (const auto& [id, endpoint] : m_endpoints) {
         if (!isEligible(id, endpoint, request))
             continue;
-        permits += endpoint.limit;
-        hasFree = hasFree || endpoint.inUse < endpoint.limit;
+        eligible.emplace_back(&id, &endpoint);
+        permits += limitFor(endpoint, request);
+        hasFree = hasFree || endpoint.inUse < limitFor(endpoint, request);
     }
     if (permits == 0)
         return std::chrono::milliseconds::max();
+    // A request is ahead if it is as urgent and competes for one of the same endpoints.
     const auto ahead = std::ranges::count_if(m_waiting, [&](const Waiting& waiting) {
-        return waiting.request.priority <= request.priority
-            && (waiting.request.eligibility == request.eligibility || request.eligibility == Eligibility::PrimaryOnly);
+        return waiting.request.priority <= request.priority && std::ranges::any_of(eligible, [&](const auto& item) { return isEligible(*item.first, *item.second, waiting.request); });
     });
     if (ahead == 0 && hasFree)
         return std::chrono::milliseconds(0);
-    return std::chrono::duration_cast<std::chrono::milliseconds>(m_holdTime * (ahead + 1) / permits);
+    // More urgent requests that arrive later go first as well.
+    const auto wait = std::chrono::duration<double, std::micro>(m_holdTime) * static_cast<double>(ahead + 1) / permits / shareLeftBy(request.priority);
+    return std::chrono::duration_cast<std::chrono::milliseconds>(wait);
 }
 
 } // namespace kumquatbank
--- a/packages/routing/tests/ServiceSchedulerTest.cpp
+++ b/packages/routing/tests/ServiceSchedulerTest.cpp
@@ -143,6 +143,21 @@
     CHECK_TRUE(scheduler.expectedWait(write) == milliseconds::max());
 }
 
+// Load pattern: urgent work takes most connections. Background requests that were let in on the length of the queue alone
+// would wait in vain and be refused late.
+TEST(ServiceScheduler, ExpectedWaitOfBackgroundWorkCountsUrgentWorkToCome)
+{
+    takeAll(Eligibility::PrimaryOnly);
+    const auto calm = scheduler.expectedWait(request(Eligibility::PrimaryOnly, background));
+    for (int n = 0; n < 300; ++n) {
+        wait("urgent", request(Eligibility::PrimaryOnly, urgent));
+        scheduler.release("p", milliseconds(20));
+    }
+    const auto pressed = scheduler.expectedWait(request(Eligibility::PrimaryOnly, background));
+    CHECK_TRUE(pressed > calm * 4);
+    CHECK_TRUE(scheduler.expectedWait(request(Eligibility::PrimaryOnly, urgent)) < calm * 2);
+}
+
 TEST(ServiceScheduler, PermitsOfARemovedEndpointAreGivenBackToNothing)
 {
     CHECK_TRUE(scheduler.tryTake(request(Eligibility::PrimaryOnly, urgent)).has_value());
