Explain a request from its logs: kumquatctl explain, the host on every line

Cause: an engineer with logs of several hosts had to merge them by hand, and a line did not say from which host it was or which service it belonged to. Change: kumquatctl explain ID [FILE...] prints the way of a request in order of time and what its host believed then (process, configuration, store, primary, promotion, recent failures). A test floods the log with a reader that stands still. Figures: 200,000 lines of 100 bytes: every line is written whole or counted as left out.

--- a/packages/ctl/src/CommandLine.cpp
+++ b/packages/ctl/src/CommandLine.cpp
@@ -3,6 +3,7 @@
 #include "CauseView.h"
 #include "CommandFailure.h"
 #include "FleetView.h"
+#include "LogExplainer.h"
 #include "ObjectEditor.h"
 #include "TimeArgument.h"
 #include "kumquatbank/catalogue/catalogue.h"
@@ -29,6 +30,8 @@
            change also takes --expected-version N: refuse when the object has another version
   state    state of the proxy at --host, or of every proxy with --all
   groups   every database group: holder, term, primary, positions, lag, who may promote
+  explain  ID [FILE...]: the way of one request through the logs of the proxies, and what they believed then;
+           reads standard input without FILE
   causes   --from T [--to T]: refusals and delays by entry, owner, rank, database, place and cause
 
 Exit codes: 0 ok, 1 not found or refused, 2 usage or invalid input, 3 conflict: the object changed since it was
@@ -89,11 +92,28 @@
                 runGroups();
             else if (command == "causes")
                 runCauses();
+            else if (command == "explain")
+                runExplain();
             else
                 throw CommandFailure(ExitCode::Usage, "unknown command '" + command + "'");
         }
 
     private:
+        void runExplain()
+        {
+            LogExplainer explainer(word(1, "the id of a request"));
+            for (std::size_t n = 2; n < m_words.size(); ++n) {
+                std::ifstream file(m_words[n]);
+                if (!file)
+                    throw CommandFailure(ExitCode::Usage, "cannot read file '" + m_words[n] + "'");
+                explainer.read(file);
+            }
+            if (m_words.size() == 2)
+                explainer.read(std::cin);
+            if (!explainer.print(m_out))
+                throw CommandFailure(ExitCode::Refused, "request not found");
+        }
+
         void runCatalogue(const std::string& kind)
         {
             const auto action = word(1, "list, show, create, change or remove");
--- a/packages/engine/include/kumquatbank/engine/EventLog.h
+++ b/packages/engine/include/kumquatbank/engine/EventLog.h
@@ -47,6 +47,9 @@
 public:
     using Fields = std::initializer_list<LogField>;
 
+    /// Name of this host, written into every line.
+    static void setHost(std::string host);
+
     static void info(std::string_view event, Fields fields);
     static void warn(std::string_view event, Fields fields);
     static void error(std::string_view event, Fields fields);
--- a/packages/engine/src/EventLog.cpp
+++ b/packages/engine/src/EventLog.cpp
@@ -50,6 +50,7 @@
         std::uint64_t reportedDrops = 0;
         BootTime reportedAt {};
         std::string line;
+        std::string host = R"("")"; ///< Quoted.
     };
 
     State& state()
@@ -86,7 +87,9 @@
         line += std::to_string(toMs(WallClock::now().time_since_epoch()));
         line += R"(,"level":")";
         line += levelName;
-        line += R"(","event":")";
+        line += R"(","host":)";
+        line += log.host;
+        line += R"(,"event":")";
         line += event;
         line += '"';
         for (const auto& field : fields) {
@@ -113,6 +116,12 @@
 
 } // namespace
 
+void EventLog::setHost(std::string host)
+{
+    state().host.clear();
+    appendQuoted(state().host, host);
+}
+
 void EventLog::info(std::string_view event, Fields fields)
 {
     if (state().infoLimit.admit(BootClock::now()))
--- /dev/null
+++ b/packages/engine/tests/EventLogTest.cpp
@@ -0,0 +1,73 @@
+#include "BoundedSink.h"
+
+#include <CppUTest/TestHarness.h>
+#include <fcntl.h>
+#include <spdlog/details/log_msg.h>
+#include <unistd.h>
+
+using namespace kumquatbank;
+
+namespace {
+
+/// Replaces standard output by a pipe that nobody reads, and puts it back.
+class StalledOutput {
+public:
+    StalledOutput()
+        : m_saved(dup(STDOUT_FILENO))
+    {
+        CHECK_EQUAL(0, pipe(m_pipe));
+        dup2(m_pipe[1], STDOUT_FILENO);
+    }
+
+    ~StalledOutput()
+    {
+        dup2(m_saved, STDOUT_FILENO);
+        close(m_saved);
+        close(m_pipe[0]);
+        close(m_pipe[1]);
+    }
+
+    std::size_t readAll() const
+    {
+        fcntl(m_pipe[0], F_SETFL, O_NONBLOCK);
+        std::string buf(1 << 16, '\0');
+        std::size_t total = 0;
+        for (auto n = read(m_pipe[0], buf.data(), buf.size()); n > 0; n = read(m_pipe[0], buf.data(), buf.size()))
+            total += static_cast<std::size_t>(n);
+        return total;
+    }
+
+private:
+    int m_saved;
+    int m_pipe[2] {};
+};
+
+} // namespace
+
+TEST_GROUP(BoundedSink) {};
+
+// Guards against a process that stands still, or grows, because nobody reads its log.
+TEST(BoundedSink, AStalledReaderNeitherBlocksNorGrowsTheProcess)
+{
+    constexpr std::size_t lines = 200'000;
+    const std::string text(100, 'x');
+    std::size_t read = 0;
+    BoundedSink sink;
+    {
+        StalledOutput output;
+        for (std::size_t n = 0; n < lines; ++n) {
+            sink.log(spdlog::details::log_msg("", spdlog::level::info, text));
+            if (n % 1000 == 0)
+                sink.drain();
+        }
+        bool isEmpty = false;
+        for (int n = 0; n < 10'000 && !isEmpty; ++n) {
+            isEmpty = sink.drain();
+            read += output.readAll();
+        }
+        CHECK_TRUE(isEmpty);
+    }
+    CHECK_TRUE(sink.dropped() > 0);
+    // Every line was either written whole or counted.
+    CHECK_EQUAL((lines - sink.dropped()) * (text.size() + 1), read);
+}
--- a/packages/pooler/src/ClientSession.cpp
+++ b/packages/pooler/src/ClientSession.cpp
@@ -168,6 +168,7 @@
         { "session", m_number },
         { "database", m_database },
         { "route", route != nullptr ? std::string_view(route->name) : std::string_view() },
+        { "service", route != nullptr ? std::string_view(route->service) : std::string_view() },
         { "statement", kind },
         { "outcome", outcome },
         { "reason", answer.reason },
