--- /dev/null
+++ b/tools/emulator/LoadReport.cpp
@@ -0,0 +1,50 @@
+#include "LoadReport.h"
+
+#include <algorithm>
+#include <fmt/format.h>
+#include <numeric>
+
+namespace kumquatbank {
+
+namespace {
+
+    double percentileMs(std::vector<std::chrono::microseconds> values, double part)
+    {
+        if (values.empty())
+            return 0;
+        std::ranges::sort(values);
+        const auto n = static_cast<std::size_t>(part * static_cast<double>(values.size() - 1));
+        return std::chrono::duration<double, std::milli>(values[n]).count();
+    }
+
+} // namespace
+
+void LoadReport::answered(const std::string& database, std::chrono::microseconds took, const std::string& code)
+{
+    auto& known = m_classes[database];
+    if (code.empty())
+        known.served.push_back(took);
+    else
+        ++known.refused[code];
+}
+
+std::size_t LoadReport::served() const
+{
+    return std::accumulate(m_classes.begin(), m_classes.end(), std::size_t(0), [](std::size_t sum, const auto& item) { return sum + item.second.served.size(); });
+}
+
+void LoadReport::print(std::ostream& out, std::chrono::seconds duration) const
+{
+    out << fmt::format("{:<22} {:>8} {:>8} {:>8} {:>8}  {}\n", "database", "served", "per s", "p50 ms", "p99 ms", "not served");
+    for (const auto& [name, known] : m_classes) {
+        std::string refused;
+        for (const auto& [code, count] : known.refused)
+            refused += fmt::format("{} {} ", code, count);
+        out << fmt::format("{:<22} {:>8} {:>8.0f} {:>8.1f} {:>8.1f}  {}\n", name, known.served.size(), static_cast<double>(known.served.size()) / static_cast<double>(duration.count()), percentileMs(known.served, 0.5), percentileMs(known.served, 0.99), refused);
+    }
+    out << "sessions that broke: " << m_closed << "\nviolations: " << m_violations.size() << '\n';
+    for (const auto& what : m_violations)
+        out << "  " << what << '\n';
+}
+
+} // namespace kumquatbank
--- /dev/null
+++ b/tools/emulator/platform_emulator.cpp
@@ -0,0 +1,170 @@
+#include "EmulatedPlatform.h"
+
+#include <boost/asio/signal_set.hpp>
+#include <csignal>
+#include <cxxopts.hpp>
+#include <iostream>
+#include <random>
+
+using namespace kumquatbank;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+/// Troubles of the platform, drawn from a seed.
+class TroubleMaker {
+public:
+    TroubleMaker(asio::io_context& io, EmulatedPlatform& platform, unsigned seed, int services)
+        : m_io(io)
+        , m_platform(platform)
+        , m_random(seed)
+        , m_services(services)
+    {
+    }
+
+    /// One trouble each @p interval, until the process ends.
+    Task<void> run(milliseconds interval)
+    {
+        while (true) {
+            co_await sleepFor(m_io, interval);
+            switch (m_random() % 6) {
+            case 0:
+                co_await storeDown();
+                break;
+            case 1:
+                m_platform.store().behaviour().answersToLose = 2;
+                report("the store loses 2 answers");
+                break;
+            case 2:
+                m_platform.store().forgetHistory();
+                report("the store forgets its history");
+                break;
+            case 3:
+                movePrimary();
+                break;
+            case 4:
+                loseAnswers();
+                break;
+            default:
+                m_platform.putConfig();
+                report("a new configuration");
+            }
+        }
+    }
+
+    /// Announces that the present primary will leave.
+    void movePrimary()
+    {
+        const int service = anyService();
+        if (m_platform.service(service).primary().empty())
+            return;
+        auto& primary = m_platform.primary(service);
+        m_platform.announce(primary, true);
+        report("the primary " + primary.entry().id + " is about to leave");
+        asio::co_spawn(m_io, stay(primary), asio::detached);
+    }
+
+private:
+    int anyService() { return static_cast<int>(m_random() % static_cast<unsigned>(m_services)); }
+
+    Task<void> storeDown()
+    {
+        report("the store is down for 3 s");
+        m_platform.store().behaviour().isDown = true;
+        co_await sleepFor(m_io, seconds(3));
+        m_platform.store().behaviour().isDown = false;
+    }
+
+    /// The database is replaced by one with its log at its address.
+    Task<void> stay(EmulatedDatabase& database)
+    {
+        co_await sleepFor(m_io, seconds(5));
+        m_platform.announce(database, false);
+    }
+
+    void loseAnswers()
+    {
+        auto& database = m_platform.database(anyService(), static_cast<int>(m_random() % 3));
+        database.behaviour().answersToLose = 3;
+        report("the database " + database.entry().id + " loses 3 answers");
+    }
+
+    static void report(const std::string& what) { std::cout << "trouble: " << what << std::endl; }
+
+    asio::io_context& m_io;
+    EmulatedPlatform& m_platform;
+    std::mt19937 m_random;
+    int m_services;
+};
+
+Task<void> crashPrimary(asio::io_context& io, EmulatedPlatform& platform, milliseconds after)
+{
+    co_await sleepFor(io, after);
+    auto& primary = platform.primary(0);
+    std::cout << "trouble: the primary " << primary.entry().id << " crashes" << std::endl;
+    primary.crash();
+}
+
+Task<void> leavePrimary(asio::io_context& io, TroubleMaker& troubles, milliseconds after)
+{
+    co_await sleepFor(io, after);
+    troubles.movePrimary();
+}
+
+int runCommandLine(int argc, char** argv)
+{
+    cxxopts::Options options("platform_emulator", "Emulates the platform of the users on loopback");
+    options.add_options()("ip", "Address of all services", cxxopts::value<std::string>()->default_value("127.0.0.1"))(
+        "port", "First port: store, promote call, databases", cxxopts::value<std::uint16_t>())(
+        "services", "Groups of three databases", cxxopts::value<int>()->default_value("3"))(
+        "max-connections", "Connections that a database accepts", cxxopts::value<int>()->default_value("21"))(
+        "work-ms", "Time of a statement", cxxopts::value<int>()->default_value("5"))(
+        "lag-ms", "Replication lag", cxxopts::value<int>()->default_value("20"))(
+        "crash-primary-ms", "Crash the primary of the first service after this time", cxxopts::value<int>())(
+        "leave-primary-ms", "Announce that a primary leaves after this time", cxxopts::value<int>())(
+        "seed", "Seed of the troubles", cxxopts::value<unsigned>()->default_value("1"))(
+        "trouble-ms", "A random trouble each this often", cxxopts::value<int>())("h,help", "Print this text and stop");
+    const auto arguments = options.parse(argc, argv);
+    if (arguments.count("help") || !arguments.count("port")) {
+        std::cout << options.help();
+        return arguments.count("help") ? 0 : 2;
+    }
+    EmulatedPlatform::Shape shape;
+    shape.ip = arguments["ip"].as<std::string>();
+    shape.basePort = arguments["port"].as<std::uint16_t>();
+    shape.services = arguments["services"].as<int>();
+    shape.maxConnections = arguments["max-connections"].as<int>();
+    shape.work = milliseconds(arguments["work-ms"].as<int>());
+    shape.lag = milliseconds(arguments["lag-ms"].as<int>());
+    asio::io_context io(1);
+    EmulatedPlatform platform(io, shape);
+    TroubleMaker troubles(io, platform, arguments["seed"].as<unsigned>(), shape.services);
+    if (arguments.count("crash-primary-ms"))
+        asio::co_spawn(io, crashPrimary(io, platform, milliseconds(arguments["crash-primary-ms"].as<int>())), asio::detached);
+    if (arguments.count("leave-primary-ms"))
+        asio::co_spawn(io, leavePrimary(io, troubles, milliseconds(arguments["leave-primary-ms"].as<int>())), asio::detached);
+    if (arguments.count("trouble-ms"))
+        asio::co_spawn(io, troubles.run(milliseconds(arguments["trouble-ms"].as<int>())), asio::detached);
+    asio::signal_set signals(io, SIGTERM, SIGINT);
+    signals.async_wait([&io](const boost::system::error_code&, int) { io.stop(); });
+    std::cout << "platform ready: store " << platform.storeAddress().toString() << ", promotions " << platform.promotionAddress().toString() << std::endl;
+    io.run();
+    for (const auto& order : platform.promotions())
+        std::cout << "promotion: " << order.service << " to " << order.endpoint << " by " << order.holder << ", token " << order.token << ", status " << order.status << '\n';
+    std::cout.flush();
+    // Coroutines that are still suspended refer to the platform; the kernel takes back what they hold.
+    std::_Exit(0);
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    try {
+        return runCommandLine(argc, argv);
+    } catch (const std::exception& e) {
+        std::cerr << "platform_emulator: " << e.what() << "\n";
+        return 2;
+    }
+}
--- /dev/null
+++ b/tools/emulator/session_load.cpp
@@ -0,0 +1,85 @@
+#include "EmulatedPlatform.h"
+#include "LoadClient.h"
+
+#include <cxxopts.hpp>
+#include <iostream>
+
+using namespace kumquatbank;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+constexpr int exitViolation = 1;
+constexpr int exitInvalidInput = 2;
+
+Task<void> runAll(asio::io_context& io, std::vector<std::unique_ptr<LoadClient>>& clients, seconds duration, milliseconds pause)
+{
+    const auto until = BootClock::now() + duration;
+    auto left = clients.size();
+    const auto runOne = [&](LoadClient& client) -> Task<void> {
+        co_await client.run(until, pause);
+        --left;
+    };
+    for (const auto& client : clients)
+        asio::co_spawn(io, runOne(*client), asio::detached);
+    while (left > 0)
+        co_await sleepFor(io, milliseconds(50));
+    for (const auto& client : clients)
+        co_await client->checkLast();
+    io.stop();
+}
+
+int runCommandLine(int argc, char** argv)
+{
+    cxxopts::Options options("session_load", "Clients that check what they read; exit code 1 on a violation");
+    options.add_options()("proxies", "Client addresses of the proxies", cxxopts::value<std::vector<std::string>>())(
+        "services", "Services of the emulated platform", cxxopts::value<int>()->default_value("3"))(
+        "clients", "Clients of each database", cxxopts::value<int>()->default_value("10"))(
+        "seconds", "Duration", cxxopts::value<int>()->default_value("20"))(
+        "pause-ms", "Mean pause of a client", cxxopts::value<int>()->default_value("50"))(
+        "seed", "Seed of the clients", cxxopts::value<unsigned>()->default_value("1"))("h,help", "Print this text and stop");
+    const auto arguments = options.parse(argc, argv);
+    if (arguments.count("help") || !arguments.count("proxies")) {
+        std::cout << options.help();
+        return arguments.count("help") ? 0 : exitInvalidInput;
+    }
+    std::vector<HostAddress> proxies;
+    for (const auto& text : arguments["proxies"].as<std::vector<std::string>>()) {
+        const auto address = HostAddress::parse(text);
+        if (!address) {
+            std::cerr << "session_load: '" << text << "' is not an address\n";
+            return exitInvalidInput;
+        }
+        proxies.push_back(*address);
+    }
+    asio::io_context io(1);
+    LoadReport report;
+    std::vector<std::unique_ptr<LoadClient>> clients;
+    auto seed = arguments["seed"].as<unsigned>() * 100'000;
+    for (int service = 0; service < arguments["services"].as<int>(); ++service) {
+        for (const auto policy : { ReadPolicy::Primary, ReadPolicy::Bounded, ReadPolicy::ReadYourWrites }) {
+            for (int n = 0; n < arguments["clients"].as<int>(); ++n)
+                clients.push_back(std::make_unique<LoadClient>(io, EmulatedPlatform::databaseName(service, policy), policy, proxies, ++seed, report));
+        }
+    }
+    const seconds duration(arguments["seconds"].as<int>());
+    asio::co_spawn(io, runAll(io, clients, duration, milliseconds(arguments["pause-ms"].as<int>())), asio::detached);
+    io.run();
+    report.print(std::cout, duration);
+    if (report.served() == 0)
+        std::cout << "nothing was served\n";
+    return report.hasViolations() || report.served() == 0 ? exitViolation : 0;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    try {
+        return runCommandLine(argc, argv);
+    } catch (const std::exception& e) {
+        std::cerr << "session_load: " << e.what() << "\n";
+        return exitInvalidInput;
+    }
+}
