Log changes at a rate of their own

Cause: explaining an INDOUBT write showed a primary that had been replaced 11 s before; the line of the change had been left out, because changes shared the rate of served requests. Change: served requests, changes and failures have a rate each. Test: ServedRequestsDisplaceNeitherChangesNorFailures.

--- a/packages/engine/include/kumquatbank/engine/EventLog.h
+++ b/packages/engine/include/kumquatbank/engine/EventLog.h
@@ -42,7 +42,8 @@
 
 /// Structured events on standard output, one JSON object a line. Lines go into a bounded buffer that flush() writes
 /// without blocking; lines that do not fit, or exceed the rate of their level, are counted and the count is logged.
-/// Warnings and errors have a rate of their own, so that served requests never displace refused ones.
+/// Served requests, changes and failures have rates of their own, so that
+/// a flood of one kind displaces no other.
 class EventLog {
 public:
     using Fields = std::initializer_list<LogField>;
@@ -50,6 +51,9 @@
     /// Name of this host, written into every line.
     static void setHost(std::string host);
 
+    /// A request that was served.
+    static void served(std::string_view event, Fields fields);
+    /// A change of what the process does or believes.
     static void info(std::string_view event, Fields fields);
     static void warn(std::string_view event, Fields fields);
     static void error(std::string_view event, Fields fields);
@@ -63,8 +67,8 @@
     /// Lines left out since the start.
     static std::uint64_t droppedLines();
 
-    /// Lines a second and level that are kept; 0 turns the level off.
-    static void setRates(unsigned infoPerSecond, unsigned warnPerSecond);
+    /// Lines a second that are kept: of served requests, and of changes and failures each.
+    static void setRates(unsigned servedPerSecond, unsigned othersPerSecond);
 };
 
 } // namespace kumquatbank
--- a/packages/engine/src/EventLog.cpp
+++ b/packages/engine/src/EventLog.cpp
@@ -39,14 +39,15 @@
     };
 
     constexpr std::chrono::seconds dropReportInterval { 1 };
-    constexpr unsigned defaultInfoPerSecond = 100;
-    constexpr unsigned defaultWarnPerSecond = 500;
+    constexpr unsigned defaultServedPerSecond = 100;
+    constexpr unsigned defaultOthersPerSecond = 500;
 
     struct State {
         std::shared_ptr<BoundedSink> sink = std::make_shared<BoundedSink>();
         spdlog::logger logger { "events", sink };
-        RateLimit infoLimit { defaultInfoPerSecond };
-        RateLimit warnLimit { defaultWarnPerSecond };
+        RateLimit servedLimit { defaultServedPerSecond };
+        RateLimit infoLimit { defaultOthersPerSecond };
+        RateLimit warnLimit { defaultOthersPerSecond };
         std::uint64_t reportedDrops = 0;
         BootTime reportedAt {};
         std::string line;
@@ -102,6 +103,14 @@
         log.logger.log(level, spdlog::string_view_t(line));
     }
 
+    void writeLimited(RateLimit& limit, spdlog::level::level_enum level, std::string_view levelName, std::string_view event, EventLog::Fields fields)
+    {
+        if (limit.admit(BootClock::now()))
+            write(level, levelName, event, fields);
+        else
+            state().sink->countDropped();
+    }
+
     void reportDrops()
     {
         auto& log = state();
@@ -122,21 +131,11 @@
     appendQuoted(state().host, host);
 }
 
-void EventLog::info(std::string_view event, Fields fields)
-{
-    if (state().infoLimit.admit(BootClock::now()))
-        write(spdlog::level::info, "info", event, fields);
-    else
-        state().sink->countDropped();
-}
+void EventLog::served(std::string_view event, Fields fields) { writeLimited(state().servedLimit, spdlog::level::info, "info", event, fields); }
 
-void EventLog::warn(std::string_view event, Fields fields)
-{
-    if (state().warnLimit.admit(BootClock::now()))
-        write(spdlog::level::warn, "warn", event, fields);
-    else
-        state().sink->countDropped();
-}
+void EventLog::info(std::string_view event, Fields fields) { writeLimited(state().infoLimit, spdlog::level::info, "info", event, fields); }
+
+void EventLog::warn(std::string_view event, Fields fields) { writeLimited(state().warnLimit, spdlog::level::warn, "warn", event, fields); }
 
 void EventLog::error(std::string_view event, Fields fields) { write(spdlog::level::err, "error", event, fields); }
 
@@ -158,10 +157,11 @@
 
 std::uint64_t EventLog::droppedLines() { return state().sink->dropped(); }
 
-void EventLog::setRates(unsigned infoPerSecond, unsigned warnPerSecond)
+void EventLog::setRates(unsigned servedPerSecond, unsigned othersPerSecond)
 {
-    state().infoLimit.setRate(infoPerSecond);
-    state().warnLimit.setRate(warnPerSecond);
+    state().servedLimit.setRate(servedPerSecond);
+    state().infoLimit.setRate(othersPerSecond);
+    state().warnLimit.setRate(othersPerSecond);
 }
 
 } // namespace kumquatbank
--- a/packages/engine/tests/EventLogTest.cpp
+++ b/packages/engine/tests/EventLogTest.cpp
@@ -1,3 +1,4 @@
+#include "kumquatbank/engine/EventLog.h"
 #include "BoundedSink.h"
 
 #include <CppUTest/TestHarness.h>
@@ -27,6 +28,14 @@
         close(m_pipe[1]);
     }
 
+    std::string readText() const
+    {
+        fcntl(m_pipe[0], F_SETFL, O_NONBLOCK);
+        std::string buf(1 << 16, '\0');
+        const auto n = read(m_pipe[0], buf.data(), buf.size());
+        return buf.substr(0, n > 0 ? static_cast<std::size_t>(n) : 0);
+    }
+
     std::size_t readAll() const
     {
         fcntl(m_pipe[0], F_SETFL, O_NONBLOCK);
@@ -71,3 +80,28 @@
     // Every line was either written whole or counted.
     CHECK_EQUAL((lines - sink.dropped()) * (text.size() + 1), read);
 }
+
+TEST_GROUP(EventLog) {};
+
+// Guards against a flood of served requests that displaces the lines which explain the failed ones.
+TEST(EventLog, ServedRequestsDisplaceNeitherChangesNorFailures)
+{
+    std::string text;
+    {
+        StalledOutput output;
+        EventLog::setRates(10, 50);
+        for (int n = 0; n < 5000; ++n)
+            EventLog::served("statement", { { "request", n } });
+        EventLog::info("primary_changed", { { "to", "p2" } });
+        for (int n = 0; n < 40; ++n)
+            EventLog::warn("statement", { { "refused", n } });
+        EventLog::flush();
+        text = output.readText();
+    }
+    CHECK_TRUE(text.find("primary_changed") != std::string::npos);
+    for (int n = 0; n < 40; ++n)
+        CHECK_TRUE(text.find("\"refused\":" + std::to_string(n) + "}") != std::string::npos);
+    CHECK_TRUE(text.find("\"request\":9}") != std::string::npos);
+    CHECK_TRUE(text.find("\"request\":10}") == std::string::npos);
+    CHECK_TRUE(EventLog::droppedLines() >= 4990);
+}
--- a/packages/pooler/src/ClientSession.cpp
+++ b/packages/pooler/src/ClientSession.cpp
@@ -184,7 +184,7 @@
     if (answer.code)
         EventLog::warn("statement", fields);
     else
-        EventLog::info("statement", fields);
+        EventLog::served("statement", fields);
 }
 
 } // namespace kumquatbank
