--- a/packages/ctl/tests/LogExplainerTest.cpp
+++ b/packages/ctl/tests/LogExplainerTest.cpp
@@ -13,11 +13,11 @@
         std::istringstream in(log);
         explainer.read(in);
         std::ostringstream out;
-        m_found = explainer.print(out);
+        found = explainer.print(out);
         return out.str();
     }
 
-    bool m_found = false;
+    bool found = false;
 };
 
 // Guards against an explanation from another host's beliefs, or from beliefs that came later.
@@ -30,7 +30,7 @@
   1.2 a {"at_ms":120,"host":"a","event":"statement","request":"r1","service":"s","outcome":"busy"}
   1.3 a {"at_ms":130,"host":"a","event":"primary_changed","service":"s","to":"later"}
 )");
-    CHECK_TRUE(m_found);
+    CHECK_TRUE(found);
     CHECK_TRUE(text.find("outcome=\"busy\"") != std::string::npos);
     CHECK_TRUE(text.find("\"p1\"") != std::string::npos);
     CHECK_TRUE(text.find("20 ms before") != std::string::npos);
@@ -49,7 +49,7 @@
 TEST(LogExplainer, SaysWhenNothingIsFoundAndCountsUnreadableLines)
 {
     const auto text = explain("r1", "not json\n{\"at_ms\":1}\n{broken\n[1]\n");
-    CHECK_FALSE(m_found);
+    CHECK_FALSE(found);
     CHECK_TRUE(text.find("no line of request 'r1'") != std::string::npos);
     CHECK_TRUE(text.find("4 lines") != std::string::npos);
 }
