pooler: never bring back an endpoint that was cut off during an earlier promotion

A primary was cut off and replaced (term 2). When its successor went dark, two hosts that had never heard of the successor saw only the former primary, and made it primary again: commits that the first promotion had rolled back were valid again, so every read since had lacked them. Five promotions followed each other, because a decision blocked others only if they named the same loss and term. Ruled out: the position floor (the samples were those of the successor) and late calls (each promotion had a token of its own). Change: half of the known endpoints have to answer before one is chosen; a decision that made another endpoint primary than the one a host takes for lost blocks it for 2.5 s. Tests: NeedsTheAnswersOfHalfOfTheEndpoints, AnEndpointThatAnswersAloneIsNotMadePrimary. TheHolderOfTheTokenPromotesWhileTheStoreIsDown crashes two databases and now has five: with one of three left and the store down, no promotion is made any more.

--- a/packages/pooler/src/PromotionDuty.cpp
+++ b/packages/pooler/src/PromotionDuty.cpp
@@ -27,7 +27,7 @@
     /// Time for a promotion to take effect before another one is tried.
     constexpr milliseconds attemptPause { 2200 };
     constexpr milliseconds shortPause { 400 };
-    /// Another host's decision for the same loss has this long to take effect.
+    /// Another host's decision has this long to take effect and to be seen.
     constexpr milliseconds foreignDecisionTime { 2500 };
     /// Pause before such a decision is looked at again; every look is a call to the store.
     constexpr milliseconds foreignDecisionPause { 1200 };
@@ -136,7 +136,7 @@
     co_return found;
 }
 
-Task<std::optional<std::uint64_t>> PromotionDuty::takeToken(const std::string& service, const std::string& lost, Term term, bool mayReuse)
+Task<std::optional<std::uint64_t>> PromotionDuty::takeToken(const std::string& service, const std::string& lost, const std::string& candidate, bool mayReuse)
 {
     auto& progress = m_progress[service];
     for (int n = 0; n < tokenAttempts; ++n) {
@@ -153,12 +153,14 @@
                 co_return std::nullopt;
             }
             const bool isOwn = content.value("run", std::uint64_t(0)) == m_run;
-            const bool isSameLoss = content.value("lost", "") == lost && content.value("term", Term(0)) == term;
+            // A decision that made another endpoint primary than the one this host takes for lost is newer than what this
+            // host knows, or not yet in effect.
+            const bool isUnseen = content.value("endpoint", lost) != lost;
             if (progress.foreignRevision != stored.revision) {
                 progress.foreignRevision = stored.revision;
                 progress.foreignSeenAt = BootClock::now();
             }
-            if (!isOwn && isSameLoss && BootClock::now() - progress.foreignSeenAt < foreignDecisionTime) {
+            if (!isOwn && isUnseen && BootClock::now() - progress.foreignSeenAt < foreignDecisionTime) {
                 EventLog::info("promotion_left_to_peer", { { "service", service }, { "peer", content.value("holder", "") }, { "token", content["token"].get<std::uint64_t>() } });
                 progress.notBefore = BootClock::now() + foreignDecisionPause;
                 co_return std::nullopt;
@@ -178,7 +180,7 @@
             EventLog::warn("promotion_without_store", { { "service", service }, { "store", current.detail }, { "held_token", progress.heldToken } });
             co_return std::nullopt;
         }
-        object.content = { { "token", token }, { "holder", m_settings.host }, { "run", m_run }, { "lost", lost }, { "term", term } };
+        object.content = { { "token", token }, { "holder", m_settings.host }, { "run", m_run }, { "lost", lost }, { "endpoint", candidate } };
         const auto written = co_await m_store->put(promotionKind, object, storeTimeout);
         m_metrics.storeCall("take_promotion", storeStatusName(written.status));
         if (written.status == StoreStatus::Ok) {
@@ -247,13 +249,14 @@
             co_return;
         }
     }
-    const auto candidate = choosePromotionCandidate(found);
+    const auto known = std::ranges::count_if(service->endpoints(), [](const auto& item) { return !item.second->missingSince; });
+    const auto candidate = choosePromotionCandidate(found, static_cast<std::size_t>(known));
     if (!candidate || need(*service) != reason) {
-        EventLog::info("promotion_dropped", { { "service", service->name() }, { "reason", candidate ? "no longer needed" : "no endpoint answers" } });
+        EventLog::info("promotion_dropped", { { "service", service->name() }, { "reason", candidate ? "no longer needed" : "too few endpoints answer" }, { "answered", found.size() }, { "known", known } });
         co_return;
     }
     const auto decidedAt = BootClock::now();
-    const auto token = co_await takeToken(service->name(), lost, candidate->term, isInTouch);
+    const auto token = co_await takeToken(service->name(), lost, candidate->id, isInTouch);
     if (!token)
         co_return;
     if (reason == Need::Leaving) {
--- a/packages/pooler/src/PromotionDuty.h
+++ b/packages/pooler/src/PromotionDuty.h
@@ -43,7 +43,7 @@
     Task<std::vector<EndpointStatus>> statuses(std::shared_ptr<DatabaseService> service, std::string except);
     Task<std::optional<EndpointStatus>> status(std::shared_ptr<DatabaseService> service, std::shared_ptr<Endpoint> endpoint, std::string command);
     Task<bool> handOver(std::shared_ptr<DatabaseService> service, EndpointStatus candidate);
-    Task<std::optional<std::uint64_t>> takeToken(const std::string& service, const std::string& lost, Term term, bool mayReuse);
+    Task<std::optional<std::uint64_t>> takeToken(const std::string& service, const std::string& lost, const std::string& candidate, bool mayReuse);
 
     asio::io_context& m_io;
     std::shared_ptr<ObjectStore> m_store;
--- a/packages/pooler/tests/PromotionTest.cpp
+++ b/packages/pooler/tests/PromotionTest.cpp
@@ -99,7 +99,10 @@
 // Guards against a host without a primary for as long as the store is down: the holder of the newest token may go on.
 TEST(Promotion, TheHolderOfTheTokenPromotesWhileTheStoreIsDown)
 {
-    PoolerFixture fixture({}, 1);
+    // Half of the endpoints have to answer, and two of them crash.
+    EmulatedPlatform::Shape shape;
+    shape.databasesPerService = 5;
+    PoolerFixture fixture(shape, 1);
     fixture.run([](PoolerFixture& f) -> Task<void> {
         f.platform().primary(0).crash();
         co_await f.writeUntilSuccess(primaryDb, "WRITE item one");
@@ -160,3 +163,23 @@
     }(fixture));
     LONGS_EQUAL(1, std::ranges::count(fixture.platform().promotions(), 200, &OrderedPromotion::status));
 }
+
+// Found by a hunt: two replicas could not be reached, and the endpoint that had been cut off during an earlier promotion was
+// made primary again, with the commits that this promotion had rolled back.
+TEST(Promotion, AnEndpointThatAnswersAloneIsNotMadePrimary)
+{
+    PoolerFixture fixture;
+    fixture.run([](PoolerFixture& f) -> Task<void> {
+        co_await f.writeUntilSuccess(primaryDb, "WRITE item before");
+        f.platform().service(0).log("i-0-0").isDeaf = true;
+        f.platform().service(0).promote("i-0-1");
+        f.platform().service(0).commit({ { "item", "newer" } }, "elsewhere");
+        f.platform().database(0, 1).crash();
+        f.platform().database(0, 2).behaviour().isSilent = true;
+        co_await f.sleep(milliseconds(4000));
+        LONGS_EQUAL(0, f.platform().promotions().size());
+        f.platform().database(0, 2).behaviour().isSilent = false;
+        co_await f.writeUntilSuccess(primaryDb, "WRITE other after");
+        STRCMP_EQUAL("i-0-2", f.platform().service(0).primary().c_str());
+    }(fixture));
+}
--- a/packages/routing/include/kumquatbank/routing/PromotionPolicy.h
+++ b/packages/routing/include/kumquatbank/routing/PromotionPolicy.h
@@ -20,8 +20,9 @@
 };
 
 /// The endpoint that loses the fewest commits when it becomes primary: the one with the newest received position;
-/// one that is about to leave only if there is no other. Empty without candidates.
-std::optional<EndpointStatus> choosePromotionCandidate(const std::vector<EndpointStatus>& statuses);
+/// one that is about to leave only if there is no other. Empty if fewer than half of the @p known endpoints answered: an
+/// endpoint that was cut off during an earlier change of primary may be the only one, and would bring back its own log.
+std::optional<EndpointStatus> choosePromotionCandidate(const std::vector<EndpointStatus>& statuses, std::size_t known);
 
 /// What a peer says about the primary of a service.
 struct PeerOpinion {
--- a/packages/routing/src/PromotionPolicy.cpp
+++ b/packages/routing/src/PromotionPolicy.cpp
@@ -4,8 +4,10 @@
 
 namespace kumquatbank {
 
-std::optional<EndpointStatus> choosePromotionCandidate(const std::vector<EndpointStatus>& statuses)
+std::optional<EndpointStatus> choosePromotionCandidate(const std::vector<EndpointStatus>& statuses, std::size_t known)
 {
+    if (statuses.size() * 2 < known)
+        return std::nullopt;
     const auto it = std::ranges::max_element(statuses, [](const EndpointStatus& left, const EndpointStatus& right) {
         if (left.isDraining != right.isDraining)
             return left.isDraining;
--- a/packages/routing/tests/PromotionPolicyTest.cpp
+++ b/packages/routing/tests/PromotionPolicyTest.cpp
@@ -30,16 +30,25 @@
 
 TEST(PromotionPolicy, ChoosesTheNewestReceivedPosition)
 {
-    STRCMP_EQUAL("b", choosePromotionCandidate({ status("a", 1, 10), status("b", 1, 12) })->id.c_str());
-    STRCMP_EQUAL("b", choosePromotionCandidate({ status("a", 1, 99), status("b", 2, 12) })->id.c_str());
-    CHECK_FALSE(choosePromotionCandidate({}).has_value());
+    STRCMP_EQUAL("b", choosePromotionCandidate({ status("a", 1, 10), status("b", 1, 12) }, 3)->id.c_str());
+    STRCMP_EQUAL("b", choosePromotionCandidate({ status("a", 1, 99), status("b", 2, 12) }, 3)->id.c_str());
+    CHECK_FALSE(choosePromotionCandidate({}, 0).has_value());
 }
 
 // An endpoint about to leave would have to be replaced again at once.
 TEST(PromotionPolicy, TakesALeavingEndpointOnlyIfThereIsNoOther)
 {
-    STRCMP_EQUAL("a", choosePromotionCandidate({ status("a", 1, 10), status("b", 1, 12, true) })->id.c_str());
-    STRCMP_EQUAL("b", choosePromotionCandidate({ status("b", 1, 12, true) })->id.c_str());
+    STRCMP_EQUAL("a", choosePromotionCandidate({ status("a", 1, 10), status("b", 1, 12, true) }, 2)->id.c_str());
+    STRCMP_EQUAL("b", choosePromotionCandidate({ status("b", 1, 12, true) }, 2)->id.c_str());
+}
+
+// The only endpoint that answers may have been cut off during an earlier change of primary; with the lead it would bring
+// back commits that this change rolled back.
+TEST(PromotionPolicy, NeedsTheAnswersOfHalfOfTheEndpoints)
+{
+    CHECK_FALSE(choosePromotionCandidate({ status("a", 1, 10) }, 3).has_value());
+    CHECK_TRUE(choosePromotionCandidate({ status("a", 1, 10) }, 2).has_value());
+    CHECK_TRUE(choosePromotionCandidate({ status("a", 1, 10), status("b", 1, 9) }, 3).has_value());
 }
 
 // A host that alone is cut off from a healthy primary must not replace it.
--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -3,6 +3,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 scripts/install-packages.sh
+scripts/check_names.sh
 mapfile -t files < <(git ls-files --cached --others --exclude-standard '*.cpp' '*.h')
 if [ "${1:-}" = "--fix" ]; then
     clang-format -i "${files[@]}"
