group: a settled commit leaves a record that cannot pass for the commit

Cause: DatabaseGroup::settleCommit() committed an empty transaction under the caller's idempotency key, so that a late first try could not run. The endpoint stored this like any commit. When the caller repeated the commit, the key was known and the answer was a success with `repeated`: a change that had been rolled back was confirmed. A late first try was confirmed in the same way.

Ruled out: the promotion that excludes an isolated primary, the confirmation by replicas, truncation to the common prefix (read, no difference found).

Change: `rollback` with a key, in the endpoint's protocol, records the key as rolled back or finds the earlier commit; commits and writes with such a key are refused with no_transaction. TransactionService::finish() is the one way to end a transaction and to wait for its confirmation.

Before: RepeatedCommitIsSettledByItsKey with a second settling fails ("again" has a value). After: it passes; group_tests and database_standin_tests pass.

--- a/packages/group/src/TransactionService.cpp
+++ b/packages/group/src/TransactionService.cpp
@@ -74,7 +74,7 @@
         return tl::unexpected(withCause(transaction.error()));
     switch (request.kind) {
     case RequestKind::Commit:
-        return commit(request, session, std::move(*transaction), trace);
+        return finish("commit", request, request.transaction, session, std::move(*transaction), trace);
     case RequestKind::Rollback:
         return rollback(request, session, std::move(*transaction));
     default:
@@ -85,14 +85,15 @@
 Result<CallerAnswer> TransactionService::settleCommit(const CallerRequest& request, const CatalogueEntry& entry,
     const SessionToken& session, EntryLimiter::Permit permit, RequestTrace& trace)
 {
-    // The endpoint returns the stored answer of a known key and stores an unknown one. Committing an empty
-    // transaction with the key therefore finds the earlier commit or keeps it from running later.
+    // A rollback with the key finds the earlier commit or keeps it from running later. An empty commit would do the
+    // same once, but the next repetition could not tell its record from that of the earlier commit.
     auto begun = begin(request, entry, session, std::move(permit), trace);
     if (!begun)
         return begun;
-    auto empty = request;
-    empty.transaction = begun->transaction;
-    auto settled = run(empty, session, trace);
+    auto transaction = m_parts.transactions.take(begun->transaction);
+    if (!transaction)
+        return tl::unexpected(withCause(transaction.error()));
+    auto settled = finish("rollback", request, begun->transaction, session, std::move(*transaction), trace);
     if (!settled || settled->repeated)
         return settled;
     return notRun(FailureCode::UnknownTransaction, "the transaction was rolled back and will not run",
@@ -124,17 +125,18 @@
     return tl::unexpected(failure);
 }
 
-Result<CallerAnswer> TransactionService::commit(const CallerRequest& request, const SessionToken& session,
-    std::unique_ptr<OpenTransaction> transaction, RequestTrace& trace)
+Result<CallerAnswer> TransactionService::finish(const std::string& method, const CallerRequest& request,
+    const std::string& id, const SessionToken& session, std::unique_ptr<OpenTransaction> transaction,
+    RequestTrace& trace)
 {
     const WriteInFlight inFlight(m_parts);
     nlohmann::json params { { "term", transaction->primary.term } };
     if (!request.idempotencyKey.empty())
         params["key"] = request.idempotencyKey;
     const auto sentAt = Clock::now();
-    const auto reply = transaction->lease.call("commit", params, request.deadline);
+    const auto reply = transaction->lease.call(method, params, request.deadline);
     trace.addWait(Cause::EndpointSlow, std::chrono::duration_cast<Milliseconds>(Clock::now() - sentAt));
-    m_parts.transactions.erase(request.transaction);
+    m_parts.transactions.erase(id);
     const auto primary = transaction->primary;
     if (reply)
         transaction->lease.setInTransaction(false);
--- a/packages/group/src/TransactionService.h
+++ b/packages/group/src/TransactionService.h
@@ -25,8 +25,12 @@
         const PrimaryView& primary, EntryLimiter::Permit& permit, RequestTrace& trace);
     Result<CallerAnswer> execute(const CallerRequest& request, const SessionToken& session,
         std::unique_ptr<OpenTransaction> transaction, RequestTrace& trace);
-    Result<CallerAnswer> commit(const CallerRequest& request, const SessionToken& session,
-        std::unique_ptr<OpenTransaction> transaction, RequestTrace& trace);
+
+    /// Ends transaction @p id by @p method, `commit` or `rollback`, with the request's idempotency key, and waits
+    /// until a replica holds the record.
+    Result<CallerAnswer> finish(const std::string& method, const CallerRequest& request, const std::string& id,
+        const SessionToken& session, std::unique_ptr<OpenTransaction> transaction, RequestTrace& trace);
+
     Result<CallerAnswer> rollback(const CallerRequest& request, const SessionToken& session,
         std::unique_ptr<OpenTransaction> transaction);
 
--- a/packages/group/tests/ConsistencyTest.cpp
+++ b/packages/group/tests/ConsistencyTest.cpp
@@ -138,8 +138,9 @@
     CHECK_TRUE(group.values(0, "k") == std::vector<std::string> { "one" });
 }
 
-// Guards against a repeated commit being told that nothing ran although its first try did, and against a first try
-// that runs after the caller was told that it did not.
+// Guards against a repeated commit being told that nothing ran although its first try did, against a first try that
+// runs after the caller was told that it did not, and against a rolled back commit that is confirmed when the caller
+// repeats it: the record that keeps the first try from running must not pass for the first try.
 TEST(Consistency, RepeatedCommitIsSettledByItsKey)
 {
     StandInGroup group;
@@ -168,8 +169,14 @@
     CHECK_FALSE(settled.has_value());
     CHECK_TRUE(settled.error().verdict == Verdict::NotRun);
     CHECK_TRUE(settled.error().code == FailureCode::UnknownTransaction);
+    const auto again = settle(late);
+    CHECK_FALSE(again.has_value());
+    CHECK_TRUE(again.error().verdict == Verdict::NotRun);
+    CHECK_TRUE(again.error().code == FailureCode::UnknownTransaction);
     late.deadline = Deadline::after(Milliseconds(3000));
-    holder.run(late);
+    const auto arrived = holder.run(late);
+    CHECK_FALSE(arrived.has_value());
+    CHECK_TRUE(arrived.error().verdict == Verdict::NotRun);
     CHECK_TRUE(group.values(0, "k") == std::vector<std::string> { "v" });
 }
 
--- a/tools/standins/database/DatabaseNode.cpp
+++ b/tools/standins/database/DatabaseNode.cpp
@@ -56,6 +56,22 @@
     return appendLocked(term, operations, key, nlohmann::json::array());
 }
 
+Result<StatementResult> DatabaseNode::rollBackKey(Term term, const std::string& key)
+{
+    const std::lock_guard lock(m_mutex);
+    if (const auto allowed = checkPrimaryLocked(term); !allowed)
+        return tl::unexpected(allowed.error());
+    if (const auto* known = m_log.findKey(key))
+        return StatementResult { known->rows, { known->term, known->position }, !known->isRollback };
+    m_log.append({ .term = term,
+        .position = m_log.end().position + 1,
+        .idempotencyKey = key,
+        .appendedAt = Clock::now(),
+        .isRollback = true });
+    m_changed.notify_all();
+    return StatementResult { nlohmann::json::array(), m_log.end(), false };
+}
+
 Result<StatementResult> DatabaseNode::read(
     const Statement& statement, const std::vector<Operation>& pending, const LogPosition& required) const
 {
@@ -228,10 +244,18 @@
 {
     if (const auto allowed = checkPrimaryLocked(term); !allowed)
         return tl::unexpected(allowed.error());
-    if (const auto* known = key.empty() ? nullptr : m_log.findKey(key))
+    const auto* known = key.empty() ? nullptr : m_log.findKey(key);
+    if (known && known->isRollback)
+        return notRun(FailureCode::NoTransaction, "the idempotency key '" + key + "' was rolled back");
+    if (known)
         return StatementResult { known->rows, { known->term, known->position }, true };
     if (!operations.empty() || !key.empty()) {
-        m_log.append({ term, m_log.end().position + 1, std::move(operations), key, rows, Clock::now() });
+        m_log.append({ .term = term,
+            .position = m_log.end().position + 1,
+            .operations = std::move(operations),
+            .idempotencyKey = key,
+            .rows = rows,
+            .appendedAt = Clock::now() });
         m_changed.notify_all();
     }
     return StatementResult { std::move(rows), m_log.end(), false };
--- a/tools/standins/database/DatabaseNode.h
+++ b/tools/standins/database/DatabaseNode.h
@@ -43,9 +43,13 @@
     /// @p term and promised no greater one; a known key returns the first result and appends nothing.
     Result<StatementResult> write(Term term, const Statement& statement, const std::string& key);
 
-    /// As write(), for the buffered operations of a transaction.
+    /// As write(), for the buffered operations of a transaction. NotRun/NoTransaction when the key was rolled back.
     Result<StatementResult> commit(Term term, const std::vector<Operation>& operations, const std::string& key);
 
+    /// Makes sure that no change with @p key runs from now on. When one has run, returns its stored result with
+    /// `repeated`; otherwise the key is recorded as rolled back, in the log and so also on the replicas.
+    Result<StatementResult> rollBackKey(Term term, const std::string& key);
+
     /// Evaluates without appending, on top of @p pending. NotRun/Behind unless the log covers @p required.
     Result<StatementResult> read(
         const Statement& statement, const std::vector<Operation>& pending, const LogPosition& required) const;
--- a/tools/standins/database/LogRecord.cpp
+++ b/tools/standins/database/LogRecord.cpp
@@ -19,7 +19,8 @@
 {
     const auto age = std::chrono::duration_cast<std::chrono::microseconds>(Clock::now() - record.appendedAt);
     json = { { "term", record.term }, { "position", record.position }, { "operations", record.operations },
-        { "key", record.idempotencyKey }, { "rows", record.rows }, { "ageUs", age.count() } };
+        { "key", record.idempotencyKey }, { "rows", record.rows }, { "rollback", record.isRollback },
+        { "ageUs", age.count() } };
 }
 
 void from_json(const nlohmann::json& json, LogRecord& record)
@@ -29,6 +30,7 @@
     record.operations = json.at("operations").get<std::vector<Operation>>();
     record.idempotencyKey = json.at("key").get<std::string>();
     record.rows = json.at("rows");
+    record.isRollback = json.at("rollback").get<bool>();
     record.appendedAt = Clock::now() - std::chrono::microseconds(json.at("ageUs").get<std::int64_t>());
 }
 
--- a/tools/standins/database/LogRecord.h
+++ b/tools/standins/database/LogRecord.h
@@ -31,6 +31,7 @@
     std::string idempotencyKey {}; ///< Empty if none.
     nlohmann::json rows = nlohmann::json::array(); ///< What the statement returned.
     TimePoint appendedAt {}; ///< When the primary appended it, by this process's clock.
+    bool isRollback = false; ///< Marks the idempotency key as rolled back; nothing may commit with it any more.
 };
 
 /// The time of appending travels as the age in microseconds.
--- a/tools/standins/database/RequestDispatcher.cpp
+++ b/tools/standins/database/RequestDispatcher.cpp
@@ -135,8 +135,7 @@
         return notRun(FailureCode::NoTransaction, "the connection has no open transaction");
     if (method == "commit")
         return commit(params);
-    m_transaction.reset();
-    return nlohmann::json::object();
+    return rollback(params);
 }
 
 Result<nlohmann::json> RequestDispatcher::execute(const nlohmann::json& params)
@@ -217,6 +216,20 @@
     return answer;
 }
 
+Result<nlohmann::json> RequestDispatcher::rollback(const nlohmann::json& params)
+{
+    m_transaction.reset();
+    const auto key = params.value("key", "");
+    if (key.empty())
+        return nlohmann::json::object();
+    const auto result = m_node.rollBackKey(params.at("term").get<Term>(), key);
+    m_changedData = result.has_value() && !result->repeated;
+    auto answer = toResult(result);
+    if (answer)
+        answer->erase("rows");
+    return answer;
+}
+
 Result<nlohmann::json> RequestDispatcher::replicate(const nlohmann::json& params)
 {
     std::optional<ReplicatedLog::TermEnds> termEnds;
--- a/tools/standins/database/RequestDispatcher.h
+++ b/tools/standins/database/RequestDispatcher.h
@@ -45,6 +45,7 @@
     Result<StatementResult> executeInTransaction(const Statement& statement, bool isWrite, const nlohmann::json& params);
     Result<nlohmann::json> begin(const nlohmann::json& params);
     Result<nlohmann::json> commit(const nlohmann::json& params);
+    Result<nlohmann::json> rollback(const nlohmann::json& params);
     Result<nlohmann::json> replicate(const nlohmann::json& params);
     nlohmann::json status() const;
 
