pooler: a process that starts without the store learns from its seeds

Cause: a process knew its peers only from the store. One that started while the store was away knew neither configuration nor endpoints until it came back, and after the first failed call it took its empty list of endpoints for knowledge.

Ruled out: waiting longer before a process starts; a copy on disk (there is none).

Change: the setting `seeds`; `GET /v1/known` gives configuration, endpoints and hosts that are newer than the asker's. Asked while the store has not answered for 3.2 s. Endpoints of a peer are taken over only if their revision is newer. One source of random delays (engine/Random.h) instead of three. SIGHUP before the process listens for it no longer ends it.

Tests: AProcessThatStartsWithoutTheStoreLearnsFromASeed, AProcessThatKnowsNothingIsNotReady, PoolerSettings group. Not run against the old code, which lacks the setting; the second one would pass there, as no configuration was known either.

--- a/apps/kumquatbank_pooler/main.cpp
+++ b/apps/kumquatbank_pooler/main.cpp
@@ -45,7 +45,6 @@
         std::cout << file << ": valid\n";
         return 0;
     }
-    std::signal(SIGPIPE, SIG_IGN);
     asio::io_context io(1);
     PoolerProcess process(io, *settings, file);
     process.run();
@@ -56,6 +55,9 @@
 
 int main(int argc, char** argv)
 {
+    std::signal(SIGPIPE, SIG_IGN);
+    // A reload that is asked for before the process listens for it must not end the process.
+    std::signal(SIGHUP, SIG_IGN);
     try {
         return runCommandLine(argc, argv);
     } catch (const cxxopts::exceptions::exception& e) {
--- /dev/null
+++ b/packages/engine/include/kumquatbank/engine/Random.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include <chrono>
+#include <random>
+
+namespace kumquatbank {
+
+/// Random numbers that spread the attempts of hosts. Seeded from the system; belongs to the thread of the event loop.
+inline std::minstd_rand& randomEngine()
+{
+    static std::minstd_rand engine { std::random_device {}() };
+    return engine;
+}
+
+/// A delay drawn evenly from @p least to @p most.
+inline std::chrono::milliseconds randomDelay(std::chrono::milliseconds least, std::chrono::milliseconds most)
+{
+    std::uniform_int_distribution<std::chrono::milliseconds::rep> spread(least.count(), most.count());
+    return std::chrono::milliseconds(spread(randomEngine()));
+}
+
+} // namespace kumquatbank
--- a/packages/engine/include/kumquatbank/engine/engine.h
+++ b/packages/engine/include/kumquatbank/engine/engine.h
@@ -10,4 +10,5 @@
 #include "kumquatbank/engine/HttpListener.h"
 #include "kumquatbank/engine/LineChannel.h"
 #include "kumquatbank/engine/LineListener.h"
+#include "kumquatbank/engine/Random.h"
 #include "kumquatbank/engine/Waiter.h"
--- a/packages/pooler/include/kumquatbank/pooler/PoolerSettings.h
+++ b/packages/pooler/include/kumquatbank/pooler/PoolerSettings.h
@@ -4,6 +4,7 @@
 
 #include <chrono>
 #include <string>
+#include <vector>
 
 namespace kumquatbank {
 
@@ -18,6 +19,7 @@
     HostAddress metricsAddress; ///< HTTP: metrics and the dump of the process's state.
     HostAddress storeAddress; ///< The platform's object store.
     HostAddress promotionAddress; ///< The platform's call that changes a primary.
+    std::vector<HostAddress> seeds {}; ///< Peer addresses to ask while the store does not answer; may be empty or stale.
     std::chrono::seconds grace { 6 }; ///< Time from SIGTERM to the end of the process.
     unsigned logLinesPerSecond = 100; ///< Of served requests; failures have a rate of their own.
     unsigned failureLinesPerSecond = 500;
--- a/packages/pooler/src/HostDirectory.cpp
+++ b/packages/pooler/src/HostDirectory.cpp
@@ -101,9 +101,51 @@
     co_return true;
 }
 
+void HostDirectory::addPeer(const std::string& name, const nlohmann::json& address)
+{
+    const auto parsed = HostAddress::parse(address.is_string() ? address.get<std::string>() : std::string());
+    if (parsed)
+        m_peers.push_back({ name, *parsed });
+    else
+        EventLog::warn("host_entry_skipped", { { "peer", name } });
+}
+
+std::vector<PeerHost> HostDirectory::contacts() const
+{
+    if (!m_peers.empty())
+        return m_peers;
+    std::vector<PeerHost> seeds;
+    for (const auto& address : m_settings.seeds) {
+        if (address != m_settings.peerAddress)
+            seeds.push_back({ "seed " + address.toString(), address });
+    }
+    return seeds;
+}
+
+nlohmann::json HostDirectory::describe() const
+{
+    nlohmann::json hosts { { m_settings.host, m_settings.peerAddress.toString() } };
+    for (const auto& peer : m_peers)
+        hosts[peer.name] = peer.address.toString();
+    return hosts;
+}
+
+void HostDirectory::applyFromPeer(const nlohmann::json& hosts)
+{
+    if (m_isListed || !hosts.is_object())
+        return;
+    m_peers.clear();
+    for (const auto& [name, address] : hosts.items()) {
+        if (name != m_settings.host)
+            addPeer(name, address);
+    }
+    m_registry.setHostCount(static_cast<int>(m_peers.size()) + 1);
+}
+
 void HostDirectory::apply(const std::vector<StoreObject>& objects)
 {
     const auto now = BootClock::now();
+    m_isListed = true;
     m_peers.clear();
     for (const auto& object : objects) {
         auto& seen = m_seen[object.name];
@@ -111,12 +153,7 @@
             seen = { object.revision, now };
         if (object.name == m_settings.host || now - seen.changedAt >= expiry)
             continue;
-        const auto text = object.content.is_object() ? object.content.value("peerAddress", nlohmann::json()) : nlohmann::json();
-        const auto address = HostAddress::parse(text.is_string() ? text.get<std::string>() : std::string());
-        if (address)
-            m_peers.push_back({ object.name, *address });
-        else
-            EventLog::warn("host_entry_skipped", { { "peer", object.name } });
+        addPeer(object.name, object.content.is_object() ? object.content.value("peerAddress", nlohmann::json()) : nlohmann::json());
     }
     m_registry.setHostCount(static_cast<int>(m_peers.size()) + 1);
 }
--- a/packages/pooler/src/HostDirectory.h
+++ b/packages/pooler/src/HostDirectory.h
@@ -27,6 +27,15 @@
     /// The other hosts, as far as they are known.
     const std::vector<PeerHost>& peers() const { return m_peers; }
 
+    /// Hosts to ask while the store does not answer: the known ones, otherwise the seeds of the settings.
+    std::vector<PeerHost> contacts() const;
+
+    /// The known hosts with this one, for a host that has no listing of its own.
+    nlohmann::json describe() const;
+
+    /// Takes over what a peer knows. Ignored once the store has been listed.
+    void applyFromPeer(const nlohmann::json& hosts);
+
 private:
     /// A host's entry and when it last changed.
     struct Seen {
@@ -38,6 +47,7 @@
     Task<bool> registerSelf();
     Task<bool> refresh();
     void apply(const std::vector<StoreObject>& objects);
+    void addPeer(const std::string& name, const nlohmann::json& address);
 
     asio::io_context& m_io;
     std::shared_ptr<ObjectStore> m_store;
@@ -49,6 +59,7 @@
     std::uint64_t m_revision = 0; ///< Of the own entry; 0 before it is stored.
     std::map<std::string, Seen> m_seen;
     std::vector<PeerHost> m_peers;
+    bool m_isListed = false; ///< The peers come from the store.
 };
 
 } // namespace kumquatbank
--- a/packages/pooler/src/PeerService.cpp
+++ b/packages/pooler/src/PeerService.cpp
@@ -1,12 +1,13 @@
 #include "PeerService.h"
 
 #include "kumquatbank/engine/EventLog.h"
+#include "kumquatbank/engine/Random.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/url/parse.hpp>
 #include <fmt/format.h>
-#include <random>
+#include <charconv>
 
 namespace kumquatbank {
 
@@ -20,14 +21,17 @@
     constexpr std::size_t maxOpinions = 9;
     /// A peer sees the primary if it had an answer within this time.
     constexpr milliseconds opinionSilence { 700 };
-    /// The store is taken as away for the configuration after this time without an answer.
+    /// The store is taken as away after this time without an answer.
     constexpr milliseconds storeSilence { 3200 };
-    constexpr milliseconds configPollInterval { 500 };
+    constexpr milliseconds peerPollInterval { 500 };
 
-    std::minstd_rand& randomEngine()
+    /// The number in @p text; 0 if there is none, which asks for everything.
+    template <std::integral T>
+    T numberOrZero(const std::string& text)
     {
-        static std::minstd_rand engine { std::random_device {}() };
-        return engine;
+        T number = 0;
+        std::from_chars(text.data(), text.data() + text.size(), number);
+        return number;
     }
 
 } // namespace
@@ -40,7 +44,7 @@
 {
 }
 
-void PeerService::start() { asio::co_spawn(m_io, followConfig(), asio::detached); }
+void PeerService::start() { asio::co_spawn(m_io, followPeers(), asio::detached); }
 
 Task<HttpReply> PeerService::call(HostAddress peer, std::string target, milliseconds timeout)
 {
@@ -77,10 +81,11 @@
     };
     if (url->path() == "/v1/primary")
         co_return HttpAnswer { 200, describePrimary(parameter("service"), parameter("endpoint")).dump() };
-    if (url->path() == "/v1/config") {
-        const auto config = m_registry.config();
-        const bool isNewer = config && std::to_string(config->version) != parameter("version") && !m_sync.configContent().is_null();
-        co_return isNewer ? HttpAnswer { 200, m_sync.configContent().dump() } : HttpAnswer { 204, "" };
+    if (url->path() == "/v1/known") {
+        Json known = m_sync.newerThan(numberOrZero<std::int64_t>(parameter("config")), numberOrZero<std::uint64_t>(parameter("endpoints")));
+        if (parameter("hosts") == "1")
+            known["hosts"] = m_hosts.describe();
+        co_return HttpAnswer { 200, known.dump() };
     }
     if (url->path() == "/v1/state")
         co_return HttpAnswer { 200, describeState().dump() };
@@ -114,25 +119,34 @@
     co_return *opinions;
 }
 
-Task<void> PeerService::followConfig()
+Task<void> PeerService::followPeers()
 {
     while (true) {
-        co_await sleepFor(m_io, configPollInterval);
-        if (m_sync.configSilence() < storeSilence || m_hosts.peers().empty())
+        co_await sleepFor(m_io, peerPollInterval);
+        if (std::max(m_sync.configSilence(), m_sync.endpointSilence()) < storeSilence)
+            continue;
+        const auto contacts = m_hosts.contacts();
+        if (contacts.empty())
             continue;
-        const auto& peers = m_hosts.peers();
-        const auto peer = peers[std::uniform_int_distribution<std::size_t>(0, peers.size() - 1)(randomEngine())];
+        const auto peer = contacts[std::uniform_int_distribution<std::size_t>(0, contacts.size() - 1)(randomEngine())];
         const auto config = m_registry.config();
-        const auto target = fmt::format("/v1/config?version={}", config ? config->version : 0);
+        const auto target = fmt::format("/v1/known?config={}&endpoints={}&hosts={}", config ? config->version : 0, m_sync.endpointRevision(), m_hosts.peers().empty() ? 1 : 0);
         const auto reply = co_await call(peer.address, target, opinionTimeout);
-        if (!reply.isSuccess() || reply.body.empty())
-            continue;
-        const auto content = Json::parse(reply.body, nullptr, false);
-        if (content.is_discarded()) {
-            EventLog::warn("peer_answer_unreadable", { { "peer", peer.name }, { "call", "config" } });
-            continue;
-        }
-        m_sync.applyConfig(content, "peer " + peer.name);
+        if (reply.isSuccess() && !applyState(reply.body, peer.name))
+            EventLog::warn("peer_answer_unreadable", { { "peer", peer.name }, { "call", "known" } });
+    }
+}
+
+bool PeerService::applyState(const std::string& body, const std::string& peer)
+{
+    try {
+        const auto known = Json::parse(body);
+        m_sync.applyFromPeer(known, peer);
+        if (known.contains("hosts"))
+            m_hosts.applyFromPeer(known["hosts"]);
+        return true;
+    } catch (const Json::exception&) {
+        return false;
     }
 }
 
--- a/packages/pooler/src/PeerService.h
+++ b/packages/pooler/src/PeerService.h
@@ -25,7 +25,8 @@
 
 private:
     Task<HttpReply> call(HostAddress peer, std::string target, std::chrono::milliseconds timeout);
-    Task<void> followConfig();
+    Task<void> followPeers();
+    bool applyState(const std::string& body, const std::string& peer);
     nlohmann::json describePrimary(const std::string& service, const std::string& endpoint) const;
 
     asio::io_context& m_io;
--- a/packages/pooler/src/PoolerSettings.cpp
+++ b/packages/pooler/src/PoolerSettings.cpp
@@ -24,6 +24,8 @@
   // The platform's object store, and its call that changes a primary.
   "storeAddress": "127.0.0.1:8783",
   "promotionAddress": "127.0.0.1:8786",
+  // Peer addresses of some hosts, asked for the configuration and the endpoints while the store does not answer.
+  "seeds": ["127.0.0.1:7440"],
   // Seconds from SIGTERM to the end of the process.
   "graceSeconds": 6,
   // Log lines a second: of served statements, and of everything else.
@@ -32,9 +34,9 @@
 }
 )";
 
-    constexpr std::array<std::string_view, 12> knownKeys { "host", "dataCentre", "region", "clientAddress", "readyAddress",
-        "peerAddress", "metricsAddress", "storeAddress", "promotionAddress", "graceSeconds", "logLinesPerSecond",
-        "failureLinesPerSecond" };
+    constexpr std::array<std::string_view, 13> knownKeys { "host", "dataCentre", "region", "clientAddress", "readyAddress",
+        "peerAddress", "metricsAddress", "storeAddress", "promotionAddress", "seeds", "graceSeconds",
+        "logLinesPerSecond", "failureLinesPerSecond" };
 
     constexpr int maxGraceSeconds = 3600;
     constexpr int maxLogLines = 1'000'000;
@@ -66,6 +68,22 @@
             return {};
         }
 
+        std::vector<HostAddress> addresses(const char* key)
+        {
+            std::vector<HostAddress> found;
+            const auto it = m_json.find(key);
+            if (it == m_json.end())
+                return found;
+            const bool isList = it->is_array() && std::ranges::all_of(*it, [](const Json& item) { return item.is_string(); });
+            for (const auto& item : isList ? *it : Json::array()) {
+                if (const auto parsed = HostAddress::parse(item.get<std::string>()); parsed && parsed->port != 0)
+                    found.push_back(*parsed);
+            }
+            if (!isList || found.size() != it->size())
+                fail(key, "must be a list of addresses of the form ip:port");
+            return found;
+        }
+
         int number(const char* key, int least, int most, int fallback)
         {
             const auto it = m_json.find(key);
@@ -123,6 +141,7 @@
     settings.metricsAddress = reader.address("metricsAddress");
     settings.storeAddress = reader.address("storeAddress");
     settings.promotionAddress = reader.address("promotionAddress");
+    settings.seeds = reader.addresses("seeds");
     settings.grace = std::chrono::seconds(reader.number("graceSeconds", 1, maxGraceSeconds, static_cast<int>(settings.grace.count())));
     settings.logLinesPerSecond = static_cast<unsigned>(reader.number("logLinesPerSecond", 0, maxLogLines, static_cast<int>(settings.logLinesPerSecond)));
     settings.failureLinesPerSecond = static_cast<unsigned>(reader.number("failureLinesPerSecond", 0, maxLogLines, static_cast<int>(settings.failureLinesPerSecond)));
--- a/packages/pooler/src/PromotionDuty.cpp
+++ b/packages/pooler/src/PromotionDuty.cpp
@@ -1,6 +1,7 @@
 #include "PromotionDuty.h"
 
 #include "kumquatbank/engine/EventLog.h"
+#include "kumquatbank/engine/Random.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -40,12 +41,6 @@
     /// For a planned change, a successor that is further behind is waited for before writes stop.
     constexpr std::uint64_t handOverBacklog = 50;
 
-    milliseconds stagger()
-    {
-        static std::minstd_rand random { std::random_device {}() };
-        return milliseconds(std::uniform_int_distribution<milliseconds::rep>(0, maxStagger.count())(random));
-    }
-
 } // namespace
 
 PromotionDuty::PromotionDuty(asio::io_context& io, std::shared_ptr<ObjectStore> store, const PoolerSettings& settings, ServiceRegistry& registry, PeerService& peers, PoolerMetrics& metrics)
@@ -226,7 +221,7 @@
     auto& progress = m_progress[service->name()];
     const auto lost = service->lastPrimary();
     progress.notBefore = BootClock::now() + shortPause;
-    co_await sleepFor(m_io, stagger());
+    co_await sleepFor(m_io, randomDelay(milliseconds(0), maxStagger));
     if (need(*service) != reason || service->lastPrimary() != lost)
         co_return;
     // A host that reaches neither the store nor a peer may be cut off itself.
--- a/packages/pooler/src/StoreSync.cpp
+++ b/packages/pooler/src/StoreSync.cpp
@@ -2,10 +2,10 @@
 
 #include "kumquatbank/adapter/StoreCodec.h"
 #include "kumquatbank/engine/EventLog.h"
+#include "kumquatbank/engine/Random.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <random>
 
 namespace kumquatbank {
 
@@ -20,12 +20,6 @@
     constexpr milliseconds minRetryDelay { 100 };
     constexpr milliseconds maxRetryDelay { 800 };
 
-    milliseconds jittered(milliseconds delay)
-    {
-        static std::minstd_rand random { std::random_device {}() };
-        return milliseconds(std::uniform_int_distribution<milliseconds::rep>(delay.count() / 2, delay.count())(random));
-    }
-
 } // namespace
 
 StoreSync::StoreSync(asio::io_context& io, std::shared_ptr<ObjectStore> store, ServiceRegistry& registry, PoolerMetrics& metrics)
@@ -57,7 +51,7 @@
             succeeded = co_await watchOnce(cursor);
         if (!succeeded) {
             const auto delay = std::min(maxRetryDelay, minRetryDelay * (1 << std::min(cursor.failures, 4)));
-            co_await sleepFor(m_io, jittered(delay));
+            co_await sleepFor(m_io, randomDelay(delay / 2, delay));
         }
     }
 }
@@ -91,8 +85,11 @@
     if (!noteOutcome(cursor, "list", listing.status, listing.detail))
         co_return false;
     cursor.revision = listing.revision;
-    if (&cursor == &m_endpoints)
+    cursor.isKnown = true;
+    if (&cursor == &m_endpoints) {
         m_entries.clear();
+        m_objects.clear();
+    }
     for (const auto& object : listing.objects)
         applyObject(cursor, object, false);
     publish(cursor);
@@ -129,6 +126,47 @@
         m_configContent = content;
 }
 
+nlohmann::json StoreSync::newerThan(std::int64_t configVersion, std::uint64_t endpointRevision) const
+{
+    auto state = nlohmann::json::object();
+    const auto config = m_registry.config();
+    if (config && config->version > configVersion)
+        state["config"] = m_configContent;
+    if (this->endpointRevision() <= endpointRevision)
+        return state;
+    state["endpointRevision"] = this->endpointRevision();
+    auto& objects = state["endpoints"] = nlohmann::json::array();
+    for (const auto& [name, object] : m_objects)
+        objects.push_back({ { "name", name }, { "revision", object.revision }, { "content", object.content } });
+    return state;
+}
+
+void StoreSync::applyFromPeer(const nlohmann::json& state, const std::string& peer)
+{
+    const auto source = "peer " + peer;
+    if (state.contains("config"))
+        applyConfig(state["config"], source);
+    const auto revision = state.value("endpointRevision", std::uint64_t(0));
+    if (revision <= endpointRevision())
+        return;
+    // Everything is read before anything changes, so that an unreadable item loses nothing.
+    std::vector<StoreObject> objects;
+    for (const auto& item : state.at("endpoints")) {
+        auto& object = objects.emplace_back();
+        object.name = item.at("name").get<std::string>();
+        object.revision = item.at("revision").get<std::uint64_t>();
+        object.content = item.at("content");
+    }
+    m_peerRevision = revision;
+    m_endpoints.isKnown = true;
+    m_entries.clear();
+    m_objects.clear();
+    for (const auto& object : objects)
+        applyObject(m_endpoints, object, false);
+    EventLog::info("endpoints_from_peer", { { "source", source }, { "revision", revision }, { "endpoints", m_entries.size() } });
+    publish(m_endpoints);
+}
+
 void StoreSync::applyObject(const Cursor& cursor, const StoreObject& object, bool isRemoved)
 {
     if (&cursor == &m_config) {
@@ -136,22 +174,22 @@
             applyConfig(object.content, "store");
         return;
     }
-    if (isRemoved) {
-        m_entries.erase(object.name);
+    m_entries.erase(object.name);
+    m_objects.erase(object.name);
+    if (isRemoved)
         return;
-    }
     auto entry = StoreCodec::parseEndpoint(object);
     if (!entry) {
         EventLog::warn("endpoint_entry_skipped", { { "endpoint", object.name }, { "revision", object.revision }, { "error", entry.error() } });
-        m_entries.erase(object.name);
         return;
     }
     m_entries.insert_or_assign(object.name, std::move(*entry));
+    m_objects.insert_or_assign(object.name, object);
 }
 
 void StoreSync::publish(const Cursor& cursor)
 {
-    if (&cursor == &m_endpoints)
+    if (&cursor == &m_endpoints && cursor.isKnown)
         m_registry.setEndpoints(m_entries, !cursor.isLost);
 }
 
--- a/packages/pooler/src/StoreSync.h
+++ b/packages/pooler/src/StoreSync.h
@@ -16,9 +16,13 @@
     /// Time since the store last answered a call for endpoints.
     std::chrono::milliseconds endpointSilence() const;
     std::chrono::milliseconds configSilence() const;
-    /// Applies entries learned from a peer while the store does not answer.
-    void applyConfig(const nlohmann::json& content, std::string_view source);
-    const nlohmann::json& configContent() const { return m_configContent; }
+
+    /// What of the configuration and the endpoints is newer than the given version and revision; empty if nothing is.
+    nlohmann::json newerThan(std::int64_t configVersion, std::uint64_t endpointRevision) const;
+    /// Revision of the newest endpoints known here, whoever they came from; 0 if there are none.
+    std::uint64_t endpointRevision() const { return std::max(m_endpoints.revision, m_peerRevision); }
+    /// Applies what a peer's newerThan() returned, unless this process knows as much.
+    void applyFromPeer(const nlohmann::json& state, const std::string& peer);
 
 private:
     /// Progress of one kind's loop.
@@ -29,12 +33,14 @@
         bool isLost = false;
         BootTime lostSince {};
         int failures = 0;
+        bool isKnown = false; ///< The kind has been listed, or a peer's listing was taken over.
     };
 
     Task<void> follow(Cursor& cursor);
     Task<bool> listOnce(Cursor& cursor);
     Task<bool> watchOnce(Cursor& cursor);
     bool noteOutcome(Cursor& cursor, std::string_view call, StoreStatus status, const std::string& detail);
+    void applyConfig(const nlohmann::json& content, std::string_view source);
     void applyObject(const Cursor& cursor, const StoreObject& object, bool isRemoved);
     void publish(const Cursor& cursor);
 
@@ -44,7 +50,9 @@
     PoolerMetrics& m_metrics;
     Cursor m_config;
     Cursor m_endpoints;
+    std::uint64_t m_peerRevision = 0; ///< Of the endpoints that were last taken over from a peer.
     std::map<std::string, EndpointEntry> m_entries;
+    std::map<std::string, StoreObject> m_objects; ///< The entries as the store holds them, for peers.
     nlohmann::json m_configContent;
 };
 
--- a/packages/pooler/tests/ConfigurationTest.cpp
+++ b/packages/pooler/tests/ConfigurationTest.cpp
@@ -83,7 +83,44 @@
     }(fixture));
 }
 
-// A process that starts while the store is down has to serve as soon as a peer tells it the configuration.
+// A process that starts while the store is down has to serve as soon as a peer tells it the configuration, the
+// endpoints and the hosts, and has to follow the store again afterwards.
+TEST(Configuration, AProcessThatStartsWithoutTheStoreLearnsFromASeed)
+{
+    PoolerFixture fixture;
+    fixture.run([](PoolerFixture& f) -> Task<void> {
+        f.platform().store().behaviour().isDown = true;
+        f.startHost(1);
+        co_await f.waitUntilReady(1);
+        TestClient client(f.io());
+        co_await client.start(f.clientAddress(1), primaryDb);
+        const auto written = co_await client.query("WRITE item x");
+        CHECK_TRUE(written.isSuccess());
+        f.platform().store().behaviour().isDown = false;
+        f.platform().config().routes.erase(boundedDb);
+        f.platform().putConfig();
+        co_await f.sleep(milliseconds(2000));
+        TestClient late(f.io());
+        const auto refused = co_await late.start(f.clientAddress(1), boundedDb);
+        STRCMP_EQUAL("NODB", refused.code().c_str());
+    }(fixture));
+}
+
+// Without a peer nothing is known, and a process that claims to be ready would only refuse.
+TEST(Configuration, AProcessThatKnowsNothingIsNotReady)
+{
+    PoolerFixture fixture({}, 0);
+    fixture.run([](PoolerFixture& f) -> Task<void> {
+        f.platform().store().behaviour().isDown = true;
+        f.startHost(1);
+        co_await f.sleep(milliseconds(2500));
+        const auto before = co_await f.ready(1);
+        LONGS_EQUAL(503, before);
+        f.platform().store().behaviour().isDown = false;
+        co_await f.waitUntilReady(1);
+    }(fixture));
+}
+
 TEST(Configuration, SurvivesAStoreThatIsDown)
 {
     PoolerFixture fixture;
--- a/packages/pooler/tests/PoolerFixture.cpp
+++ b/packages/pooler/tests/PoolerFixture.cpp
@@ -101,6 +101,7 @@
     settings.metricsAddress = address(host, 3);
     settings.storeAddress = m_platform->storeAddress();
     settings.promotionAddress = m_platform->promotionAddress();
+    settings.seeds = { address(0, 2) };
     settings.grace = std::chrono::seconds(3);
     settings.logLinesPerSecond = 0;
     settings.failureLinesPerSecond = 0;
--- /dev/null
+++ b/packages/pooler/tests/PoolerSettingsTest.cpp
@@ -0,0 +1,50 @@
+#include "kumquatbank/pooler/PoolerSettings.h"
+
+#include <nlohmann/json.hpp>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace kumquatbank;
+
+namespace {
+
+nlohmann::json example() { return nlohmann::json::parse(PoolerSettings::example(), nullptr, true, true); }
+
+/// The error for the example with one key changed; empty if there is none.
+std::string errorWith(const std::string& key, const nlohmann::json& value)
+{
+    auto json = example();
+    json[key] = value;
+    const auto settings = PoolerSettings::parse(json.dump(), "test");
+    return settings ? std::string() : settings.error().message;
+}
+
+} // namespace
+
+TEST_GROUP(PoolerSettings) {};
+
+TEST(PoolerSettings, TheExampleIsValid)
+{
+    const auto settings = PoolerSettings::parse(PoolerSettings::example(), "example");
+    CHECK_TRUE(settings.has_value());
+    LONGS_EQUAL(1, settings->seeds.size());
+    LONGS_EQUAL(7440, settings->seeds.front().port);
+}
+
+// Guards against a wrong value that is replaced by a default without a word.
+TEST(PoolerSettings, AWrongValueIsRefusedWithItsKey)
+{
+    for (const auto& [key, value] : std::vector<std::pair<std::string, nlohmann::json>> {
+             { "host", "" }, { "host", 7 }, { "clientAddress", "127.0.0.1" }, { "peerAddress", "127.0.0.1:0" },
+             { "seeds", "127.0.0.1:7440" }, { "seeds", { "127.0.0.1:7440", "nowhere" } }, { "seeds", { 7440 } },
+             { "graceSeconds", 0 }, { "graceSeconds", "6" }, { "logLinesPerSecond", -1 }, { "unknownKey", 1 } })
+        STRCMP_CONTAINS(("key '" + key + "'").c_str(), errorWith(key, value).c_str());
+}
+
+TEST(PoolerSettings, SeedsMayBeEmptyOrMissing)
+{
+    STRCMP_EQUAL("", errorWith("seeds", nlohmann::json::array()).c_str());
+    auto json = example();
+    json.erase("seeds");
+    CHECK_TRUE(PoolerSettings::parse(json.dump(), "test").has_value());
+}
