pooler: take the hosts only from a peer that knows them all

After a loss of power of all hosts, a process took the seed that it had asked for the only other host and so half of a database's connections for its share; others found it full.

Ruled out: the split of the statement path (the same fall without it).

Change: a process passes on its list of hosts only if it comes from the store, here or at a peer. Test APeerThatKnowsNoHostsIsNotTakenForTheOnlyOne.

--- a/packages/pooler/src/HostDirectory.cpp
+++ b/packages/pooler/src/HostDirectory.cpp
@@ -124,6 +124,9 @@
 
 nlohmann::json HostDirectory::describe() const
 {
+    // With a part of the hosts, the asker would take too large a share of the connections.
+    if (!m_isKnown)
+        return {};
     nlohmann::json hosts { { m_settings.host, m_settings.peerAddress.toString() } };
     for (const auto& peer : m_peers)
         hosts[peer.name] = peer.address.toString();
@@ -134,6 +137,7 @@
 {
     if (m_isListed || !hosts.is_object())
         return;
+    m_isKnown = true;
     m_peers.clear();
     for (const auto& [name, address] : hosts.items()) {
         if (name != m_settings.host)
@@ -146,6 +150,7 @@
 {
     const auto now = BootClock::now();
     m_isListed = true;
+    m_isKnown = true;
     m_peers.clear();
     for (const auto& object : objects) {
         auto& seen = m_seen[object.name];
--- a/packages/pooler/src/HostDirectory.h
+++ b/packages/pooler/src/HostDirectory.h
@@ -30,7 +30,7 @@
     /// Hosts to ask while the store does not answer: the known ones, otherwise the seeds of the settings.
     std::vector<PeerHost> contacts() const;
 
-    /// The known hosts with this one, for a host that has no listing of its own.
+    /// The known hosts with this one, for a host that has no listing of its own; null before this one has one.
     nlohmann::json describe() const;
 
     /// Takes over what a peer knows. Ignored once the store has been listed.
@@ -60,6 +60,7 @@
     std::map<std::string, Seen> m_seen;
     std::vector<PeerHost> m_peers;
     bool m_isListed = false; ///< The peers come from the store.
+    bool m_isKnown = false; ///< The peers come from the store, here or at a peer.
 };
 
 } // namespace kumquatbank
--- a/packages/pooler/tests/ConfigurationTest.cpp
+++ b/packages/pooler/tests/ConfigurationTest.cpp
@@ -121,6 +121,21 @@
     }(fixture));
 }
 
+// After all processes were killed while the store is away, none knows the hosts. One that took its seed for the only
+// other host would open half of a database's connections, and the others would find none.
+TEST(Configuration, APeerThatKnowsNoHostsIsNotTakenForTheOnlyOne)
+{
+    PoolerFixture fixture({}, 0);
+    fixture.run([](PoolerFixture& f) -> Task<void> {
+        f.platform().store().behaviour().isDown = true;
+        f.startHost(0);
+        f.startHost(1);
+        co_await f.sleep(milliseconds(2500));
+        const auto state = co_await f.state(1);
+        CHECK_TRUE(state.at("peers").empty());
+    }(fixture));
+}
+
 TEST(Configuration, SurvivesAStoreThatIsDown)
 {
     PoolerFixture fixture;
--- a/packages/pooler/tests/PoolerFixture.cpp
+++ b/packages/pooler/tests/PoolerFixture.cpp
@@ -134,6 +134,15 @@
     co_return reply.status;
 }
 
+Task<nlohmann::json> PoolerFixture::state(int host)
+{
+    HttpClient client(*m_io, address(host, 3));
+    HttpCall call;
+    call.target = "/state";
+    const auto reply = co_await client.call(std::move(call), std::chrono::milliseconds(500));
+    co_return nlohmann::json::parse(reply.body);
+}
+
 Task<void> PoolerFixture::waitUntilReady(int host)
 {
     while (true) {
--- a/packages/pooler/tests/PoolerFixture.h
+++ b/packages/pooler/tests/PoolerFixture.h
@@ -58,6 +58,8 @@
     /// Status of the ready probe.
     Task<int> ready(int host);
     Task<void> waitUntilReady(int host);
+    /// What a host believes, as its metrics address tells it.
+    Task<nlohmann::json> state(int host);
     Task<void> sleep(std::chrono::milliseconds duration) { return sleepFor(*m_io, duration); }
     /// Repeats a write until it succeeds; the number of attempts.
     Task<int> writeUntilSuccess(std::string database, std::string text, int host = 0);
