pooler: split the statement path by job

Cause: StatementRunner.cpp had 578 lines; single statements, statements in transactions and COMMIT each had their own copy of replaying the session, preparing, sending and receiving.

Dead members removed: ReadFloor::clear(), Endpoint::lastFailure, Endpoint::position, SessionGate::closesIdle, closesAll. One difference: a connection that was closed before a statement was sent counts as a failure of the endpoint also outside transactions.

--- a/packages/pooler/src/ClientSession.cpp
+++ b/packages/pooler/src/ClientSession.cpp
@@ -126,7 +126,7 @@
             if (!co_await answerQuery(*message))
                 break;
             const bool isFree = !m_runner.isInTransaction() && !m_channel.hasBufferedInput();
-            if ((m_gate.isDraining && isFree) || m_gate.closesAll)
+            if (m_gate.isDraining && isFree)
                 break;
         }
     }
--- a/packages/pooler/src/ClientSession.h
+++ b/packages/pooler/src/ClientSession.h
@@ -10,8 +10,6 @@
     int open = 0;
     std::uint64_t opened = 0;
     bool isDraining = false; ///< Sessions end after their next answer outside a transaction.
-    bool closesIdle = false; ///< Sessions without work end now.
-    bool closesAll = false; ///< Sessions end after the answer in progress, also inside a transaction.
 };
 
 /// One client connection from its first line to its close.
--- a/packages/pooler/src/DatabaseService.cpp
+++ b/packages/pooler/src/DatabaseService.cpp
@@ -62,7 +62,6 @@
 {
     const auto now = BootClock::now();
     const bool isPrimary = endpoint.entry.id == m_primary;
-    // A primary that is about to leave serves until its successor is known; a replica gets nothing more.
     const bool isFull = now < endpoint.fullUntil;
     // A primary that is about to leave serves until its successor is known; a replica gets nothing more.
     const bool isServing = !endpoint.entry.isDraining || isPrimary;
@@ -89,7 +88,6 @@
         if (hasRestarted) {
             // Under the same id it has forgotten everything; what is known of it is void.
             closeAllIdle(*endpoint);
-            endpoint->position = {};
             endpoint->unusableUntil = {};
             if (m_primary == entry.id)
                 setPrimary("", "restarted");
@@ -182,7 +180,6 @@
 void DatabaseService::noteFailure(Endpoint& endpoint, std::string_view what)
 {
     const auto now = BootClock::now();
-    endpoint.lastFailure = now;
     ++endpoint.failures;
     EventLog::warn("endpoint_failure", { { "service", m_name }, { "endpoint", endpoint.entry.id }, { "what", what }, { "failures", endpoint.failures }, { "last_answer_ms", toMs(now - endpoint.lastAnswer) } });
 }
--- a/packages/pooler/src/Endpoint.h
+++ b/packages/pooler/src/Endpoint.h
@@ -19,7 +19,6 @@
     int open = 0; ///< Connections of this host, idle or in use.
 
     BootTime lastAnswer {}; ///< When the newest request that it answered was sent.
-    BootTime lastFailure {}; ///< Newest failed connect, broken connection or missing answer.
     int failures = 0; ///< Since the last answer.
     BootTime unusableUntil {}; ///< No new work until then, after a failed connect.
     BootTime fullUntil {}; ///< No new connections until then, after one was refused for their number.
@@ -27,7 +26,6 @@
     std::chrono::milliseconds lagBackoff { 0 };
     std::optional<BootTime> missingSince; ///< Set while the store has no entry of it.
     std::chrono::microseconds roundTrip { 0 }; ///< Smoothed network distance.
-    LogPosition position; ///< Newest that it reported.
 
     void noteAnswer(BootTime sentAt)
     {
--- /dev/null
+++ b/packages/pooler/src/SessionContext.cpp
@@ -0,0 +1,89 @@
+#include "SessionContext.h"
+
+namespace kumquatbank {
+
+namespace {
+
+    /// Part of the target latency that a request may wait for a connection, in percent.
+    constexpr int queueSharePercent = 60;
+
+} // namespace
+
+SessionContext::SessionContext(asio::io_context& io, ServiceRegistry& registry, PoolerMetrics& metrics)
+    : m_io(io)
+    , m_registry(registry)
+    , m_metrics(metrics)
+{
+}
+
+void SessionContext::applyLocally(const Statement& statement)
+{
+    if (statement.kind == StatementKind::SetValue)
+        m_state.values[statement.name] = statement.argument;
+    else if (statement.kind == StatementKind::Prepare)
+        m_state.prepared[statement.name] = { preparedConnectionName(statement.preparesWrite, statement.argument), statement.argument, statement.preparesWrite };
+    else
+        m_state.prepared.erase(statement.name);
+}
+
+std::optional<bool> SessionContext::writes(const Statement& statement) const
+{
+    if (statement.kind != StatementKind::Execute)
+        return statement.kind == StatementKind::Write;
+    const auto it = m_state.prepared.find(statement.name);
+    return it == m_state.prepared.end() ? std::nullopt : std::optional(it->second.writes);
+}
+
+void SessionContext::noteCommit(std::optional<LogPosition> position)
+{
+    if (!position)
+        return;
+    m_state.lastCommit = std::max(m_state.lastCommit, *position);
+    m_lastCommitAt = BootClock::now();
+}
+
+DatabaseService::Floor::OwnCommit SessionContext::ownCommit(const Route& route) const
+{
+    if (route.policy != ReadPolicy::ReadYourWrites)
+        return {};
+    return { m_state.lastCommit, m_lastCommitAt };
+}
+
+std::optional<LogPosition> SessionContext::currentFloor(DatabaseService& service, const Route& route) const
+{
+    return service.currentFloor(route.maxStaleness, ownCommit(route));
+}
+
+Task<std::optional<ConnectionLease>> SessionContext::acquire(Route route, Eligibility eligibility, std::set<std::string> excluded, BootTime until, StatementAnswer& answer)
+{
+    const auto service = m_registry.find(route.service);
+    if (!service) {
+        answer.refuse(ErrorCode::Busy, "no endpoint of the service is known", AttemptLimits::defaultRetryAfter);
+        co_return std::nullopt;
+    }
+    if (eligibility == Eligibility::Any) {
+        const auto own = ownCommit(route);
+        const auto floor = co_await service->floor(route.maxStaleness, own, until - AttemptLimits::minTime);
+        if (!floor) {
+            answer.refuse(ErrorCode::Busy, "the primary's position is not known", AttemptLimits::defaultRetryAfter);
+            co_return std::nullopt;
+        }
+        excluded.merge(service->laggingEndpoints());
+    }
+    const auto askedAt = BootClock::now();
+    PermitRequest request;
+    request.eligibility = eligibility;
+    request.priority = route.priority;
+    request.giveUpAt = std::min<BootTime>(until - AttemptLimits::minTime, askedAt + route.targetLatency * queueSharePercent / 100);
+    request.excluded = std::move(excluded);
+    auto lease = co_await service->acquire(std::move(request), m_state, until);
+    answer.queued += BootClock::now() - askedAt;
+    if (lease) {
+        answer.endpoint = lease->endpointId();
+        co_return std::move(*lease);
+    }
+    answer.refuse(lease.error().code, lease.error().reason, lease.error().retryAfter);
+    co_return std::nullopt;
+}
+
+} // namespace kumquatbank
--- /dev/null
+++ b/packages/pooler/src/StatementExchange.cpp
@@ -0,0 +1,87 @@
+#include "StatementExchange.h"
+
+#include "DatabaseService.h"
+
+namespace kumquatbank {
+
+namespace {
+
+    /// Text for the database, and the command that has to go before it.
+    struct Prepared {
+        std::string preamble;
+        int preambleReplies = 0;
+        std::string connectionName;
+        std::string text;
+    };
+
+    Prepared prepare(const ConnectionState& connection, const SessionState& session, const Statement& statement)
+    {
+        Prepared prepared;
+        prepared.text = statement.text;
+        if (statement.kind != StatementKind::Execute)
+            return prepared;
+        const auto& known = session.prepared.at(statement.name);
+        prepared.text = WireDialect::executeText(known.connectionName, statement.argument);
+        if (!connection.hasPrepared(known.connectionName)) {
+            prepared.preamble = WireDialect::prepare(known.connectionName, known.writes, known.shape);
+            prepared.preambleReplies = 1;
+            prepared.connectionName = known.connectionName;
+        }
+        return prepared;
+    }
+
+} // namespace
+
+Task<ExchangeStatus> replaySession(ConnectionLease& lease, const SessionState& session, BootTime until)
+{
+    auto& connection = lease.connection();
+    auto& state = connection.state();
+    if (state.hasValuesOf(session))
+        co_return ExchangeStatus::Ok;
+    const bool needsReset = state.needsReset(session);
+    const auto values = state.missingValues(session);
+    std::string commands = needsReset ? WireDialect::reset() : "";
+    for (const auto& [name, value] : values)
+        commands += WireDialect::setValue(name, value);
+    std::vector<DatabaseReply> replies;
+    const auto status = co_await connection.exchange(std::move(commands), replies, values.size() + (needsReset ? 1 : 0), until);
+    const bool isDone = status == ExchangeStatus::Ok && std::ranges::all_of(replies, &DatabaseReply::isSuccess);
+    if (!isDone) {
+        connection.close();
+        lease.service().noteFailure(lease.endpoint(), "session replay");
+        co_return status == ExchangeStatus::Ok ? ExchangeStatus::Broken : status;
+    }
+    if (needsReset)
+        state.noteReset();
+    for (const auto& [name, value] : values)
+        state.noteValue(name, value);
+    co_return ExchangeStatus::Ok;
+}
+
+Task<StatementExchange> exchangeStatement(ConnectionLease& lease, const SessionState& session, const std::string& id, const Statement& statement, std::optional<LogPosition> floor, bool rollsBack, BootTime until)
+{
+    auto& connection = lease.connection();
+    const auto prepared = prepare(connection.state(), session, statement);
+    StatementExchange exchange;
+    exchange.sentAt = BootClock::now();
+    const auto commands = prepared.preamble + WireDialect::query(id, prepared.text, floor) + (rollsBack ? WireDialect::rollback() : "");
+    exchange.status = co_await connection.send(commands, prepared.preambleReplies + (rollsBack ? 2 : 1), until);
+    for (int n = 0; n <= prepared.preambleReplies && exchange.status == ExchangeStatus::Ok; ++n)
+        exchange.status = co_await connection.receive(exchange.reply, until);
+    if (exchange.status != ExchangeStatus::Ok) {
+        lease.service().noteFailure(lease.endpoint(), exchange.status == ExchangeStatus::TimedOut ? "no answer" : "connection broke");
+        co_return exchange;
+    }
+    if (rollsBack) {
+        // The rollback's reply is of no interest to the client; the lease waits for it.
+        DatabaseReply ignored;
+        if (co_await connection.receive(ignored, until) != ExchangeStatus::Ok)
+            connection.close();
+    }
+    lease.service().noteAnswer(lease.endpoint(), exchange.sentAt);
+    if (!prepared.connectionName.empty() && exchange.reply.code != ErrorCode::UnknownStatement)
+        connection.state().notePrepared(prepared.connectionName);
+    co_return exchange;
+}
+
+} // namespace kumquatbank
--- /dev/null
+++ b/packages/pooler/src/TransactionRunner.cpp
@@ -0,0 +1,217 @@
+#include "TransactionRunner.h"
+
+#include "StatementExchange.h"
+
+namespace kumquatbank {
+
+TransactionState TransactionRunner::state() const
+{
+    if (!m_transaction)
+        return TransactionState::None;
+    return m_transaction->failed ? TransactionState::Failed : TransactionState::Open;
+}
+
+void TransactionRunner::begin(const Route& route, bool isReadOnly)
+{
+    m_transaction.emplace();
+    m_transaction->route = route;
+    m_transaction->isReadOnly = isReadOnly;
+}
+
+void TransactionRunner::abortIdle()
+{
+    if (!m_transaction || m_transaction->failed)
+        return;
+    m_transaction->lease.reset();
+    m_transaction->failed = true;
+    m_transaction->failure = "transaction was idle for too long";
+}
+
+StatementAnswer TransactionRunner::refuseAfterFailure()
+{
+    // The first statement after the proxy ended a transaction learns why; later ones are mistakes.
+    const auto failure = std::exchange(m_transaction->failure, "");
+    StatementAnswer answer;
+    if (failure.empty())
+        answer.refuse(ErrorCode::Malformed, "the transaction failed; end it first");
+    else
+        answer.refuse(ErrorCode::Aborted, failure);
+    answer.state = state();
+    return answer;
+}
+
+StatementAnswer TransactionRunner::rollBack()
+{
+    StatementAnswer answer;
+    if (m_transaction)
+        answer.body = WireDialect::done();
+    else
+        answer.refuse(ErrorCode::Malformed, "no transaction is open");
+    m_transaction.reset();
+    return answer;
+}
+
+void TransactionRunner::fail(StatementAnswer& answer, std::string_view reason)
+{
+    m_transaction->lease.reset();
+    m_transaction->failed = true;
+    // The transaction's COMMIT was never sent, so the database rolls all of it back.
+    answer.refuse(ErrorCode::Aborted, reason);
+    answer.state = TransactionState::Failed;
+}
+
+BootTime TransactionRunner::deadline() const
+{
+    return BootClock::now() + m_transaction->route.statementTimeout - AttemptLimits::answerMargin;
+}
+
+Task<Phase> TransactionRunner::open(std::set<std::string>& excluded, BootTime until, StatementAnswer& answer)
+{
+    const auto route = m_transaction->route;
+    const bool onReplica = m_transaction->isReadOnly && route.policy != ReadPolicy::Primary;
+    auto lease = co_await m_context.acquire(route, onReplica ? Eligibility::Any : Eligibility::PrimaryOnly, excluded, until, answer);
+    if (!lease)
+        co_return Phase::Done;
+    auto& endpoint = lease->endpoint();
+    auto& service = lease->service();
+    if (onReplica) {
+        answer.floor = m_context.currentFloor(service, route);
+        if (!answer.floor) {
+            answer.refuse(ErrorCode::Busy, "the primary's position is not known", AttemptLimits::defaultRetryAfter);
+            co_return Phase::Retry;
+        }
+    }
+    auto status = co_await replaySession(*lease, m_context.state(), until);
+    const bool wasReplayed = status == ExchangeStatus::Ok;
+    const auto sentAt = BootClock::now();
+    std::vector<DatabaseReply> replies;
+    if (wasReplayed)
+        status = co_await lease->connection().exchange(WireDialect::begin(onReplica, answer.floor), replies, 1, until);
+    if (status != ExchangeStatus::Ok) {
+        if (wasReplayed)
+            service.noteFailure(endpoint, "begin");
+        excluded.insert(lease->endpointId());
+        answer.refuse(ErrorCode::Busy, "connection to the endpoint broke", AttemptLimits::defaultRetryAfter);
+        co_return Phase::Retry;
+    }
+    service.noteAnswer(endpoint, sentAt);
+    if (replies[0].isSuccess()) {
+        if (!onReplica)
+            service.notePrimary(endpoint, replies[0].position, sentAt);
+        m_transaction->lease = std::move(lease);
+        co_return Phase::Done;
+    }
+    if (replies[0].code == ErrorCode::ReadOnly)
+        service.noteNotPrimary(endpoint);
+    else if (replies[0].code == ErrorCode::Lagging)
+        service.noteLagging(endpoint);
+    if (onReplica)
+        excluded.insert(lease->endpointId());
+    answer.refuse(ErrorCode::Busy, "no endpoint could begin the transaction", AttemptLimits::defaultRetryAfter);
+    co_return Phase::Retry;
+}
+
+Task<bool> TransactionRunner::pin(BootTime until, StatementAnswer& answer)
+{
+    if (m_transaction->lease)
+        co_return true;
+    std::set<std::string> excluded;
+    while (true) {
+        ++answer.attempts;
+        const auto phase = co_await open(excluded, until, answer);
+        if (m_transaction->lease) {
+            answer.code.reset();
+            co_return true;
+        }
+        if (phase == Phase::Done || answer.attempts >= AttemptLimits::maxAttempts || BootClock::now() + AttemptLimits::minTime >= until)
+            break;
+        co_await sleepFor(m_context.io(), AttemptLimits::retryPause);
+    }
+    // Nothing of the transaction has run.
+    m_transaction->failed = true;
+    answer.state = TransactionState::Failed;
+    co_return false;
+}
+
+Task<StatementAnswer> TransactionRunner::run(const std::string& id, const Statement& statement)
+{
+    StatementAnswer answer;
+    const auto writing = m_context.writes(statement);
+    if (!writing) {
+        answer.refuse(ErrorCode::UnknownStatement, "no such prepared statement");
+        answer.state = state();
+        co_return answer;
+    }
+    const auto until = deadline();
+    if (!co_await pin(until, answer))
+        co_return answer;
+    auto& lease = *m_transaction->lease;
+    answer.endpoint = lease.endpointId();
+    if (co_await replaySession(lease, m_context.state(), until) != ExchangeStatus::Ok) {
+        fail(answer, "connection to the endpoint broke");
+        co_return answer;
+    }
+    auto exchange = co_await exchangeStatement(lease, m_context.state(), id, statement, std::nullopt, false, until);
+    if (exchange.status != ExchangeStatus::Ok) {
+        fail(answer, "the endpoint did not answer");
+        co_return answer;
+    }
+    m_transaction->wrote = m_transaction->wrote || *writing;
+    const auto code = exchange.reply.code;
+    answer.take(std::move(exchange.reply.body), code);
+    if (code == ErrorCode::ReadOnly)
+        lease.service().noteNotPrimary(lease.endpoint());
+    if (exchange.reply.state != TransactionState::Open) {
+        // The database has ended the transaction or waits for its end; either way nothing of it is kept.
+        m_transaction->lease.reset();
+        m_transaction->failed = true;
+    }
+    answer.state = state();
+    co_return answer;
+}
+
+Task<StatementAnswer> TransactionRunner::commit(const std::string& id, const Statement& statement)
+{
+    StatementAnswer answer;
+    if (!m_transaction) {
+        answer.refuse(ErrorCode::Malformed, "no transaction is open");
+        co_return answer;
+    }
+    const auto until = deadline();
+    bool isPinned = false;
+    if (!m_transaction->failed)
+        isPinned = co_await pin(until, answer);
+    if (!isPinned) {
+        m_transaction.reset();
+        answer.state = TransactionState::None;
+        if (!answer.code)
+            answer.refuse(ErrorCode::Aborted, "the transaction had failed");
+        co_return answer;
+    }
+    auto lease = std::move(*m_transaction->lease);
+    const bool wrote = m_transaction->wrote;
+    m_transaction.reset();
+    answer.endpoint = lease.endpointId();
+    StatementExchange exchange;
+    if (co_await replaySession(lease, m_context.state(), until) == ExchangeStatus::Ok)
+        exchange = co_await exchangeStatement(lease, m_context.state(), id, statement, std::nullopt, false, until);
+    if (exchange.status != ExchangeStatus::Ok) {
+        if (exchange.wasSent() && wrote)
+            answer.refuse(exchange.status == ExchangeStatus::TimedOut ? ErrorCode::Timeout : ErrorCode::InDoubt, "COMMIT was sent and its answer was lost");
+        else
+            answer.refuse(ErrorCode::Aborted, wrote ? "connection broke before COMMIT" : "connection broke; the transaction wrote nothing");
+        co_return answer;
+    }
+    auto& service = lease.service();
+    if (exchange.reply.isSuccess() && wrote) {
+        service.notePrimary(lease.endpoint(), exchange.reply.position, exchange.sentAt);
+        m_context.noteCommit(exchange.reply.position);
+    } else if (exchange.reply.code == ErrorCode::ReadOnly) {
+        service.noteNotPrimary(lease.endpoint());
+    }
+    const auto code = exchange.reply.code;
+    answer.take(std::move(exchange.reply.body), code);
+    co_return answer;
+}
+
+} // namespace kumquatbank
--- a/packages/routing/include/kumquatbank/routing/ReadFloor.h
+++ b/packages/routing/include/kumquatbank/routing/ReadFloor.h
@@ -60,8 +60,6 @@
     /// The newest sample, or null.
     const Sample* newest() const { return m_samples.empty() ? nullptr : &m_samples.back(); }
 
-    void clear() { m_samples.clear(); }
-
 private:
     /// Samples closer than this to their predecessor are replaced by the next one.
     static constexpr Duration sampleSpacing { 40 };
