emulator: a fault proxy on loopback, overlapping faults, checks of what databases ran

Cause: the soak had no network faults, its faults came one after the other, and only clients checked anything.

Change: fault_proxy (FaultLink) delays, cuts one way or both, silences and resets the links from clients to hosts and from hosts to store, promote call and databases, drawn from a seed. The emulator also crashes and restarts databases, lets them lag and be silent, and checks at its end that no token had two holders, no statement took effect twice and no transaction ran on two connections. The signals of pooler_soak.sh overlap. Soaks can run beside each other.

--- a/scripts/pooler_soak.sh
+++ b/scripts/pooler_soak.sh
@@ -1,6 +1,8 @@
 #!/usr/bin/env bash
-# Random faults against proxies in front of an emulated platform, each a process on loopback. The clients check what they
-# read; the same seed draws the same faults. Usage: scripts/pooler_soak.sh [--seed N] [--seconds N]
+# Random faults against proxies in front of an emulated platform, each a process on loopback: signals to the proxies,
+# network faults by a proxy between all parts, faults of the store and the databases. They overlap, and the same seed
+# draws the same ones. The clients check what they read, the emulator what its databases ran.
+# Usage: scripts/pooler_soak.sh [--seed N] [--seconds N]
 set -euo pipefail
 cd "$(dirname "$0")/.."
 seed=1
@@ -13,37 +15,67 @@
     esac
     shift 2
 done
-scripts/build.sh kumquatbank-pooler platform_emulator session_load >/dev/null
+# Seeds that run beside each other use one finished build.
+[ -n "${KUMQUATBANK_BIN:-}" ] || scripts/build.sh kumquatbank-pooler platform_emulator fault_proxy session_load >/dev/null
 . scripts/pooler_fleet.sh
 trap pooler_stop_all EXIT
 
-hosts=4
-emulator_start --trouble-ms 2500 --seed "$seed"
+readonly hosts=4 tick=0.25
+# The last part of the run is free of new faults, so that what is acknowledged can be read at the end.
+readonly quiet_seconds=5
+trouble_seconds=$((seconds > 2 * quiet_seconds ? seconds - quiet_seconds : quiet_seconds))
+RANDOM=$seed
+
+fault_proxy_start "$hosts" --trouble-ms 700 --trouble-s "$trouble_seconds" --seed "$seed"
+emulator_start --trouble-ms 1500 --trouble-s "$trouble_seconds" --seed "$seed"
 addresses=
-for n in $(seq 0 $((hosts - 1))); do
+host_state=() due_tick=()
+for ((n = 0; n < hosts; n++)); do
     pooler_start "$n"
     addresses+=${addresses:+,}$(pooler_client_address "$n")
+    host_state[$n]=up
 done
-for n in $(seq 0 $((hosts - 1))); do pooler_wait_ready "$n"; done
+for ((n = 0; n < hosts; n++)); do pooler_wait_ready "$n"; done
 
 "$bin/tools/emulator/session_load" --proxies "$addresses" --clients 5 --seconds "$seconds" --seed "$seed" >"$pooler_dir/load.txt" &
 load_pid=$!
-RANDOM=$seed
-while kill -0 "$load_pid" 2>/dev/null; do
-    host=$((RANDOM % hosts))
-    pid=${pooler_pids[$host]}
-    case $((RANDOM % 4)) in
-    0) echo "kill host-$host"; kill -KILL "$pid"; wait "$pid" 2>/dev/null || true; sleep 0.5; pooler_start "$host" ;;
-    1) echo "freeze host-$host"; kill -STOP "$pid"; sleep $((1 + RANDOM % 3)); kill -CONT "$pid" ;;
-    2) echo "stop host-$host"; kill -TERM "$pid"; wait "$pid" || true; pooler_start "$host" ;;
-    3) echo "reload host-$host"; kill -HUP "$pid" ;;
+
+# Ends a fault of a host once it is due.
+recover() { # host, tick
+    local pid=${pooler_pids[$1]}
+    case ${host_state[$1]} in
+    up) kill -0 "$pid" 2>/dev/null || { echo "host-$1 ended by itself"; status=1; pooler_start "$1"; } ;;
+    frozen) [ "$2" -lt "${due_tick[$1]}" ] || { kill -CONT "$pid"; host_state[$1]=up; } ;;
+    killed) [ "$2" -lt "${due_tick[$1]}" ] || { pooler_start "$1"; host_state[$1]=up; } ;;
+    stopping) kill -0 "$pid" 2>/dev/null || { wait "$pid" || echo "host-$1 exited with $?"; pooler_start "$1"; host_state[$1]=up; } ;;
     esac
-    sleep $((1 + RANDOM % 3))
-done
+}
+
+disturb() { # host, tick
+    local pid=${pooler_pids[$1]} lasts=$((1 + RANDOM % 16))
+    due_tick[$1]=$(($2 + lasts))
+    case $((RANDOM % 5)) in
+    0) echo "tick $2: kill host-$1 for $lasts ticks"; kill -KILL "$pid"; wait "$pid" 2>/dev/null || true; host_state[$1]=killed ;;
+    1) echo "tick $2: freeze host-$1 for $lasts ticks"; kill -STOP "$pid"; host_state[$1]=frozen ;;
+    2) echo "tick $2: stop host-$1"; kill -TERM "$pid"; host_state[$1]=stopping ;;
+    3) echo "tick $2: reload host-$1 three times"; for _ in 1 2 3; do kill -HUP "$pid"; done ;;
+    4) echo "tick $2: reload and stop host-$1"; kill -HUP "$pid"; kill -TERM "$pid"; host_state[$1]=stopping ;;
+    esac
+}
+
 status=0
-wait "$load_pid" || status=$?
+last_tick=$((trouble_seconds * 4))
+for ((now = 0; ; now++)); do
+    kill -0 "$load_pid" 2>/dev/null || break
+    for ((n = 0; n < hosts; n++)); do recover "$n" "$now"; done
+    host=$((RANDOM % hosts)) draw=$((RANDOM % 6))
+    if [ "$draw" = 0 ] && [ "$now" -lt "$last_tick" ] && [ "${host_state[$host]}" = up ]; then disturb "$host" "$now"; fi
+    sleep "$tick"
+done
+wait "$load_pid" || status=1
+emulator_stop || status=1
 cat "$pooler_dir/load.txt"
-grep -E '^trouble' "$pooler_dir/platform.log" || true
+grep -hE '^(trouble|violation)' "$pooler_dir/platform.log" "$pooler_dir/faults.log" || true
 if [ "$status" = 0 ]; then
     echo "soak seed $seed: no violation"
     rm -rf "$pooler_dir"
--- a/tools/emulator/EmulatedDatabase.cpp
+++ b/tools/emulator/EmulatedDatabase.cpp
@@ -47,15 +47,27 @@
     : m_io(io)
     , m_entry(std::move(entry))
     , m_service(std::move(service))
-    , m_listener(std::make_unique<LineListener>(io, m_entry.address, [this](asio::ip::tcp::socket socket) {
-        asio::co_spawn(m_io, serve(std::move(socket)), asio::detached);
-    }))
 {
     m_service->addMember(m_entry.id);
+    listen();
 }
 
 EmulatedDatabase::~EmulatedDatabase() = default;
 
+void EmulatedDatabase::listen()
+{
+    m_listener = std::make_unique<LineListener>(m_io, m_entry.address, [this](asio::ip::tcp::socket socket) {
+        asio::co_spawn(m_io, serve(std::move(socket)), asio::detached);
+    });
+}
+
+void EmulatedDatabase::restart()
+{
+    listen();
+    m_service->log(m_entry.id).isDeaf = false;
+    m_service->catchUp(m_entry.id);
+}
+
 void EmulatedDatabase::crash()
 {
     m_listener->close();
@@ -219,8 +231,10 @@
     const bool needsLead = (writes && session.state == TransactionState::None) || inPlainTransaction;
     const bool hasLead = session.state == TransactionState::None ? m_service->isPrimary(m_entry.id) : !hasLostLead(session);
     if (needsLead && !hasLead && !commitsNothing) {
-        if (statement.kind == StatementKind::Commit)
+        if (statement.kind == StatementKind::Commit) {
             session.state = TransactionState::None;
+            session.changes.clear();
+        }
         co_return refuse(session, "READONLY");
     }
     if (writes && session.state == TransactionState::Open && session.isReadOnly)
@@ -229,10 +243,11 @@
     if (statement.kind == StatementKind::Commit) {
         const bool wasFailed = session.state == TransactionState::Failed;
         session.state = TransactionState::None;
+        auto changes = std::exchange(session.changes, {});
         if (wasFailed)
             co_return refuse(session, "ABORTED");
-        if (!session.changes.empty())
-            m_service->commit(std::exchange(session.changes, {}), id);
+        if (!changes.empty())
+            m_service->commit(std::move(changes), id);
     } else if (writes) {
         const std::string value(rest.substr(std::min<std::size_t>(rest.size(), 1)));
         if (session.state == TransactionState::Open)
--- a/tools/emulator/EmulatedDatabase.h
+++ b/tools/emulator/EmulatedDatabase.h
@@ -49,11 +49,14 @@
     int mostConnections() const { return m_mostConnections; }
     /// Closes every connection and refuses new ones.
     void crash();
+    /// Listens again after a crash, as a replica with the log it had.
+    void restart();
     bool isRunning() const { return m_listener != nullptr; }
 
 private:
     struct Session;
 
+    void listen();
     Task<void> serve(asio::ip::tcp::socket socket);
     Task<void> answer(Session& session, std::string line);
     Task<std::string> run(Session& session, const std::string& id, std::string text);
--- a/tools/emulator/EmulatedPlatform.cpp
+++ b/tools/emulator/EmulatedPlatform.cpp
@@ -75,6 +75,33 @@
     return all;
 }
 
+std::vector<std::string> EmulatedPlatform::violations() const
+{
+    std::vector<std::string> found;
+    std::map<std::pair<std::string, std::uint64_t>, std::string> holders;
+    for (const auto& order : m_promotions) {
+        const auto [it, isNew] = holders.try_emplace({ order.service, order.token }, order.holder);
+        if (!isNew && it->second != order.holder)
+            found.push_back(fmt::format("token {} of {} used by {} and {}", order.token, order.service, it->second, order.holder));
+    }
+    for (const auto& service : m_services) {
+        std::map<std::string, int> commits;
+        for (const auto& commit : service->survivingCommits()) {
+            if (++commits[commit.statementId] == 2)
+                found.push_back(fmt::format("statement {} took effect twice in {}", commit.statementId, service->name()));
+        }
+    }
+    std::map<std::pair<std::string, std::uint64_t>, std::uint64_t> connections;
+    for (const auto& statement : ran()) {
+        if (statement.transaction == 0)
+            continue;
+        const auto [it, isNew] = connections.try_emplace({ statement.database, statement.transaction }, statement.connection);
+        if (!isNew && it->second != statement.connection)
+            found.push_back(fmt::format("transaction {} of {} ran on two connections", statement.transaction, statement.database));
+    }
+    return found;
+}
+
 void EmulatedPlatform::putConfig()
 {
     ++m_config.version;
@@ -86,6 +113,7 @@
     auto entry = database.entry();
     m_draining[entry.id] = isDraining;
     entry.isDraining = isDraining;
+    entry.address.port = static_cast<std::uint16_t>(entry.address.port + m_shape.announcedOffset);
     const auto service = std::ranges::find(m_services, entry.service, [](const auto& known) { return known->name(); });
     entry.role = (*service)->isPrimary(entry.id) ? EndpointRole::Primary : EndpointRole::Replica;
     m_store.put(std::string(StoreCodec::endpointKind), entry.id, StoreCodec::formatEndpoint(entry));
--- a/tools/emulator/EmulatedPlatform.h
+++ b/tools/emulator/EmulatedPlatform.h
@@ -22,6 +22,8 @@
     struct Shape {
         std::string ip = "127.0.0.1";
         std::uint16_t basePort = 0; ///< Store, promote call and databases take ports from here on.
+        /// Added to the ports of databases in their entries, for a proxy that injects faults on the way to them.
+        std::uint16_t announcedOffset = 0;
         int services = 1;
         int databasesPerService = 3;
         int slots = 3;
@@ -42,6 +44,8 @@
     EmulatedDatabase& primary(int service);
     const std::vector<OrderedPromotion>& promotions() const { return m_promotions; }
     std::vector<RanStatement> ran() const;
+    /// Broken promises that only the databases and the promote call can see; each as a line of text.
+    std::vector<std::string> violations() const;
 
     /// Names of the databases that clients may give, by policy of their route.
     static std::string databaseName(int service, ReadPolicy policy);
--- a/tools/emulator/EmulatedService.cpp
+++ b/tools/emulator/EmulatedService.cpp
@@ -25,19 +25,23 @@
 {
     const LogPosition position { m_term, m_commits.size() + 1 };
     m_commits.push_back({ position, std::move(changes), statementId });
-    const auto now = BootClock::now();
-    for (auto& [id, log] : m_logs) {
-        if (log.isDeaf && id != m_primary)
-            continue;
-        // A member that was deaf receives what it missed.
-        while (log.received.size() < m_commits.size()) {
-            log.received.push_back(m_commits[log.received.size()]);
-            log.receivedAt.push_back(id == m_primary ? now - log.lag : now);
-        }
+    for (const auto& [id, log] : m_logs) {
+        if (!log.isDeaf || id == m_primary)
+            catchUp(id);
     }
     return position;
 }
 
+void EmulatedService::catchUp(const std::string& id)
+{
+    const auto now = BootClock::now();
+    auto& log = m_logs.at(id);
+    while (log.received.size() < m_commits.size()) {
+        log.received.push_back(m_commits[log.received.size()]);
+        log.receivedAt.push_back(id == m_primary ? now - log.lag : now);
+    }
+}
+
 void EmulatedService::promote(const std::string& id)
 {
     auto& winner = m_logs.at(id);
--- a/tools/emulator/LoadClient.cpp
+++ b/tools/emulator/LoadClient.cpp
@@ -30,8 +30,9 @@
     , m_proxies(std::move(proxies))
     , m_random(seed)
     , m_report(report)
-    , m_item(fmt::format("item-{}", seed))
+    , m_name(fmt::format("item-{}", seed))
 {
+    changeItem();
 }
 
 Task<bool> LoadClient::connect()
@@ -55,8 +56,9 @@
 {
     const auto from = BootClock::now();
     const auto until = from + answerTimeout;
-    const auto line = fmt::format("QUERY {:08x}{:08x} {}\r\n", m_random(), m_random(), text);
     Answer answer;
+    answer.id = fmt::format("{:08x}{:08x}", m_random(), m_random());
+    const auto line = fmt::format("QUERY {} {}\r\n", answer.id, text);
     co_await m_channel->write(line, until);
     std::string_view received;
     while (co_await m_channel->readLine(received, until) == ChannelStatus::Ok) {
@@ -85,9 +87,19 @@
         m_ownSession = value;
     } else if (promisesNothingKept(answer.code)) {
         m_refused.insert(value);
+    } else {
+        changeItem();
     }
 }
 
+void LoadClient::changeItem()
+{
+    m_item = fmt::format("{}-{}", m_name, ++m_items);
+    m_acknowledged.clear();
+    m_refused.clear();
+    m_ownSession = 0;
+}
+
 Task<void> LoadClient::write()
 {
     const auto value = ++m_next;
@@ -131,9 +143,9 @@
     std::uint64_t value = 0;
     std::from_chars(answer.row.data(), answer.row.data() + answer.row.size(), value);
     if (value < least)
-        m_report.violation(fmt::format("stale: {} read {} of {}, at least {} was due", m_database, value, m_item, least));
+        m_report.violation(fmt::format("stale: {} read {} of {} in {}, at least {} was due", m_database, value, m_item, answer.id, least));
     if (m_refused.contains(value))
-        m_report.violation(fmt::format("kept: {} read {} of {}, whose write was refused", m_database, value, m_item));
+        m_report.violation(fmt::format("kept: {} read {} of {} in {}, whose write was refused", m_database, value, m_item, answer.id));
 }
 
 Task<void> LoadClient::read()
--- a/tools/emulator/LoadClient.h
+++ b/tools/emulator/LoadClient.h
@@ -11,7 +11,8 @@
 namespace kumquatbank {
 
 /// One client that writes growing numbers to an item of its own and checks what it reads back: never an older number than
-/// the database's policy allows, and never one whose write was refused.
+/// the database's policy allows, and never one whose write was refused. After a write in doubt, which may still run and
+/// would then replace newer numbers, it goes on with another item.
 class LoadClient {
 public:
     LoadClient(asio::io_context& io, std::string database, ReadPolicy policy, std::vector<HostAddress> proxies, unsigned seed, LoadReport& report);
@@ -23,6 +24,7 @@
 
 private:
     struct Answer {
+        std::string id; ///< Of the statement.
         bool isComplete = false;
         std::string row;
         std::string code; ///< Empty on success.
@@ -34,6 +36,7 @@
     Task<void> read();
     Task<void> runTransaction();
     void noteWrite(const Answer& answer, std::uint64_t value);
+    void changeItem();
     /// The smallest number that a read may return now.
     std::uint64_t leastVisible() const;
     void check(const Answer& answer, std::uint64_t least);
@@ -45,7 +48,9 @@
     std::mt19937 m_random;
     LoadReport& m_report;
     std::optional<LineChannel> m_channel;
+    std::string m_name;
     std::string m_item;
+    int m_items = 0;
     std::uint64_t m_next = 0;
     std::vector<std::pair<BootTime, std::uint64_t>> m_acknowledged; ///< Numbers, with the time of their acknowledgement.
     std::set<std::uint64_t> m_refused; ///< Numbers whose writes were promised not to be kept.
--- a/tools/emulator/platform_emulator.cpp
+++ b/tools/emulator/platform_emulator.cpp
@@ -15,22 +15,22 @@
 /// Troubles of the platform, drawn from a seed.
 class TroubleMaker {
 public:
-    TroubleMaker(asio::io_context& io, EmulatedPlatform& platform, unsigned seed, int services)
+    TroubleMaker(asio::io_context& io, EmulatedPlatform& platform, unsigned seed, const EmulatedPlatform::Shape& shape)
         : m_io(io)
         , m_platform(platform)
         , m_random(seed)
-        , m_services(services)
+        , m_shape(shape)
     {
     }
 
-    /// One trouble each @p interval, until the process ends.
-    Task<void> run(milliseconds interval)
+    /// One trouble each @p interval. They overlap, and the last one begins before @p until.
+    Task<void> run(milliseconds interval, BootTime until)
     {
-        while (true) {
+        while (BootClock::now() < until) {
             co_await sleepFor(m_io, interval);
-            switch (m_random() % 6) {
+            switch (m_random() % 9) {
             case 0:
-                co_await storeDown();
+                asio::co_spawn(m_io, storeDown(), asio::detached);
                 break;
             case 1:
                 m_platform.store().behaviour().answersToLose = 2;
@@ -46,6 +46,15 @@
             case 4:
                 loseAnswers();
                 break;
+            case 5:
+                asio::co_spawn(m_io, crash(), asio::detached);
+                break;
+            case 6:
+                asio::co_spawn(m_io, lag(), asio::detached);
+                break;
+            case 7:
+                asio::co_spawn(m_io, keepSilent(), asio::detached);
+                break;
             default:
                 m_platform.putConfig();
                 report("a new configuration");
@@ -66,7 +75,8 @@
     }
 
 private:
-    int anyService() { return static_cast<int>(m_random() % static_cast<unsigned>(m_services)); }
+    int anyService() { return static_cast<int>(m_random() % static_cast<unsigned>(m_shape.services)); }
+    int anyDatabase() { return static_cast<int>(m_random() % static_cast<unsigned>(m_shape.databasesPerService)); }
 
     Task<void> storeDown()
     {
@@ -76,6 +86,40 @@
         m_platform.store().behaviour().isDown = false;
     }
 
+    /// One crash of a service at a time: with two, the platform itself may lose acknowledged commits.
+    Task<void> crash()
+    {
+        const int service = anyService();
+        auto& database = m_platform.database(service, anyDatabase());
+        if (!m_crashedServices.insert(service).second)
+            co_return;
+        report("the database " + database.entry().id + " crashes for 5 s");
+        database.crash();
+        co_await sleepFor(m_io, seconds(5));
+        database.restart();
+        m_crashedServices.erase(service);
+    }
+
+    Task<void> lag()
+    {
+        const int service = anyService();
+        auto& database = m_platform.database(service, anyDatabase());
+        auto& log = m_platform.service(service).log(database.entry().id);
+        report("the database " + database.entry().id + " applies its log 2.5 s late for 4 s");
+        log.lag = milliseconds(2500);
+        co_await sleepFor(m_io, seconds(4));
+        log.lag = m_shape.lag;
+    }
+
+    Task<void> keepSilent()
+    {
+        auto& database = m_platform.database(anyService(), anyDatabase());
+        report("the database " + database.entry().id + " answers nothing for 3 s");
+        database.behaviour().isSilent = true;
+        co_await sleepFor(m_io, seconds(3));
+        database.behaviour().isSilent = false;
+    }
+
     /// The database is replaced by one with its log at its address.
     Task<void> stay(EmulatedDatabase& database)
     {
@@ -85,7 +129,7 @@
 
     void loseAnswers()
     {
-        auto& database = m_platform.database(anyService(), static_cast<int>(m_random() % 3));
+        auto& database = m_platform.database(anyService(), anyDatabase());
         database.behaviour().answersToLose = 3;
         report("the database " + database.entry().id + " loses 3 answers");
     }
@@ -95,7 +139,8 @@
     asio::io_context& m_io;
     EmulatedPlatform& m_platform;
     std::mt19937 m_random;
-    int m_services;
+    EmulatedPlatform::Shape m_shape;
+    std::set<int> m_crashedServices;
 };
 
 Task<void> crashPrimary(asio::io_context& io, EmulatedPlatform& platform, milliseconds after)
@@ -124,7 +169,9 @@
         "crash-primary-ms", "Crash the primary of the first service after this time", cxxopts::value<int>())(
         "leave-primary-ms", "Announce that a primary leaves after this time", cxxopts::value<int>())(
         "seed", "Seed of the troubles", cxxopts::value<unsigned>()->default_value("1"))(
-        "trouble-ms", "A random trouble each this often", cxxopts::value<int>())("h,help", "Print this text and stop");
+        "announce-offset", "Added to the ports of databases in the store", cxxopts::value<std::uint16_t>()->default_value("0"))(
+        "trouble-ms", "A random trouble each this often", cxxopts::value<int>())(
+        "trouble-s", "No new trouble after this time", cxxopts::value<int>()->default_value("3600"))("h,help", "Print this text and stop");
     const auto arguments = options.parse(argc, argv);
     if (arguments.count("help") || !arguments.count("port")) {
         std::cout << options.help();
@@ -133,28 +180,32 @@
     EmulatedPlatform::Shape shape;
     shape.ip = arguments["ip"].as<std::string>();
     shape.basePort = arguments["port"].as<std::uint16_t>();
+    shape.announcedOffset = arguments["announce-offset"].as<std::uint16_t>();
     shape.services = arguments["services"].as<int>();
     shape.maxConnections = arguments["max-connections"].as<int>();
     shape.work = milliseconds(arguments["work-ms"].as<int>());
     shape.lag = milliseconds(arguments["lag-ms"].as<int>());
     asio::io_context io(1);
     EmulatedPlatform platform(io, shape);
-    TroubleMaker troubles(io, platform, arguments["seed"].as<unsigned>(), shape.services);
+    TroubleMaker troubles(io, platform, arguments["seed"].as<unsigned>(), shape);
     if (arguments.count("crash-primary-ms"))
         asio::co_spawn(io, crashPrimary(io, platform, milliseconds(arguments["crash-primary-ms"].as<int>())), asio::detached);
     if (arguments.count("leave-primary-ms"))
         asio::co_spawn(io, leavePrimary(io, troubles, milliseconds(arguments["leave-primary-ms"].as<int>())), asio::detached);
     if (arguments.count("trouble-ms"))
-        asio::co_spawn(io, troubles.run(milliseconds(arguments["trouble-ms"].as<int>())), asio::detached);
+        asio::co_spawn(io, troubles.run(milliseconds(arguments["trouble-ms"].as<int>()), BootClock::now() + seconds(arguments["trouble-s"].as<int>())), asio::detached);
     asio::signal_set signals(io, SIGTERM, SIGINT);
     signals.async_wait([&io](const boost::system::error_code&, int) { io.stop(); });
     std::cout << "platform ready: store " << platform.storeAddress().toString() << ", promotions " << platform.promotionAddress().toString() << std::endl;
     io.run();
     for (const auto& order : platform.promotions())
         std::cout << "promotion: " << order.service << " to " << order.endpoint << " by " << order.holder << ", token " << order.token << ", status " << order.status << '\n';
+    const auto violations = platform.violations();
+    for (const auto& what : violations)
+        std::cout << "violation: " << what << '\n';
     std::cout.flush();
     // Coroutines that are still suspended refer to the platform; the kernel takes back what they hold.
-    std::_Exit(0);
+    std::_Exit(violations.empty() ? 0 : 1);
 }
 
 } // namespace
