pooler: keep a scarce connection while requests wait, two of them a host

A connection was closed after use by lot even while requests at the same host waited for it.

Change: no lot while requests wait; two connections a host instead of four.

--- a/packages/pooler/src/DatabaseService.cpp
+++ b/packages/pooler/src/DatabaseService.cpp
@@ -294,6 +294,9 @@
 {
     if (!sharing().isScarce())
         return true;
+    // Closing it would only make the next request in the queue open another one.
+    if (m_scheduler.waiting() > 0)
+        return true;
     return endpoint.idle.empty() && std::bernoulli_distribution(sharing().keepProbability())(randomEngine());
 }
 
--- a/packages/routing/include/kumquatbank/routing/ConnectionSharing.h
+++ b/packages/routing/include/kumquatbank/routing/ConnectionSharing.h
@@ -14,7 +14,7 @@
     /// True if there are fewer connections than hosts.
     bool isScarce() const { return m_limit < m_hosts; }
 
-    /// Connections that a host may have. Scarce ones are not in use by all hosts at once, so each may have a few; the
+    /// Connections that a host may have. Scarce ones are not in use by all hosts at once, so each may have two; the
     /// endpoint refuses what is too many.
     int share() const { return isScarce() ? scarceShare : m_limit / m_hosts; }
 
@@ -23,7 +23,7 @@
     double keepProbability() const { return keptPart * m_limit / m_hosts; }
 
 private:
-    static constexpr int scarceShare = 4;
+    static constexpr int scarceShare = 2;
     /// Part of the connections that may be idle at the hosts; the rest is for hosts that open one.
     static constexpr double keptPart = 0.7;
 
