--- a/packages/pooler/src/PeerService.cpp
+++ b/packages/pooler/src/PeerService.cpp
@@ -6,8 +6,8 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/url/parse.hpp>
-#include <fmt/format.h>
 #include <charconv>
+#include <fmt/format.h>
 
 namespace kumquatbank {
 
--- a/packages/pooler/src/SessionContext.h
+++ b/packages/pooler/src/SessionContext.h
@@ -35,7 +35,7 @@
     PoolerMetrics& metrics() { return m_metrics; }
     const SessionState& state() const { return m_state; }
 
-    /// Runs a statement that only changes the session: SET, PREPARE or DEALLOCATE.
+    /// Runs a statement that only changes the session: a value, or a prepared statement.
     void applyLocally(const Statement& statement);
     /// Whether the statement writes; empty if it names a prepared statement that the session does not have.
     std::optional<bool> writes(const Statement& statement) const;
--- a/packages/pooler/tests/ManyHostsTest.cpp
+++ b/packages/pooler/tests/ManyHostsTest.cpp
@@ -17,16 +17,15 @@
 } // namespace
 
 /// Many hosts in one data centre, and databases that accept fewer connections than there are hosts.
-TEST_GROUP(ManyHosts)
-{
-    static EmulatedPlatform::Shape shape(int maxConnections, milliseconds lag)
-    {
+TEST_GROUP(ManyHosts) {
+    static EmulatedPlatform::Shape shape(int maxConnections, milliseconds lag) {
         EmulatedPlatform::Shape shape;
-        shape.maxConnections = maxConnections;
-        shape.lag = lag;
-        return shape;
-    }
-};
+shape.maxConnections = maxConnections;
+shape.lag = lag;
+return shape;
+}
+}
+;
 
 // Guards against hosts that each keep a connection for themselves, so that the others are refused for good.
 TEST(ManyHosts, EveryHostServesThoughTheyAreMoreThanTheConnections)
