pooler: shorter pause after a refused scarce connection; log lost samplers

A refused connection kept a host from trying again for 250 ms, and a request waits 240 ms at most, so one refusal was the end of the request.

Ruled out: the number of connections a host may use (the test has one client a host).

Change: a pause of 60 ms where connections are scarce. Lines samplers_lost and samplers_regained after three failed questions in a row.

--- a/packages/pooler/src/DatabaseService.cpp
+++ b/packages/pooler/src/DatabaseService.cpp
@@ -21,6 +21,8 @@
     constexpr milliseconds maxFailurePause { 1500 };
     /// No new connections after the endpoint refused one for their number.
     constexpr milliseconds connectionLimitPause { 250 };
+    /// The same where connections are scarce and go from host to host: well below the time that a request may wait.
+    constexpr milliseconds scarceLimitPause { 60 };
     /// Idle connections beyond the first one are closed after this time, so that hosts which start find room.
     constexpr milliseconds spareIdleTime { 2000 };
     constexpr milliseconds minLagBackoff { 50 };
@@ -321,7 +323,7 @@
     }
     noteAnswer(*endpoint, sentAt);
     if (*opened.refusal == ErrorCode::TooManyConnections)
-        endpoint->fullUntil = BootClock::now() + connectionLimitPause;
+        endpoint->fullUntil = BootClock::now() + (sharing().isScarce() ? scarceLimitPause : connectionLimitPause);
     else
         endpoint->unusableUntil = BootClock::now() + failurePause;
     EventLog::warn("connection_refused", { { "service", m_name }, { "endpoint", endpoint->entry.id }, { "code", errorCodeName(*opened.refusal) }, { "open", endpoint->open }, { "share", m_limits.maxConnections / m_hosts }, { "hosts", m_hosts } });
--- a/packages/pooler/src/PeerService.cpp
+++ b/packages/pooler/src/PeerService.cpp
@@ -26,6 +26,8 @@
     constexpr milliseconds peerPollInterval { 500 };
     constexpr milliseconds sampleInterval { 250 };
     constexpr milliseconds sampleTimeout { 200 };
+    /// Failed questions in a row after which the samplers count as lost: the services ask for themselves by then.
+    constexpr int samplerFailuresToReport = 3;
 
     /// The number in @p text; 0 if there is none, which asks for everything.
     template <std::integral T>
@@ -155,6 +157,7 @@
         const auto peer = samplers[std::uniform_int_distribution<std::size_t>(0, samplers.size() - 1)(randomEngine())];
         const auto askedAt = BootClock::now();
         const auto reply = co_await call(peer.address, "/v1/positions", sampleTimeout);
+        noteSamplers(reply.isSuccess(), peer.name);
         if (!reply.isSuccess())
             continue; // Without news the services ask the primaries themselves.
         try {
@@ -165,6 +168,20 @@
     }
 }
 
+void PeerService::noteSamplers(bool answered, const std::string& peer)
+{
+    const auto now = BootClock::now();
+    if (answered) {
+        if (m_samplerFailures >= samplerFailuresToReport)
+            EventLog::info("samplers_regained", { { "peer", peer }, { "away_ms", toMs(now - m_samplerAnsweredAt) } });
+        m_samplerFailures = 0;
+        m_samplerAnsweredAt = now;
+        return;
+    }
+    if (++m_samplerFailures == samplerFailuresToReport)
+        EventLog::warn("samplers_lost", { { "peer", peer }, { "last_answer_ms", toMs(now - m_samplerAnsweredAt) } });
+}
+
 Json PeerService::describeSamples() const
 {
     const auto now = BootClock::now();
--- a/packages/pooler/src/PeerService.h
+++ b/packages/pooler/src/PeerService.h
@@ -28,6 +28,7 @@
     Task<void> followPeers();
     Task<void> followSamplers();
     void applySamples(const std::string& body, BootTime askedAt);
+    void noteSamplers(bool answered, const std::string& peer);
     nlohmann::json describeSamples() const;
     bool applyState(const std::string& body, const std::string& peer);
     nlohmann::json describePrimary(const std::string& service, const std::string& endpoint) const;
@@ -37,6 +38,8 @@
     ServiceRegistry& m_registry;
     StoreSync& m_sync;
     std::map<HostAddress, std::shared_ptr<HttpClient>> m_clients;
+    int m_samplerFailures = 0; ///< In a row.
+    BootTime m_samplerAnsweredAt {};
 };
 
 } // namespace kumquatbank
--- a/packages/pooler/tests/ManyHostsTest.cpp
+++ b/packages/pooler/tests/ManyHostsTest.cpp
@@ -49,7 +49,7 @@
             asio::co_spawn(f.io(), work(n), asio::detached);
         while (left > 0)
             co_await f.sleep(milliseconds(20));
-        CHECK_TRUE_TEXT(failed <= hosts * 20 / 20, "more than a twentieth of the writes failed");
+        CHECK_TRUE_TEXT(failed <= hosts * 20 / 20, ("more than a twentieth of the writes failed: " + std::to_string(failed)).c_str());
     }(fixture));
 }
 
