pooler: keep the one connection while the hosts are not known

Cause: found on reading the diff. Before a host has listed the others, it counted them as more than any limit, so every connection was scarce and closed after its use by lot with a probability near 1. A host that can read the store but not write its registration would have opened a connection for each statement.

Change: ConnectionSharing::forUnknownHosts(): one connection, kept. Test AHostThatKnowsNoOthersKeepsOneConnection.

--- a/packages/pooler/src/DatabaseService.cpp
+++ b/packages/pooler/src/DatabaseService.cpp
@@ -74,12 +74,18 @@
     const bool isServing = !endpoint.entry.isDraining || isPrimary;
     const bool isUsable = isServing && now >= endpoint.unusableUntil && (!isFull || endpoint.open > 0);
     // Before the hosts are known the smallest share is right.
-    const int share = m_hosts == unknownHosts ? 1 : std::max(1, sharing().share());
+    const int share = std::max(1, sharing().share());
     m_scheduler.setEndpoint(endpoint.entry.id, isUsable, isPrimary, isFull ? std::min(share, endpoint.open) : share);
     m_scheduler.setRoundTrip(endpoint.entry.id, endpoint.roundTrip);
     noteIdle(endpoint);
 }
 
+ConnectionSharing DatabaseService::sharing() const
+{
+    const int limit = std::max(1, m_limits.maxConnections);
+    return m_hosts == unknownHosts ? ConnectionSharing::forUnknownHosts(limit) : ConnectionSharing(limit, m_hosts);
+}
+
 void DatabaseService::noteIdle(const Endpoint& endpoint)
 {
     const bool isOpeningDear = sharing().isScarce() && endpoint.idle.empty();
--- a/packages/pooler/src/DatabaseService.h
+++ b/packages/pooler/src/DatabaseService.h
@@ -90,7 +90,7 @@
     void refreshScheduler(const Endpoint& endpoint);
     /// Tells the scheduler whether an idle connection is at hand.
     void noteIdle(const Endpoint& endpoint);
-    ConnectionSharing sharing() const { return { m_limits.maxConnections, m_hosts }; }
+    ConnectionSharing sharing() const;
     void setPrimary(const std::string& id, std::string_view evidence);
     void dropMissing(BootTime now);
     bool wantsProbe(const Endpoint& primary, BootTime now) const;
--- a/packages/routing/include/kumquatbank/routing/ConnectionSharing.h
+++ b/packages/routing/include/kumquatbank/routing/ConnectionSharing.h
@@ -11,6 +11,9 @@
     {
     }
 
+    /// Until the hosts are known, each takes the smallest share and keeps it.
+    static ConnectionSharing forUnknownHosts(int limit) { return { limit, limit }; }
+
     /// True if there are fewer connections than hosts.
     bool isScarce() const { return m_limit < m_hosts; }
 
--- a/packages/routing/tests/ConnectionSharingTest.cpp
+++ b/packages/routing/tests/ConnectionSharingTest.cpp
@@ -16,6 +16,14 @@
     LONGS_EQUAL(2, sharing.share());
 }
 
+// Guards against a new connection for every statement while this host has not listed the others yet.
+TEST(ConnectionSharing, AHostThatKnowsNoOthersKeepsOneConnection)
+{
+    const auto sharing = ConnectionSharing::forUnknownHosts(46);
+    CHECK_FALSE(sharing.isScarce());
+    LONGS_EQUAL(1, sharing.share());
+}
+
 // Pattern: more hosts than the database accepts connections, each with a request now and then, some hosts with many
 // more. Every host has to find a connection when it wants one, and the connections have to be used again: neither a few
 // hosts that keep them all, nor a new connection for every request.
