--- a/apps/kumquatbank/main.cpp
+++ b/apps/kumquatbank/main.cpp
@@ -1,18 +1,14 @@
+#include "../ProxyCommandLine.h"
 #include "kumquatbank/proxy/proxy.h"
 
 #include <csignal>
 #include <cstdlib>
-#include <cxxopts.hpp>
-#include <iostream>
 #include <pthread.h>
 
 using namespace kumquatbank;
 
 namespace {
 
-constexpr int exitInvalidInput = 2;
-constexpr int exitCannotStart = 4;
-
 /// Blocks the signals that end the process in every thread, so that waitForShutdown() receives them.
 void blockShutdownSignals()
 {
@@ -34,8 +30,12 @@
     sigwait(&signals, &received);
 }
 
-int runProxy(const Settings& settings)
+int runProxy(const Settings& settings, const std::string& /*file*/)
 {
+    if (const auto configured = configureLogging(settings.logLevels); !configured) {
+        std::cerr << "kumquatbank: " << configured.error().message << "\n";
+        return exitInvalidInput;
+    }
     blockShutdownSignals();
     ProxyProcess process(settings);
     if (const auto started = process.start(); !started) {
@@ -50,53 +50,9 @@
     std::_Exit(0);
 }
 
-int runCommandLine(int argc, char** argv)
-{
-    cxxopts::Options options("kumquatbank", "Database proxy with session consistency");
-    options.add_options()("settings", "Settings file (JSON)", cxxopts::value<std::string>())(
-        "check", "Check the settings and stop")("print-defaults", "Print a commented settings file and stop")(
-        "version", "Print the version and stop")("h,help", "Print this text and stop");
-    const auto arguments = options.parse(argc, argv);
-    if (arguments.count("help")) {
-        std::cout << options.help();
-        return 0;
-    }
-    if (arguments.count("version")) {
-        std::cout << "kumquatbank " KUMQUATBANK_VERSION "\n";
-        return 0;
-    }
-    if (arguments.count("print-defaults")) {
-        std::cout << Settings::example();
-        return 0;
-    }
-    if (!arguments.count("settings")) {
-        std::cerr << "kumquatbank: option --settings is missing; --help shows all options\n";
-        return exitInvalidInput;
-    }
-    const auto settings = Settings::load(arguments["settings"].as<std::string>());
-    if (!settings) {
-        std::cerr << "kumquatbank: " << settings.error().message << "\n";
-        return exitInvalidInput;
-    }
-    if (arguments.count("check")) {
-        std::cout << arguments["settings"].as<std::string>() << ": valid\n";
-        return 0;
-    }
-    if (const auto configured = configureLogging(settings->logLevels); !configured) {
-        std::cerr << "kumquatbank: " << configured.error().message << "\n";
-        return exitInvalidInput;
-    }
-    return runProxy(*settings);
-}
-
 } // namespace
 
 int main(int argc, char** argv)
 {
-    try {
-        return runCommandLine(argc, argv);
-    } catch (const cxxopts::exceptions::exception& e) {
-        std::cerr << "kumquatbank: " << e.what() << "\n";
-        return exitInvalidInput;
-    }
+    return runProxyCommandLine<Settings>("kumquatbank", KUMQUATBANK_VERSION, "Database proxy with session consistency", argc, argv, runProxy);
 }
--- a/packages/core/include/kumquatbank/core/core.h
+++ b/packages/core/include/kumquatbank/core/core.h
@@ -13,4 +13,5 @@
 #include "kumquatbank/core/Logging.h"
 #include "kumquatbank/core/Rank.h"
 #include "kumquatbank/core/SessionToken.h"
+#include "kumquatbank/core/TextFile.h"
 #include "kumquatbank/core/Verdict.h"
--- a/packages/engine/include/kumquatbank/engine/Random.h
+++ b/packages/engine/include/kumquatbank/engine/Random.h
@@ -2,6 +2,7 @@
 
 #include <chrono>
 #include <random>
+#include <ranges>
 
 namespace kumquatbank {
 
@@ -19,4 +20,12 @@
     return std::chrono::milliseconds(spread(randomEngine()));
 }
 
+/// One of @p items, which must not be empty.
+template <std::ranges::random_access_range Range>
+const auto& randomElement(const Range& items)
+{
+    std::uniform_int_distribution<std::size_t> place(0, std::ranges::size(items) - 1);
+    return items[place(randomEngine())];
+}
+
 } // namespace kumquatbank
--- a/packages/pooler/src/DatabaseService.cpp
+++ b/packages/pooler/src/DatabaseService.cpp
@@ -73,19 +73,12 @@
     // A primary that is about to leave serves until its successor is known; a replica gets nothing more.
     const bool isServing = !endpoint.entry.isDraining || isPrimary;
     const bool isUsable = isServing && now >= endpoint.unusableUntil && (!isFull || endpoint.open > 0);
-    // Before the hosts are known the smallest share is right.
-    const int share = std::max(1, sharing().share());
+    const int share = sharing().share();
     m_scheduler.setEndpoint(endpoint.entry.id, isUsable, isPrimary, isFull ? std::min(share, endpoint.open) : share);
     m_scheduler.setRoundTrip(endpoint.entry.id, endpoint.roundTrip);
     noteIdle(endpoint);
 }
 
-ConnectionSharing DatabaseService::sharing() const
-{
-    const int limit = std::max(1, m_limits.maxConnections);
-    return m_hosts == unknownHosts ? ConnectionSharing::forUnknownHosts(limit) : ConnectionSharing(limit, m_hosts);
-}
-
 void DatabaseService::noteIdle(const Endpoint& endpoint)
 {
     const bool isOpeningDear = sharing().isScarce() && endpoint.idle.empty();
@@ -332,7 +325,7 @@
         endpoint->fullUntil = BootClock::now() + (sharing().isScarce() ? scarceLimitPause : connectionLimitPause);
     else
         endpoint->unusableUntil = BootClock::now() + failurePause;
-    EventLog::warn("connection_refused", { { "service", m_name }, { "endpoint", endpoint->entry.id }, { "code", errorCodeName(*opened.refusal) }, { "open", endpoint->open }, { "share", m_limits.maxConnections / m_hosts }, { "hosts", m_hosts } });
+    EventLog::warn("connection_refused", { { "service", m_name }, { "endpoint", endpoint->entry.id }, { "code", errorCodeName(*opened.refusal) }, { "open", endpoint->open }, { "share", sharing().share() }, { "hosts", m_hosts } });
     refreshScheduler(*endpoint);
     co_return tl::unexpected(*opened.refusal);
 }
--- a/packages/pooler/src/DatabaseService.h
+++ b/packages/pooler/src/DatabaseService.h
@@ -9,7 +9,6 @@
 #include "kumquatbank/routing/RoutingConfig.h"
 #include "kumquatbank/routing/ServiceScheduler.h"
 
-#include <limits>
 #include <set>
 
 namespace kumquatbank {
@@ -75,8 +74,6 @@
     void giveBack(const std::string& endpoint, std::unique_ptr<DatabaseConnection> connection, BootTime since);
 
 private:
-    /// Until the hosts are known, each takes the smallest share of the connections.
-    static constexpr int unknownHosts = std::numeric_limits<int>::max();
     /// Taken for the time of opening a connection before one was opened.
     static constexpr std::chrono::milliseconds initialOpeningTime { 30 };
 
@@ -90,7 +87,7 @@
     void refreshScheduler(const Endpoint& endpoint);
     /// Tells the scheduler whether an idle connection is at hand.
     void noteIdle(const Endpoint& endpoint);
-    ConnectionSharing sharing() const;
+    ConnectionSharing sharing() const { return { m_limits.maxConnections, m_hosts }; }
     void setPrimary(const std::string& id, std::string_view evidence);
     void dropMissing(BootTime now);
     bool wantsProbe(const Endpoint& primary, BootTime now) const;
@@ -100,7 +97,7 @@
     std::string m_hostName;
     PoolerMetrics& m_metrics;
     ServiceLimits m_limits;
-    int m_hosts = unknownHosts;
+    int m_hosts = ConnectionSharing::unknownHosts;
     std::map<std::string, std::shared_ptr<Endpoint>> m_endpoints;
     ServiceScheduler m_scheduler;
     Floor m_floor;
--- a/packages/pooler/src/HostDirectory.cpp
+++ b/packages/pooler/src/HostDirectory.cpp
@@ -152,7 +152,7 @@
 nlohmann::json HostDirectory::describe() const
 {
     // With a part of the hosts, the asker would take too large a share of the connections.
-    if (!m_isKnown)
+    if (m_source == Source::None)
         return {};
     nlohmann::json hosts { { m_settings.host, ownContent() } };
     for (const auto& peer : m_peers)
@@ -162,9 +162,9 @@
 
 void HostDirectory::applyFromPeer(const nlohmann::json& hosts)
 {
-    if (m_isListed || !hosts.is_object())
+    if (m_source == Source::Store || !hosts.is_object())
         return;
-    m_isKnown = true;
+    m_source = Source::Peer;
     m_peers.clear();
     for (const auto& [name, content] : hosts.items()) {
         if (name != m_settings.host)
@@ -176,8 +176,7 @@
 void HostDirectory::apply(const std::vector<StoreObject>& objects)
 {
     const auto now = BootClock::now();
-    m_isListed = true;
-    m_isKnown = true;
+    m_source = Source::Store;
     m_peers.clear();
     for (const auto& object : objects) {
         auto& seen = m_seen[object.name];
--- a/packages/pooler/src/HostDirectory.h
+++ b/packages/pooler/src/HostDirectory.h
@@ -42,6 +42,13 @@
     void applyFromPeer(const nlohmann::json& hosts);
 
 private:
+    /// Who told the peers.
+    enum class Source {
+        None,
+        Peer,
+        Store,
+    };
+
     /// A host's entry and when it last changed.
     struct Seen {
         std::uint64_t revision = 0;
@@ -65,8 +72,7 @@
     std::uint64_t m_revision = 0; ///< Of the own entry; 0 before it is stored.
     std::map<std::string, Seen> m_seen;
     std::vector<PeerHost> m_peers;
-    bool m_isListed = false; ///< The peers come from the store.
-    bool m_isKnown = false; ///< The peers come from the store, here or at a peer.
+    Source m_source = Source::None;
 };
 
 } // namespace kumquatbank
--- a/packages/pooler/src/PeerService.cpp
+++ b/packages/pooler/src/PeerService.cpp
@@ -138,7 +138,7 @@
         const auto contacts = m_hosts.contacts();
         if (contacts.empty())
             continue;
-        const auto peer = contacts[std::uniform_int_distribution<std::size_t>(0, contacts.size() - 1)(randomEngine())];
+        const auto peer = randomElement(contacts);
         const auto config = m_registry.config();
         const auto target = fmt::format("/v1/known?config={}&endpoints={}&hosts={}", config ? config->version : 0, m_sync.endpointRevision(), m_hosts.peers().empty() ? 1 : 0);
         const auto reply = co_await call(peer.address, target, opinionTimeout);
@@ -154,7 +154,7 @@
         const auto samplers = m_hosts.samplers();
         if (samplers.empty())
             continue;
-        const auto peer = samplers[std::uniform_int_distribution<std::size_t>(0, samplers.size() - 1)(randomEngine())];
+        const auto peer = randomElement(samplers);
         const auto askedAt = BootClock::now();
         const auto reply = co_await call(peer.address, "/v1/positions", sampleTimeout);
         noteSamplers(reply.isSuccess(), peer.name);
--- a/packages/pooler/src/PoolerSettings.cpp
+++ b/packages/pooler/src/PoolerSettings.cpp
@@ -1,9 +1,9 @@
 #include "kumquatbank/pooler/PoolerSettings.h"
 
+#include "kumquatbank/core/TextFile.h"
+
 #include <array>
-#include <fstream>
 #include <nlohmann/json.hpp>
-#include <sstream>
 
 namespace kumquatbank {
 
@@ -113,12 +113,10 @@
 
 Result<PoolerSettings> PoolerSettings::load(const std::string& file)
 {
-    std::ifstream in(file);
-    if (!in)
-        return notRun(FailureCode::BadRequest, file + ": the file cannot be read", Cause::BadRequest);
-    std::ostringstream buf;
-    buf << in.rdbuf();
-    return parse(buf.str(), file);
+    const auto text = readTextFile(file);
+    if (!text)
+        return tl::unexpected(text.error());
+    return parse(*text, file);
 }
 
 Result<PoolerSettings> PoolerSettings::parse(const std::string& text, const std::string& source)
--- a/packages/pooler/src/ServiceRegistry.h
+++ b/packages/pooler/src/ServiceRegistry.h
@@ -28,9 +28,6 @@
     Task<bool> waitForConfig(BootTime until);
 
 private:
-    /// Until the hosts are known, each takes the smallest share of the connections.
-    static constexpr int unknownHosts = std::numeric_limits<int>::max();
-
     std::shared_ptr<DatabaseService> ensure(const std::string& service);
     void refreshLimits();
 
@@ -41,7 +38,7 @@
     BootTime m_configSince {};
     std::map<std::string, EndpointEntry> m_entries;
     bool m_knowsEndpoints = false;
-    int m_hosts = unknownHosts;
+    int m_hosts = ConnectionSharing::unknownHosts;
     std::map<std::string, std::shared_ptr<DatabaseService>> m_services;
     std::vector<std::shared_ptr<Waiter>> m_configWaiters;
 };
--- a/packages/pooler/src/StoreSync.cpp
+++ b/packages/pooler/src/StoreSync.cpp
@@ -86,10 +86,8 @@
         co_return false;
     cursor.revision = listing.revision;
     cursor.isKnown = true;
-    if (&cursor == &m_endpoints) {
+    if (&cursor == &m_endpoints)
         m_entries.clear();
-        m_objects.clear();
-    }
     for (const auto& object : listing.objects)
         applyObject(cursor, object, false);
     publish(cursor);
@@ -136,8 +134,8 @@
         return state;
     state["endpointRevision"] = this->endpointRevision();
     auto& objects = state["endpoints"] = nlohmann::json::array();
-    for (const auto& [name, object] : m_objects)
-        objects.push_back({ { "name", name }, { "revision", object.revision }, { "content", object.content } });
+    for (const auto& [id, entry] : m_entries)
+        objects.push_back({ { "name", id }, { "content", StoreCodec::formatEndpoint(entry) } });
     return state;
 }
 
@@ -154,13 +152,11 @@
     for (const auto& item : state.at("endpoints")) {
         auto& object = objects.emplace_back();
         object.name = item.at("name").get<std::string>();
-        object.revision = item.at("revision").get<std::uint64_t>();
         object.content = item.at("content");
     }
     m_peerRevision = revision;
     m_endpoints.isKnown = true;
     m_entries.clear();
-    m_objects.clear();
     for (const auto& object : objects)
         applyObject(m_endpoints, object, false);
     EventLog::info("endpoints_from_peer", { { "source", source }, { "revision", revision }, { "endpoints", m_entries.size() } });
@@ -175,7 +171,6 @@
         return;
     }
     m_entries.erase(object.name);
-    m_objects.erase(object.name);
     if (isRemoved)
         return;
     auto entry = StoreCodec::parseEndpoint(object);
@@ -184,7 +179,6 @@
         return;
     }
     m_entries.insert_or_assign(object.name, std::move(*entry));
-    m_objects.insert_or_assign(object.name, object);
 }
 
 void StoreSync::publish(const Cursor& cursor)
--- a/packages/pooler/src/StoreSync.h
+++ b/packages/pooler/src/StoreSync.h
@@ -52,7 +52,6 @@
     Cursor m_endpoints;
     std::uint64_t m_peerRevision = 0; ///< Of the endpoints that were last taken over from a peer.
     std::map<std::string, EndpointEntry> m_entries;
-    std::map<std::string, StoreObject> m_objects; ///< The entries as the store holds them, for peers.
     nlohmann::json m_configContent;
 };
 
--- a/packages/proxy/src/Settings.cpp
+++ b/packages/proxy/src/Settings.cpp
@@ -1,10 +1,9 @@
 #include "kumquatbank/proxy/Settings.h"
 
 #include "SettingsSchema.h"
+#include "kumquatbank/core/TextFile.h"
 
-#include <fstream>
 #include <nlohmann/json.hpp>
-#include <sstream>
 #include <valijson/adapters/nlohmann_json_adapter.hpp>
 #include <valijson/schema.hpp>
 #include <valijson/schema_parser.hpp>
@@ -172,12 +171,10 @@
 
 Result<Settings> Settings::load(const std::string& file)
 {
-    std::ifstream in(file);
-    if (!in)
-        return notRun(FailureCode::BadRequest, file + ": the file cannot be read", Cause::BadRequest);
-    std::ostringstream buf;
-    buf << in.rdbuf();
-    return parse(buf.str(), file);
+    const auto text = readTextFile(file);
+    if (!text)
+        return tl::unexpected(text.error());
+    return parse(*text, file);
 }
 
 Result<Settings> Settings::parse(const std::string& text, const std::string& source)
--- a/packages/routing/include/kumquatbank/routing/ConnectionSharing.h
+++ b/packages/routing/include/kumquatbank/routing/ConnectionSharing.h
@@ -1,19 +1,22 @@
 #pragma once
 
+#include <algorithm>
+#include <limits>
+
 namespace kumquatbank {
 
 /// How the hosts of a deployment share the connections that one endpoint accepts, without word of each other.
 class ConnectionSharing {
 public:
+    /// Until the hosts are known, each takes the smallest share and keeps it.
+    static constexpr int unknownHosts = std::numeric_limits<int>::max();
+
     ConnectionSharing(int limit, int hosts)
-        : m_limit(limit)
-        , m_hosts(hosts)
+        : m_limit(std::max(1, limit))
+        , m_hosts(hosts == unknownHosts ? m_limit : hosts)
     {
     }
 
-    /// Until the hosts are known, each takes the smallest share and keeps it.
-    static ConnectionSharing forUnknownHosts(int limit) { return { limit, limit }; }
-
     /// True if there are fewer connections than hosts.
     bool isScarce() const { return m_limit < m_hosts; }
 
--- a/packages/routing/tests/ConnectionSharingTest.cpp
+++ b/packages/routing/tests/ConnectionSharingTest.cpp
@@ -19,7 +19,7 @@
 // Guards against a new connection for every statement while this host has not listed the others yet.
 TEST(ConnectionSharing, AHostThatKnowsNoOthersKeepsOneConnection)
 {
-    const auto sharing = ConnectionSharing::forUnknownHosts(46);
+    const auto sharing = ConnectionSharing(46, ConnectionSharing::unknownHosts);
     CHECK_FALSE(sharing.isScarce());
     LONGS_EQUAL(1, sharing.share());
 }
