load: a mixed transaction always mixes

Ruled out: the checker, which has its own test on fixed histories. Change: the owner of a shared connection ends only after the guest has written. The check is the same.

--- a/tools/load/tests/PassThroughProxy.cpp
+++ b/tools/load/tests/PassThroughProxy.cpp
@@ -6,6 +6,8 @@
 
     constexpr std::uint64_t faultPeriod = 10;
     constexpr Term term = 1;
+    /// How long a transaction whose connection is shared waits for another one to join; one begins within 40 ms.
+    constexpr Milliseconds joinLimit { 500 };
 
     nlohmann::json refusal(const CallerRequest& request, const std::string& message)
     {
@@ -76,13 +78,17 @@
 
 nlohmann::json PassThroughProxy::begin(const CallerRequest& request)
 {
-    const bool isMixed = isFaulty(Fault::MixesTransactions);
+    const bool isShared = isFaulty(Fault::MixesTransactions);
     auto connection = std::make_shared<standin::TestCaller>(m_group.connect(0));
     const auto response = connection->call("begin", { { "term", term } });
     const std::lock_guard lock(m_mutex);
-    if (isMixed && !m_transactions.empty())
-        connection = m_transactions.begin()->second;
     const auto id = "t" + std::to_string(++m_transactionIds);
+    if (!m_sharing.owner.empty() && m_sharing.guest.empty()) {
+        connection = m_transactions.at(m_sharing.owner);
+        m_sharing.guest = id;
+    } else if (isShared && m_sharing.owner.empty()) {
+        m_sharing.owner = id;
+    }
     m_transactions[id] = connection;
     auto body = answer(request, response, ServedBy::Primary);
     body["transaction"] = id;
@@ -91,16 +97,24 @@
 
 nlohmann::json PassThroughProxy::runInTransaction(const CallerRequest& request)
 {
-    std::shared_ptr<standin::TestCaller> connection;
     const bool isForgotten = request.kind == RequestKind::Write && isFaulty(Fault::TearsTransactions);
-    const std::lock_guard lock(m_mutex);
+    std::unique_lock lock(m_mutex);
+    if (request.transaction == m_sharing.owner && request.kind != RequestKind::Write) {
+        // Ended earlier, the owner would leave the guest nothing to mix with.
+        m_guestWrote.wait_for(lock, joinLimit, [this] { return m_sharing.hasGuestWritten; });
+        m_sharing = {};
+    }
     const auto it = m_transactions.find(request.transaction);
     if (it == m_transactions.end())
         return refusal(request, "unknown transaction");
-    connection = it->second;
+    const auto connection = it->second;
     if (request.kind == RequestKind::Write) {
-        if (!isForgotten)
-            return answer(request, connection->write(term, request.statement), ServedBy::Primary);
+        if (!isForgotten) {
+            auto written = answer(request, connection->write(term, request.statement), ServedBy::Primary);
+            m_sharing.hasGuestWritten = m_sharing.hasGuestWritten || request.transaction == m_sharing.guest;
+            m_guestWrote.notify_all();
+            return written;
+        }
         const auto value = request.statement.substr(request.statement.rfind(' ') + 1);
         return answer(request, { { "result", { { "rows", { value } } } } }, ServedBy::Primary);
     }
--- a/tools/load/tests/PassThroughProxy.h
+++ b/tools/load/tests/PassThroughProxy.h
@@ -3,6 +3,7 @@
 #include "TestGroup.h"
 #include "kumquatbank/transport/transport.h"
 
+#include <condition_variable>
 #include <map>
 #include <mutex>
 
@@ -29,6 +30,13 @@
     Result<void> start(const HostAddress& address);
 
 private:
+    /// Two transactions on one connection.
+    struct Sharing {
+        std::string owner; ///< Began on the connection and ends only after the guest has written.
+        std::string guest;
+        bool hasGuestWritten = false;
+    };
+
     HttpResponse handle(const HttpRequest& httpRequest);
     nlohmann::json run(const CallerRequest& request);
     nlohmann::json runInTransaction(const CallerRequest& request);
@@ -42,6 +50,8 @@
     std::uint64_t m_requests = 0;
     std::uint64_t m_transactionIds = 0;
     std::map<std::string, std::shared_ptr<standin::TestCaller>> m_transactions;
+    Sharing m_sharing;
+    std::condition_variable m_guestWrote;
     std::string m_earlierAnswer;
     std::unique_ptr<HttpServer> m_server;
 };
