--- a/packages/group/tests/StandInProcess.cpp
+++ b/packages/group/tests/StandInProcess.cpp
@@ -90,15 +90,4 @@
     return nlohmann::json::parse(answer, nullptr, false);
 }
 
-HostAddress freeAddress()
-{
-    const Socket socket;
-    auto address = socketAddress({ "127.0.0.1", 0 });
-    auto* storage = reinterpret_cast<sockaddr*>(&address);
-    socklen_t length = sizeof(address);
-    if (bind(socket.fd, storage, length) != 0 || getsockname(socket.fd, storage, &length) != 0)
-        throw std::runtime_error("no free port");
-    return { "127.0.0.1", ntohs(address.sin_port) };
-}
-
 } // namespace kumquatbank
--- a/packages/group/tests/StandInProcess.h
+++ b/packages/group/tests/StandInProcess.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "FreeAddress.h"
 #include "kumquatbank/core/core.h"
 
 #include <nlohmann/json.hpp>
@@ -30,7 +31,4 @@
     HostAddress m_control;
 };
 
-/// Free port of the loopback interface.
-HostAddress freeAddress();
-
 } // namespace kumquatbank
--- a/packages/platform/tests/PlatformClientTest.cpp
+++ b/packages/platform/tests/PlatformClientTest.cpp
@@ -1,3 +1,4 @@
+#include "FreeAddress.h"
 #include "Backoff.h"
 #include "CallBudget.h"
 #include "kumquatbank/platform/platform.h"
@@ -44,19 +45,6 @@
     int requestCount() const { return m_requestCount; }
 
 private:
-    static HostAddress freeAddress()
-    {
-        const int fd = ::socket(AF_INET, SOCK_STREAM, 0);
-        sockaddr_in address {};
-        address.sin_family = AF_INET;
-        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        socklen_t length = sizeof(address);
-        ::bind(fd, reinterpret_cast<sockaddr*>(&address), length);
-        ::getsockname(fd, reinterpret_cast<sockaddr*>(&address), &length);
-        ::close(fd);
-        return { "127.0.0.1", ntohs(address.sin_port) };
-    }
-
     HostAddress m_address = freeAddress();
     std::mutex m_mutex;
     HttpResponse m_response;
--- a/packages/transport/tests/RawListener.h
+++ b/packages/transport/tests/RawListener.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "FreeAddress.h"
 #include "kumquatbank/core/core.h"
 
 #include <arpa/inet.h>
@@ -45,9 +46,6 @@
     std::uint16_t m_port = 0;
 };
 
-/// Address on loopback whose port was free a moment ago.
-inline HostAddress freeAddress() { return RawListener().address(); }
-
 /// Reads until @p end arrives, the peer closes or 2 s pass.
 inline std::string readUntil(int fd, const std::string& end)
 {
