pooler: most hosts follow the store through two of each data centre

Ruled out: longer waits, which would find a silent connection too late; stale reads, which may be older than a configuration may take. Change: the hosts that tell their data centre the primaries' positions also tell it what is new in the store, and how long the store has been silent for them. While that is young (1.5 s, asked each 250 ms), the others make no watches; they go on where the told revision ends.

--- a/packages/pooler/src/HostDirectory.cpp
+++ b/packages/pooler/src/HostDirectory.cpp
@@ -149,7 +149,7 @@
     m_registry.setHostCount(static_cast<int>(m_peers.size()) + 1, lenders);
 }
 
-std::vector<PeerHost> HostDirectory::samplers() const
+std::vector<PeerHost> HostDirectory::firstOfDataCentre() const
 {
     std::vector<PeerHost> near;
     std::ranges::copy_if(m_peers, std::back_inserter(near), [this](const PeerHost& peer) { return peer.dataCentre == m_settings.dataCentre; });
@@ -157,10 +157,18 @@
         return {};
     std::ranges::sort(near, {}, &PeerHost::name);
     near.resize(samplersPerDataCentre);
+    return near;
+}
+
+bool HostDirectory::isSampler() const
+{
     // Every host of the data centre has the same order, so all agree on the first ones.
-    return m_settings.host < near.back().name ? std::vector<PeerHost> {} : near;
+    const auto others = firstOfDataCentre();
+    return !others.empty() && m_settings.host < others.back().name;
 }
 
+std::vector<PeerHost> HostDirectory::samplers() const { return isSampler() ? std::vector<PeerHost> {} : firstOfDataCentre(); }
+
 std::vector<PeerHost> HostDirectory::contacts() const
 {
     if (!m_peers.empty())
--- a/packages/pooler/src/HostDirectory.h
+++ b/packages/pooler/src/HostDirectory.h
@@ -40,6 +40,9 @@
     /// host is one of them, or if there are too few hosts for it to pay.
     std::vector<PeerHost> samplers() const;
 
+    /// True if this host is one of those for others.
+    bool isSampler() const;
+
     /// The known hosts with this one, for a host that has no listing of its own; null before this one has one.
     nlohmann::json describe() const;
 
@@ -64,6 +67,8 @@
     Task<bool> registerSelf();
     Task<bool> refresh();
     void apply(const std::vector<StoreObject>& objects);
+    /// The other hosts of this data centre that come first by name; empty if there are too few hosts for samplers.
+    std::vector<PeerHost> firstOfDataCentre() const;
     void addPeer(const std::string& name, const nlohmann::json& content);
     nlohmann::json ownContent() const;
     /// Tells the registry how many hosts there are after the peers have changed.
--- a/packages/pooler/src/PeerService.cpp
+++ b/packages/pooler/src/PeerService.cpp
@@ -96,7 +96,7 @@
         co_return HttpAnswer { 200, known.dump() };
     }
     if (url->path() == "/v1/positions")
-        co_return HttpAnswer { 200, describeSamples().dump() };
+        co_return HttpAnswer { 200, describeNews(numberOrZero<std::int64_t>(parameter("config")), numberOrZero<std::uint64_t>(parameter("endpoints"))).dump() };
     if (url->path() == "/v1/state")
         co_return HttpAnswer { 200, describeState().dump() };
     co_return HttpAnswer { 404, R"({"error":"unknown path"})" };
@@ -139,8 +139,7 @@
         if (contacts.empty())
             continue;
         const auto peer = randomElement(contacts);
-        const auto config = m_registry.config();
-        const auto target = fmt::format("/v1/known?config={}&endpoints={}&hosts={}", config ? config->version : 0, m_sync.endpointRevision(), m_hosts.peers().empty() ? 1 : 0);
+        const auto target = fmt::format("/v1/known?config={}&endpoints={}&hosts={}", configVersion(), m_sync.endpointRevision(), m_hosts.peers().empty() ? 1 : 0);
         const auto reply = co_await call(peer.address, target, opinionTimeout);
         if (reply.isSuccess() && !applyState(reply.body, peer.name))
             EventLog::warn("peer_answer_unreadable", { { "peer", peer.name }, { "call", "known" } });
@@ -151,17 +150,19 @@
 {
     while (true) {
         co_await sleepFor(m_io, sampleInterval);
+        m_sync.setInformsPeers(m_hosts.isSampler());
         const auto samplers = m_hosts.samplers();
         if (samplers.empty())
             continue;
         const auto peer = randomElement(samplers);
         const auto askedAt = BootClock::now();
-        const auto reply = co_await call(peer.address, "/v1/positions", sampleTimeout);
+        const auto target = fmt::format("/v1/positions?config={}&endpoints={}", configVersion(), m_sync.endpointRevision());
+        const auto reply = co_await call(peer.address, target, sampleTimeout);
         noteSamplers(reply.isSuccess(), peer.name);
         if (!reply.isSuccess())
             continue; // Without news the services ask the primaries themselves.
         try {
-            applySamples(reply.body, askedAt);
+            applyNews(reply.body, askedAt, peer.name);
         } catch (const Json::exception&) {
             EventLog::warn("peer_answer_unreadable", { { "peer", peer.name }, { "call", "positions" } });
         }
@@ -196,9 +197,24 @@
     return samples;
 }
 
-void PeerService::applySamples(const std::string& body, BootTime askedAt)
+std::int64_t PeerService::configVersion() const { return m_registry.config() ? m_registry.config()->version : 0; }
+
+Json PeerService::describeNews(std::int64_t knownConfig, std::uint64_t knownEndpoints) const
+{
+    const auto silence = std::max(m_sync.configSilence(), m_sync.endpointSilence());
+    return { { "samples", describeSamples() }, { "known", m_sync.newerThan(knownConfig, knownEndpoints) }, { "storeSilenceMs", silence.count() } };
+}
+
+void PeerService::applyNews(const std::string& body, BootTime askedAt, const std::string& peer)
+{
+    const auto news = Json::parse(body);
+    m_sync.applyFromPeer(news.at("known"), peer);
+    m_sync.notePeerWord(askedAt, milliseconds(news.at("storeSilenceMs").get<std::int64_t>()));
+    applySamples(news.at("samples"), askedAt);
+}
+
+void PeerService::applySamples(const Json& samples, BootTime askedAt)
 {
-    const auto samples = Json::parse(body);
     for (const auto& [name, sample] : samples.items()) {
         const LogPosition position { sample.at("term").get<Term>(), sample.at("position").get<std::uint64_t>() };
         // The peer answered after it was asked, so the sample is at most this old.
--- a/packages/pooler/src/PeerService.h
+++ b/packages/pooler/src/PeerService.h
@@ -27,7 +27,11 @@
     Task<HttpReply> call(HostAddress peer, std::string target, std::chrono::milliseconds timeout);
     Task<void> followPeers();
     Task<void> followSamplers();
-    void applySamples(const std::string& body, BootTime askedAt);
+    std::int64_t configVersion() const;
+    /// What a follower needs: positions, what is newer than it knows, and how long the store has been silent here.
+    nlohmann::json describeNews(std::int64_t knownConfig, std::uint64_t knownEndpoints) const;
+    void applyNews(const std::string& body, BootTime askedAt, const std::string& peer);
+    void applySamples(const nlohmann::json& samples, BootTime askedAt);
     void noteSamplers(bool answered, const std::string& peer);
     nlohmann::json describeSamples() const;
     bool applyState(const std::string& body, const std::string& peer);
--- a/packages/pooler/src/StoreSync.cpp
+++ b/packages/pooler/src/StoreSync.cpp
@@ -17,6 +17,13 @@
     /// Longest wait of one watch. A connection that fell silent is found out after this time and the call timeout.
     constexpr milliseconds watchWait { 2000 };
     constexpr milliseconds watchAnswerTimeout { 800 };
+    /// The same wait for a process that others follow the store through.
+    constexpr milliseconds informerWatchWait { 1000 };
+    /// A peer that had no answer for longer has lost the store: the wait of its watch, and a slow answer.
+    constexpr milliseconds maxPeerSilence { 1500 };
+    /// A peer's word counts for this time: three questions to it.
+    constexpr milliseconds peerWordValidity { 800 };
+    constexpr milliseconds informedCheckInterval { 100 };
     constexpr milliseconds minRetryDelay { 100 };
     constexpr milliseconds maxRetryDelay { 800 };
 
@@ -41,9 +48,31 @@
 milliseconds StoreSync::endpointSilence() const { return std::chrono::duration_cast<milliseconds>(BootClock::now() - m_endpoints.lastAnswer); }
 milliseconds StoreSync::configSilence() const { return std::chrono::duration_cast<milliseconds>(BootClock::now() - m_config.lastAnswer); }
 
+void StoreSync::notePeerWord(BootTime askedAt, milliseconds peerSilence)
+{
+    if (peerSilence > maxPeerSilence)
+        return;
+    m_informedAt = askedAt;
+    for (auto* cursor : { &m_config, &m_endpoints }) {
+        cursor->lastAnswer = std::max(cursor->lastAnswer, askedAt - peerSilence);
+        cursor->failures = 0;
+        if (!cursor->isLost)
+            continue;
+        cursor->isLost = false;
+        EventLog::info("store_regained", { { "kind", cursor->kind }, { "away_ms", toMs(BootClock::now() - cursor->lostSince) }, { "source", "peer" } });
+        publish(*cursor);
+    }
+}
+
+bool StoreSync::isInformed() const { return BootClock::now() - m_informedAt < peerWordValidity; }
+
 Task<void> StoreSync::follow(Cursor& cursor)
 {
     while (true) {
+        if (cursor.revision != 0 && isInformed()) {
+            co_await sleepFor(m_io, informedCheckInterval);
+            continue;
+        }
         bool succeeded = false;
         if (cursor.revision == 0)
             succeeded = co_await listOnce(cursor);
@@ -96,15 +125,20 @@
 
 Task<bool> StoreSync::watchOnce(Cursor& cursor)
 {
-    auto changes = co_await m_store->watch(cursor.kind, cursor.revision, watchWait, watchWait + watchAnswerTimeout);
+    const auto since = cursor.revision;
+    const auto wait = m_informsPeers ? informerWatchWait : watchWait;
+    auto changes = co_await m_store->watch(cursor.kind, since, wait, wait + watchAnswerTimeout);
     const bool isOk = noteOutcome(cursor, "watch", changes.status, changes.detail);
-    if (changes.status == StoreStatus::HistoryGone || (changes.status == StoreStatus::Ok && changes.revision < cursor.revision)) {
+    if (cursor.revision == since && (changes.status == StoreStatus::HistoryGone || (changes.status == StoreStatus::Ok && changes.revision < cursor.revision))) {
         EventLog::info("store_history_gone", { { "kind", cursor.kind }, { "revision", cursor.revision } });
         cursor.revision = 0;
         co_return true;
     }
     if (!isOk)
         co_return false;
+    // A peer has told something newer meanwhile.
+    if (cursor.revision != since)
+        co_return true;
     cursor.revision = changes.revision;
     for (const auto& change : changes.changes)
         applyObject(cursor, change.object, change.isRemoved);
@@ -154,7 +188,7 @@
         object.name = item.at("name").get<std::string>();
         object.content = item.at("content");
     }
-    m_peerRevision = revision;
+    m_endpoints.revision = revision;
     m_endpoints.isKnown = true;
     m_entries.clear();
     for (const auto& object : objects)
--- a/packages/pooler/src/StoreSync.h
+++ b/packages/pooler/src/StoreSync.h
@@ -20,10 +20,16 @@
     /// What of the configuration and the endpoints is newer than the given version and revision; empty if nothing is.
     nlohmann::json newerThan(std::int64_t configVersion, std::uint64_t endpointRevision) const;
     /// Revision of the newest endpoints known here, whoever they came from; 0 if there are none.
-    std::uint64_t endpointRevision() const { return std::max(m_endpoints.revision, m_peerRevision); }
+    std::uint64_t endpointRevision() const { return m_endpoints.revision; }
     /// Applies what a peer's newerThan() returned, unless this process knows as much.
     void applyFromPeer(const nlohmann::json& state, const std::string& peer);
 
+    /// Whether peers follow the store through this process, which then looks for silence more often.
+    void setInformsPeers(bool informs) { m_informsPeers = informs; }
+    /// Records that a peer told all that it knows. @p askedAt: when it was asked. @p peerSilence: time since the store had
+    /// answered it. While such word is young, this process makes no watches of its own.
+    void notePeerWord(BootTime askedAt, std::chrono::milliseconds peerSilence);
+
 private:
     /// Progress of one kind's loop.
     struct Cursor {
@@ -36,6 +42,7 @@
         bool isKnown = false; ///< The kind has been listed, or a peer's listing was taken over.
     };
 
+    bool isInformed() const;
     Task<void> follow(Cursor& cursor);
     Task<bool> listOnce(Cursor& cursor);
     Task<bool> watchOnce(Cursor& cursor);
@@ -50,7 +57,8 @@
     PoolerMetrics& m_metrics;
     Cursor m_config;
     Cursor m_endpoints;
-    std::uint64_t m_peerRevision = 0; ///< Of the endpoints that were last taken over from a peer.
+    bool m_informsPeers = false;
+    BootTime m_informedAt {}; ///< When the last word of a peer that follows the store was asked for.
     std::map<std::string, EndpointEntry> m_entries;
     nlohmann::json m_configContent;
 };
--- /dev/null
+++ b/packages/pooler/tests/StoreFollowingTest.cpp
@@ -0,0 +1,87 @@
+#include "PoolerFixture.h"
+#include "kumquatbank/engine/HttpListener.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace kumquatbank;
+using std::chrono::milliseconds;
+
+namespace {
+
+const std::string boundedDb = EmulatedPlatform::databaseName(0, ReadPolicy::Bounded);
+
+constexpr int hosts = 10;
+/// Until every host has listed the others and the watches of followers have ended.
+constexpr milliseconds settling { 4500 };
+/// After the third listing of the hosts, well before the fourth.
+constexpr milliseconds betweenListings { 6500 };
+
+/// Hosts on which a new session of the database is refused because its route is gone.
+Task<int> hostsWithoutRoute(PoolerFixture& fixture)
+{
+    int found = 0;
+    for (int n = 0; n < hosts; ++n) {
+        TestClient client(fixture.io());
+        const auto answer = co_await client.start(fixture.clientAddress(n), boundedDb);
+        found += answer.code() == "NODB" ? 1 : 0;
+    }
+    co_return found;
+}
+
+} // namespace
+
+/// Ten hosts in one data centre, of which two watch the store and tell the others.
+TEST_GROUP(StoreFollowing) {};
+
+// Pattern: the store's rates grow more slowly than the fleet, and every waiting watch is a call.
+TEST(StoreFollowing, MostHostsMakeNoWatches)
+{
+    PoolerFixture fixture({}, hosts, 1);
+    fixture.run([](PoolerFixture& f) -> Task<void> {
+        co_await f.sleep(betweenListings);
+        const auto before = f.platform().store().calls();
+        co_await f.sleep(milliseconds(3000));
+        const auto calls = f.platform().store().calls() - before;
+        // Two watches of ten hosts, each of two seconds, would be 30.
+        CHECK_TRUE_TEXT(calls <= 20, (std::to_string(calls) + " calls").c_str());
+    }(fixture));
+}
+
+// Guards against a configuration that does not reach the hosts that make no watches.
+TEST(StoreFollowing, AChangeReachesHostsThatDoNotWatch)
+{
+    PoolerFixture fixture({}, hosts, 1);
+    fixture.run([](PoolerFixture& f) -> Task<void> {
+        co_await f.sleep(settling);
+        f.platform().config().routes.erase(boundedDb);
+        f.platform().putConfig();
+        co_await f.sleep(milliseconds(800));
+        const int changed = co_await hostsWithoutRoute(f);
+        LONGS_EQUAL(hosts, changed);
+    }(fixture));
+}
+
+// Guards against hosts that rely on others which have lost the store themselves.
+TEST(StoreFollowing, HostsWatchWhileTheOthersHaveLostTheStore)
+{
+    PoolerFixture fixture({}, hosts, 1);
+    const HostAddress address { fixture.clientAddress(0).ip, 32'500 };
+    int asked = 0;
+    const auto answer = [&asked](HttpRequest) -> Task<HttpAnswer> {
+        ++asked;
+        co_return HttpAnswer { 200, R"({"samples":{},"known":{},"storeSilenceMs":60000})" };
+    };
+    const HttpListener listener(fixture.io(), address, answer);
+    fixture.run([](PoolerFixture& f, HostAddress at) -> Task<void> {
+        // They come first by name, so that every host asks them.
+        for (const char* name : { "a-1", "a-2" })
+            f.platform().store().put("kumquatbank-hosts", name, { { "peerAddress", at.toString() }, { "dataCentre", "dc-0" } });
+        co_await f.sleep(milliseconds(6500));
+        f.platform().config().routes.erase(boundedDb);
+        f.platform().putConfig();
+        co_await f.sleep(milliseconds(800));
+        const int changed = co_await hostsWithoutRoute(f);
+        LONGS_EQUAL(hosts, changed);
+    }(fixture, address));
+    CHECK_TRUE(asked > 0);
+}
