--- a/apps/kumquatbank/main.cpp
+++ b/apps/kumquatbank/main.cpp
@@ -2,7 +2,6 @@
 #include "kumquatbank/proxy/proxy.h"
 
 #include <csignal>
-#include <cstdlib>
 #include <pthread.h>
 
 using namespace kumquatbank;
@@ -44,10 +43,7 @@
     }
     waitForShutdown();
     process.drain();
-    // Everything is finished and saved. Closing the peer connections is left to the kernel, because nng_close() of
-    // nng 1.5.2 can wait forever.
-    std::cout.flush();
-    std::_Exit(0);
+    return 0;
 }
 
 } // namespace
--- a/packages/platform/tests/PlatformClientTest.cpp
+++ b/packages/platform/tests/PlatformClientTest.cpp
@@ -1,6 +1,6 @@
-#include "FreeAddress.h"
 #include "Backoff.h"
 #include "CallBudget.h"
+#include "FreeAddress.h"
 #include "kumquatbank/platform/platform.h"
 #include "kumquatbank/transport/transport.h"
 
--- a/packages/pooler/src/Loan.cpp
+++ b/packages/pooler/src/Loan.cpp
@@ -104,7 +104,7 @@
         m_lease.service().noteAnswer(m_lease.endpoint(), sentAt);
     // Answers that did arrive are the borrower's, also if a later one is missing.
     const auto written = co_await m_channel.write(answers, BootClock::now() + m_answerTimeout);
-    co_return written == ChannelStatus::Ok && status == ExchangeStatus::Ok;
+    co_return written == ChannelStatus::Ok&& status == ExchangeStatus::Ok;
 }
 
 } // namespace kumquatbank
