pooler: loan messages as a class, no unused member

Cause: the linter refused the name of the namespace LoanMessage, an unused member of ConnectionLender, and a view that its parser does not know. Change: static members as in WireDialect; the ranking is copied.

--- a/packages/pooler/src/ConnectionBorrower.cpp
+++ b/packages/pooler/src/ConnectionBorrower.cpp
@@ -57,13 +57,12 @@
 
 Task<std::optional<tl::expected<ConnectionLease, AcquireFailure>>> ConnectionBorrower::borrow(std::shared_ptr<DatabaseService> service, PermitRequest request, milliseconds answerTimeout)
 {
-    std::vector<std::string> lenders;
-    for (const auto& candidate : ranking(service->name()) | std::views::take(maxLenders))
-        lenders.push_back(candidate.name);
-    for (const auto& name : lenders) {
+    // A copy: the ranking may change during a call.
+    auto lenders = ranking(service->name());
+    lenders.resize(std::min(lenders.size(), maxLenders));
+    for (const auto& [name, region] : lenders) {
         if (name == m_settings.host)
             co_return std::nullopt;
-        // The ranking may have changed during the call to the lender before.
         if (std::ranges::find(m_hosts.peers(), name, &PeerHost::name) == m_hosts.peers().end())
             continue;
         const auto link = linkTo(name);
--- a/packages/pooler/src/ConnectionLender.cpp
+++ b/packages/pooler/src/ConnectionLender.cpp
@@ -30,9 +30,8 @@
 
 } // namespace
 
-ConnectionLender::ConnectionLender(asio::io_context& io, ServiceRegistry& registry, PoolerMetrics& metrics)
-    : m_io(io)
-    , m_registry(registry)
+ConnectionLender::ConnectionLender(ServiceRegistry& registry, PoolerMetrics& metrics)
+    : m_registry(registry)
     , m_metrics(metrics)
 {
 }
--- a/packages/pooler/src/ConnectionLender.h
+++ b/packages/pooler/src/ConnectionLender.h
@@ -9,7 +9,7 @@
 /// same queue as those of this host's own clients.
 class ConnectionLender {
 public:
-    ConnectionLender(asio::io_context& io, ServiceRegistry& registry, PoolerMetrics& metrics);
+    ConnectionLender(ServiceRegistry& registry, PoolerMetrics& metrics);
 
     /// Serves one borrower's channel until it closes.
     Task<void> serve(LineChannel channel);
@@ -22,7 +22,6 @@
     /// False if the channel is of no further use.
     Task<bool> lend(LineChannel& channel, LoanRequest request);
 
-    asio::io_context& m_io;
     ServiceRegistry& m_registry;
     PoolerMetrics& m_metrics;
     bool m_isStopping = false;
--- a/packages/pooler/src/LoanMessage.cpp
+++ b/packages/pooler/src/LoanMessage.cpp
@@ -1,8 +1,10 @@
 #include "LoanMessage.h"
 
+#include <algorithm>
+#include <array>
 #include <nlohmann/json.hpp>
 
-namespace kumquatbank::LoanMessage {
+namespace kumquatbank {
 
 using Json = nlohmann::json;
 using std::chrono::milliseconds;
@@ -23,12 +25,12 @@
 
 } // namespace
 
-std::string formatRequest(const LoanRequest& request)
+std::string LoanMessage::formatRequest(const LoanRequest& request)
 {
     return frame(requestWord, { { "service", request.service }, { "primary", request.eligibility == Eligibility::PrimaryOnly }, { "priority", request.priority }, { "maxWaitMs", request.maxWait.count() }, { "answerTimeoutMs", request.answerTimeout.count() }, { "excluded", request.excluded } });
 }
 
-std::optional<LoanRequest> parseRequest(std::string_view line)
+std::optional<LoanRequest> LoanMessage::parseRequest(std::string_view line)
 {
     const auto json = parse(requestWord, line);
     if (!json.is_object())
@@ -47,7 +49,7 @@
     }
 }
 
-std::string formatReply(const LoanReply& reply)
+std::string LoanMessage::formatReply(const LoanReply& reply)
 {
     Json json { { "kind", replyNames.at(static_cast<std::size_t>(reply.kind)) } };
     if (reply.kind == LoanReply::Kind::Granted)
@@ -59,7 +61,7 @@
     return frame(replyWord, json);
 }
 
-LoanReply parseReply(std::string_view line)
+LoanReply LoanMessage::parseReply(std::string_view line)
 {
     const auto json = parse(replyWord, line);
     LoanReply reply;
@@ -83,4 +85,4 @@
     return reply;
 }
 
-} // namespace kumquatbank::LoanMessage
+} // namespace kumquatbank
--- a/packages/pooler/src/LoanMessage.h
+++ b/packages/pooler/src/LoanMessage.h
@@ -37,17 +37,17 @@
 };
 
 /// The lines between a borrower and a lender. Lines are returned with their end.
-namespace LoanMessage {
-
-    std::string formatRequest(const LoanRequest& request);
-    std::optional<LoanRequest> parseRequest(std::string_view line);
-
-    std::string formatReply(const LoanReply& reply);
-    LoanReply parseReply(std::string_view line);
-
+class LoanMessage {
+public:
     /// Ends a loan; the channel is free for the next one.
-    constexpr std::string_view giveBack = "LOAN RETURN";
+    static constexpr std::string_view giveBack = "LOAN RETURN";
 
-} // namespace LoanMessage
+    static std::string formatRequest(const LoanRequest& request);
+    /// Empty if the line is no request.
+    static std::optional<LoanRequest> parseRequest(std::string_view line);
+
+    static std::string formatReply(const LoanReply& reply);
+    static LoanReply parseReply(std::string_view line);
+};
 
 } // namespace kumquatbank
--- a/packages/pooler/src/PoolerProcess.cpp
+++ b/packages/pooler/src/PoolerProcess.cpp
@@ -48,7 +48,7 @@
         , m_hosts(m_io, m_store, m_settings, m_registry, m_metrics)
         , m_peers(m_io, m_hosts, m_registry, m_sync)
         , m_borrower(m_io, m_hosts, m_settings, m_metrics)
-        , m_lender(m_io, m_registry, m_metrics)
+        , m_lender(m_registry, m_metrics)
         , m_promotions(m_io, m_store, m_settings, m_registry, m_peers, m_metrics)
         , m_signals(m_io, SIGTERM, SIGINT, SIGHUP)
     {
