pooler: keep the lender's reason for a refusal; forget lenders that lend no more

Cause: a borrower logged one reason for every refusal of a lender, so "no endpoint is available" looked like a long queue; and a host that had stopped lending between two calls was taken to have an address. Change: the reason travels with the refusal and names the lender; such a host is passed over. Tests: Lending passed.

--- a/packages/pooler/src/ConnectionBorrower.cpp
+++ b/packages/pooler/src/ConnectionBorrower.cpp
@@ -47,11 +47,12 @@
 
 std::shared_ptr<LenderLink> ConnectionBorrower::linkTo(const std::string& host)
 {
+    const auto peer = std::ranges::find(m_hosts.peers(), host, &PeerHost::name);
+    if (peer == m_hosts.peers().end() || !peer->loanAddress)
+        return nullptr;
     auto& link = m_links[host];
-    if (!link) {
-        const auto peer = std::ranges::find(m_hosts.peers(), host, &PeerHost::name);
+    if (!link)
         link = std::make_shared<LenderLink>(m_io, host, *peer->loanAddress);
-    }
     return link;
 }
 
@@ -63,10 +64,8 @@
     for (const auto& [name, region] : lenders) {
         if (name == m_settings.host)
             co_return std::nullopt;
-        if (std::ranges::find(m_hosts.peers(), name, &PeerHost::name) == m_hosts.peers().end())
-            continue;
         const auto link = linkTo(name);
-        if (!link->isUsable())
+        if (!link || !link->isUsable())
             continue;
         const auto since = BootClock::now();
         LoanRequest asked;
@@ -79,7 +78,7 @@
         auto loan = co_await link->ask(std::move(asked), request.giveUpAt);
         m_metrics.borrowed(loanOutcomeName(loan.outcome));
         if (loan.outcome == LoanOutcome::Refused)
-            co_return tl::unexpected(AcquireFailure { ErrorCode::Busy, "the lender's queue is too long", loan.retryAfter });
+            co_return tl::unexpected(AcquireFailure { ErrorCode::Busy, "refused by lender " + name + ": " + loan.reason, loan.retryAfter });
         if (loan.outcome != LoanOutcome::Granted)
             continue;
         const auto endpoint = service->find(loan.endpoint);
--- a/packages/pooler/src/ConnectionBorrower.h
+++ b/packages/pooler/src/ConnectionBorrower.h
@@ -21,6 +21,7 @@
 
 private:
     const std::vector<LenderCandidate>& ranking(const std::string& service);
+    /// Null if the host is not known any more.
     std::shared_ptr<LenderLink> linkTo(const std::string& host);
 
     asio::io_context& m_io;
--- a/packages/pooler/src/DatabaseService.h
+++ b/packages/pooler/src/DatabaseService.h
@@ -16,7 +16,7 @@
 /// Why no connection could be had.
 struct AcquireFailure {
     ErrorCode code = ErrorCode::Busy;
-    std::string_view reason;
+    std::string reason;
     std::chrono::milliseconds retryAfter { 0 };
 };
 
--- a/packages/pooler/src/LenderLink.cpp
+++ b/packages/pooler/src/LenderLink.cpp
@@ -125,6 +125,7 @@
         m_idle.push_back(std::move(*asked.channel));
     result.outcome = LoanOutcome::Refused;
     result.retryAfter = asked.reply.retryAfter;
+    result.reason = std::move(asked.reply.reason);
     co_return result;
 }
 
--- a/packages/pooler/src/LenderLink.h
+++ b/packages/pooler/src/LenderLink.h
@@ -23,6 +23,7 @@
     std::string endpoint; ///< Granted.
     std::unique_ptr<DatabaseConnection> connection; ///< Granted: speaks to the endpoint through the lender.
     std::chrono::milliseconds retryAfter { 0 }; ///< Refused.
+    std::string reason; ///< Refused.
 };
 
 /// The way to one lender: its idle channels, and whether it answers.
