transport: remove the wrappers of nng contexts and messages

Cause: nothing uses them since calls between hosts run on Asio. Ruled out: a change of behaviour; the HTTP server and client use NngAio only.

--- a/packages/transport/src/NngHandles.h
+++ b/packages/transport/src/NngHandles.h
@@ -1,10 +1,8 @@
 #pragma once
 
-#include <memory>
 #include <nng/nng.h>
 #include <stdexcept>
 #include <string>
-#include <utility>
 
 namespace kumquatbank {
 
@@ -37,34 +35,4 @@
     nng_aio* m_aio = nullptr;
 };
 
-/// Owns an nng context of a REQ or REP socket.
-class NngContext {
-public:
-    explicit NngContext(nng_socket socket) { checkNng(nng_ctx_open(&m_context, socket)); }
-    ~NngContext() { nng_ctx_close(m_context); }
-    NngContext(const NngContext&) = delete;
-    NngContext& operator=(const NngContext&) = delete;
-
-    nng_ctx get() const { return m_context; }
-
-private:
-    nng_ctx m_context = NNG_CTX_INITIALIZER;
-};
-
-struct NngMessageDeleter {
-    void operator()(nng_msg* message) const { nng_msg_free(message); }
-};
-using NngMessage = std::unique_ptr<nng_msg, NngMessageDeleter>;
-
-/// Message that holds a copy of @p bytes, a contiguous container of byte-sized elements.
-template <typename Bytes>
-NngMessage makeNngMessage(const Bytes& bytes)
-{
-    nng_msg* message = nullptr;
-    checkNng(nng_msg_alloc(&message, 0));
-    NngMessage owned(message);
-    checkNng(nng_msg_append(message, bytes.data(), bytes.size()));
-    return owned;
-}
-
 } // namespace kumquatbank
