--- /dev/null
+++ b/packages/duties/tests/PlacementTest.cpp
@@ -0,0 +1,134 @@
+#include "kumquatbank/duties/duties.h"
+
+#include <algorithm>
+#include <map>
+#include <random>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace kumquatbank;
+
+namespace {
+
+constexpr double weakWeight = 0.12;
+constexpr double strongWeight = 0.5;
+
+/// Every sixth host is strong, as in the users' fleets.
+std::vector<PlacementHost> fleet(int hosts, int regions)
+{
+    std::vector<PlacementHost> found;
+    for (int n = 0; n < hosts; ++n) {
+        const auto region = std::to_string(n % regions);
+        found.push_back({ "host-" + std::to_string(n), "dc-" + region, "region-" + region, n % 6 == 0 ? strongWeight : weakWeight, true });
+    }
+    return found;
+}
+
+std::vector<std::string> names(const std::vector<PlacementHost>& hosts)
+{
+    std::vector<std::string> found;
+    std::ranges::transform(hosts, std::back_inserter(found), &PlacementHost::name);
+    return found;
+}
+
+std::string serviceName(int n) { return "service-" + std::to_string(n); }
+
+} // namespace
+
+TEST_GROUP(Placement) {};
+
+// Guards against two holders for one region, whose connections together exceed the limit, when hosts list each other in
+// different orders.
+TEST(Placement, IsTheSameForEveryOrderOfTheHosts)
+{
+    auto hosts = fleet(12, 3);
+    const auto ranking = names(Placement(hosts).holders("service", "region-1"));
+    std::ranges::reverse(hosts);
+    CHECK_TRUE(ranking == names(Placement(hosts).holders("service", "region-1")));
+}
+
+// Guards against statements that cross regions to reach a holder while a nearer one is there.
+TEST(Placement, PutsHostsOfTheRegionFirst)
+{
+    const auto ranking = Placement(fleet(12, 3)).holders("service", "region-1");
+    const auto near = std::ranges::count(ranking.begin(), ranking.begin() + 4, "region-1", &PlacementHost::region);
+    LONGS_EQUAL(4, near);
+}
+
+// Guards against a holder that nobody can borrow from.
+TEST(Placement, OnlyHostsThatLendAreHolders)
+{
+    auto hosts = fleet(6, 1);
+    for (std::size_t n = 0; n < 5; ++n)
+        hosts[n].lends = false;
+    const Placement placement(hosts);
+    CHECK_TRUE(names(placement.holders("service", "region-0")) == std::vector<std::string> { "host-5" });
+    for (auto& host : hosts)
+        host.lends = false;
+    CHECK_TRUE(Placement(hosts).lendingRegions().empty());
+}
+
+// Pattern: hosts of 0.5 and 0.12 cores in one fleet, many services. The bound: no host has more than three times its
+// fair share, that in proportion to its weight, of a thousand duties.
+TEST(Placement, LoadsHostsInProportionToTheirWeight)
+{
+    constexpr int services = 1000;
+    const auto hosts = fleet(30, 1);
+    const Placement placement(hosts);
+    std::map<std::string, int> held;
+    for (int n = 0; n < services; ++n)
+        ++held[placement.holders(serviceName(n), "region-0").front().name];
+    double weights = 0;
+    for (const auto& host : hosts)
+        weights += host.weight;
+    for (const auto& host : hosts) {
+        const double fair = services * host.weight / weights;
+        CHECK_TRUE_TEXT(held[host.name] <= 3 * fair, (host.name + " holds " + std::to_string(held[host.name]) + " of a fair " + std::to_string(fair)).c_str());
+        CHECK_TRUE_TEXT(held[host.name] * 3 >= fair, (host.name + " holds too few").c_str());
+    }
+}
+
+// Guards against a fleet in which every join or death moves the connections of services that have nothing to do with it.
+TEST(Placement, AHostThatJoinsOrDiesMovesOnlyItsOwnDuties)
+{
+    std::mt19937 random(20'261'204);
+    auto hosts = fleet(60, 3);
+    for (int round = 0; round < 200; ++round) {
+        const Placement before(hosts);
+        const auto it = hosts.begin() + std::uniform_int_distribution<std::ptrdiff_t>(0, std::ssize(hosts) - 1)(random);
+        const auto changed = *it;
+        hosts.erase(it);
+        const Placement after(hosts);
+        for (int n = 0; n < 20; ++n) {
+            auto expected = names(before.holders(serviceName(n), "region-1"));
+            std::erase(expected, changed.name);
+            CHECK_TRUE(expected == names(after.holders(serviceName(n), "region-1")));
+        }
+        if (hosts.size() < 30 || round % 2 == 0)
+            hosts.push_back(changed);
+    }
+}
+
+// Guards against a region without anybody to ask about a primary: the first holder of each, and the next if it is gone.
+TEST(Placement, AsksTwoHoldersOfEveryRegion)
+{
+    const Placement placement(fleet(30, 3));
+    const auto asked = placement.holdersOfAllRegions("service");
+    LONGS_EQUAL(6, asked.size());
+    for (const char* region : { "region-0", "region-1", "region-2" }) {
+        const auto ranking = placement.holders("service", region);
+        CHECK_TRUE(std::ranges::find(asked, ranking[0].name, &PlacementHost::name) != asked.end());
+        CHECK_TRUE(std::ranges::find(asked, ranking[1].name, &PlacementHost::name) != asked.end());
+    }
+}
+
+// Guards against regions in which nobody, or everybody, watches the store.
+TEST(Placement, FollowersAreTheSameForAllHostsOfARegion)
+{
+    auto hosts = fleet(30, 3);
+    const auto followers = names(Placement(hosts).followers("region-2", 2));
+    LONGS_EQUAL(2, followers.size());
+    std::ranges::reverse(hosts);
+    CHECK_TRUE(followers == names(Placement(hosts).followers("region-2", 2)));
+    LONGS_EQUAL(0, Placement(hosts).followers("region-9", 2).size());
+}
--- a/packages/pooler/include/kumquatbank/pooler/PoolerSettings.h
+++ b/packages/pooler/include/kumquatbank/pooler/PoolerSettings.h
@@ -14,6 +14,8 @@
     std::string host; ///< Name of this host; unique in the deployment.
     std::string dataCentre;
     std::string region;
+    double processorShare = 1; ///< Part of a processor core that this process may use; above 0.
+    int processorSpeed = 1; ///< How many times as fast as the usual core it is.
     HostAddress clientAddress; ///< Clients connect here.
     HostAddress readyAddress; ///< HTTP: the ready state, for the load balancer.
     HostAddress peerAddress; ///< HTTP: other processes of the deployment.
@@ -32,6 +34,9 @@
     /// A commented example.
     static std::string example();
 
+    /// Processor time that this host has, in usual cores; hosts get duties in proportion to it.
+    double weight() const { return processorShare * processorSpeed; }
+
     bool operator==(const PoolerSettings&) const = default;
 };
 
--- a/packages/pooler/src/ConnectionLease.cpp
+++ b/packages/pooler/src/ConnectionLease.cpp
@@ -31,6 +31,12 @@
 
 std::string ConnectionLease::lender() const { return m_lender ? m_lender->host() : std::string(); }
 
+void ConnectionLease::noteAnswer(BootTime sentAt)
+{
+    if (!m_lender)
+        m_service->noteAnswer(*m_endpoint, sentAt);
+}
+
 void ConnectionLease::noteFailure(std::string_view what)
 {
     if (m_lender)
--- a/packages/pooler/src/ConnectionLease.h
+++ b/packages/pooler/src/ConnectionLease.h
@@ -28,6 +28,8 @@
     /// Host that holds the connection; empty if this one does.
     std::string lender() const;
 
+    /// Records an answer. One over a borrowed connection says nothing of whether this host reaches the endpoint.
+    void noteAnswer(BootTime sentAt);
     /// Records that the connection gave no answer. A borrowed one says nothing of the endpoint: its lender may be at fault.
     void noteFailure(std::string_view what);
 
--- a/packages/pooler/src/ConnectionLender.cpp
+++ b/packages/pooler/src/ConnectionLender.cpp
@@ -25,7 +25,7 @@
 
     std::string formatRefusal(milliseconds retryAfter, std::string_view reason)
     {
-        return LoanMessage::formatReply({ LoanReply::Kind::Refused, {}, retryAfter, std::string(reason) });
+        return LoanMessage::formatReply({ LoanReply::Kind::Refused, {}, {}, retryAfter, std::string(reason) });
     }
 
 } // namespace
@@ -55,7 +55,7 @@
 {
     // Lines are made before they are passed on: g++ 12 frees temporaries of an awaited call twice.
     if (m_isStopping) {
-        const auto leaving = LoanMessage::formatReply({ LoanReply::Kind::Leaving, {}, milliseconds(0), {} });
+        const auto leaving = LoanMessage::formatReply({ LoanReply::Kind::Leaving, {}, {}, milliseconds(0), {} });
         co_return co_await send(channel, leaving);
     }
     const auto service = m_registry.find(request.service);
@@ -65,26 +65,36 @@
     }
     service->noteLoan();
     const auto now = BootClock::now();
-    PermitRequest permit;
-    permit.eligibility = request.eligibility;
-    permit.priority = request.priority;
-    permit.giveUpAt = now + std::clamp(request.maxWait, milliseconds(0), maxWait);
-    permit.excluded = std::move(request.excluded);
+    ConnectionDemand demand;
+    demand.permit.eligibility = request.eligibility;
+    demand.permit.priority = request.priority;
+    demand.permit.giveUpAt = now + std::clamp(request.maxWait, milliseconds(0), maxWait);
+    demand.permit.excluded = std::move(request.excluded);
+    demand.until = demand.permit.giveUpAt;
+    if (request.maxStaleness) {
+        demand.freshness = ReadFreshness { *request.maxStaleness, {} };
+        demand.permit.excluded.merge(service->laggingEndpoints());
+    }
+    if (!request.waitsForEndpoint && !service->reaches(demand)) {
+        EventLog::info("loan_unreachable", { { "service", request.service }, { "primary", service->lastPrimary() }, { "is_read", request.maxStaleness.has_value() } });
+        const auto unreachable = LoanMessage::formatReply({ LoanReply::Kind::Unreachable, {}, {}, milliseconds(0), {} });
+        co_return co_await send(channel, unreachable);
+    }
     // The borrower takes a lender that says nothing for lost, and a wait may be longer than that.
-    if (service->scheduler().expectedWait(permit) > milliseconds(0)) {
-        const auto queued = LoanMessage::formatReply({ LoanReply::Kind::Queued, {}, milliseconds(0), {} });
+    if (service->mayWait(demand)) {
+        const auto queued = LoanMessage::formatReply({ LoanReply::Kind::Queued, {}, {}, milliseconds(0), {} });
         if (!co_await send(channel, queued))
             co_return false;
     }
     const SessionState noSession;
-    auto lease = co_await service->acquireOwn(permit, noSession, permit.giveUpAt);
+    auto lease = co_await service->acquireOwn(std::move(demand), noSession);
     m_metrics.loan(request.service, lease.has_value());
     if (!lease) {
         EventLog::warn("loan_refused", { { "service", request.service }, { "priority", request.priority }, { "reason", lease.error().reason }, { "waited_ms", toMs(BootClock::now() - now) }, { "waiting", service->scheduler().waiting() } });
         const auto refused = formatRefusal(lease.error().retryAfter, lease.error().reason);
         co_return co_await send(channel, refused);
     }
-    const auto granted = LoanMessage::formatReply({ LoanReply::Kind::Granted, lease->endpointId(), milliseconds(0), {} });
+    const auto granted = LoanMessage::formatReply({ LoanReply::Kind::Granted, lease->endpointId(), service->newestSample(now), milliseconds(0), {} });
     if (!co_await send(channel, granted))
         co_return false;
     ++m_openLoans;
--- a/packages/pooler/src/DatabaseService.cpp
+++ b/packages/pooler/src/DatabaseService.cpp
@@ -47,6 +47,10 @@
     constexpr milliseconds refusedAnswerTime { 200 };
     /// A host that was asked for connections holds them for this long after the last request.
     constexpr milliseconds lenderMemory { 5000 };
+    /// A host that used connections of its own where others lend them watches the primary for this long.
+    constexpr milliseconds ownUseMemory { 3000 };
+    /// Failures of the primary without an answer between them before it is doubted.
+    constexpr int doubtFailures = 2;
     constexpr int roundTripSmoothing = 8;
     constexpr int openingTimeSmoothing = 8;
     /// Time between two questions to all endpoints for the primary.
@@ -68,8 +72,20 @@
     m_limits = limits;
     m_hosts = std::max(1, hosts);
     m_lenders = lenders;
-    for (const auto& [id, endpoint] : m_endpoints)
+    for (const auto& [id, endpoint] : m_endpoints) {
+        if (isLent() && !isHolder())
+            closeAllIdle(*endpoint);
         refreshScheduler(*endpoint);
+    }
+}
+
+void DatabaseService::giveUpHolding()
+{
+    m_isGivingUp = true;
+    if (!isLent())
+        return;
+    for (const auto& [id, endpoint] : m_endpoints)
+        closeAllIdle(*endpoint);
 }
 
 void DatabaseService::refreshScheduler(const Endpoint& endpoint)
@@ -82,7 +98,7 @@
     const bool isFull = now < endpoint.fullUntil;
     // A primary that is about to leave serves until its successor is known; a replica gets nothing more.
     const bool isServing = !endpoint.entry.isDraining || isPrimary;
-    const bool isUsable = isServing && now >= endpoint.unusableUntil && (!isFull || endpoint.open > 0);
+    const bool isUsable = isServing && now >= endpoint.unusableUntil && (!isFull || endpoint.open > 0) && !(isPrimary && isDoubtful(endpoint, now));
     const int share = sharing().share();
     m_scheduler.setEndpoint(endpoint.entry.id, isUsable, isPrimary, isFull ? std::min(share, endpoint.open) : share);
     m_scheduler.setAnswerTime(endpoint.entry.id, endpoint.expectedAnswerTime(now));
@@ -91,7 +107,7 @@
 
 void DatabaseService::noteIdle(const Endpoint& endpoint)
 {
-    const bool isOpeningDear = sharing().isScarce() && !isLender() && endpoint.idle.empty();
+    const bool isOpeningDear = sharing().isScarce() && !isHolder() && endpoint.idle.empty();
     m_scheduler.setOpeningCost(endpoint.entry.id, isOpeningDear ? endpoint.openingTime : std::chrono::microseconds(0));
 }
 
@@ -118,6 +134,8 @@
         }
         endpoint->entry = entry;
         endpoint->missingSince.reset();
+        if (entry.isDraining && (isNew || !before.isDraining))
+            endpoint->drainingSince = now;
         if (entry.isDraining && !before.isDraining && entry.id != m_primary)
             closeAllIdle(*endpoint);
         if (isNew || before != entry)
@@ -182,25 +200,42 @@
 void DatabaseService::notePrimary(Endpoint& endpoint, std::optional<LogPosition> position, BootTime sentAt)
 {
     setPrimary(endpoint.entry.id, "accepted as primary");
-    if (!position)
-        return;
-    m_floor.addSample(*position, sentAt);
-    for (const auto& waiter : std::exchange(m_floorWaiters, {}))
-        waiter->wake();
+    if (position)
+        addFloorSample(*position, sentAt);
 }
 
-void DatabaseService::notePeerSample(const std::string& id, LogPosition position, BootTime takenAt)
+void DatabaseService::notePeerSample(const PositionSample& sample, BootTime askedAt)
 {
-    const auto endpoint = find(id);
-    // Word from before the last change of the believed primary may name the one before.
-    if (!endpoint || takenAt <= m_primarySince)
-        return;
+    // The peer was asked before it answered, so the sample is at most this old.
+    const auto takenAt = askedAt - sample.age;
     const auto* newest = m_floor.newest();
     if (newest != nullptr && takenAt <= newest->takenAt)
         return;
     m_lastPeerSample = BootClock::now();
-    endpoint->lastAnswer = std::max(endpoint->lastAnswer, takenAt);
-    notePrimary(*endpoint, position, takenAt);
+    const auto endpoint = find(sample.primary);
+    // Word from before the last change of the believed primary may name the one before; its position counts all the same.
+    if (endpoint && takenAt > m_primarySince) {
+        endpoint->lastAnswer = std::max(endpoint->lastAnswer, takenAt);
+        setPrimary(sample.primary, "peer");
+    }
+    addFloorSample(sample.position, takenAt);
+}
+
+std::optional<PositionSample> DatabaseService::newestSample(BootTime askedAt) const
+{
+    const auto* newest = m_floor.newest();
+    if (newest == nullptr)
+        return std::nullopt;
+    // Rounded up: a sample must not look younger than it is.
+    const auto age = std::chrono::ceil<milliseconds>(askedAt - newest->takenAt);
+    return PositionSample { newest->takenAt > m_primarySince ? m_primary : std::string(), newest->position, age };
+}
+
+void DatabaseService::addFloorSample(LogPosition position, BootTime takenAt)
+{
+    m_floor.addSample(position, takenAt);
+    for (const auto& waiter : std::exchange(m_floorWaiters, {}))
+        waiter->wake();
 }
 
 void DatabaseService::noteNotPrimary(Endpoint& endpoint)
@@ -300,7 +335,7 @@
 
 void DatabaseService::closeIdle(Endpoint& endpoint, BootTime now)
 {
-    const std::size_t kept = sharing().isScarce() && !isLender() ? 0 : 1;
+    const std::size_t kept = sharing().isScarce() && !isHolder() ? 0 : 1;
     // The front is the one that has been idle for longest.
     while (endpoint.idle.size() > kept && now - endpoint.idle.front().since >= spareIdleTime) {
         endpoint.idle.erase(endpoint.idle.begin());
@@ -310,11 +345,14 @@
 
 bool DatabaseService::keepsIdle(const Endpoint& endpoint) const
 {
-    if (!sharing().isScarce() || isLender())
+    if (!sharing().isScarce() || isHolder())
         return true;
     // Closing it would only make the next request in the queue open another one.
     if (m_scheduler.waiting() > 0)
         return true;
+    // The holders need all connections that they may have.
+    if (isLent())
+        return false;
     return endpoint.idle.empty() && std::bernoulli_distribution(sharing().keepProbability())(randomEngine());
 }
 
@@ -347,25 +385,68 @@
     co_return tl::unexpected(*opened.refusal);
 }
 
-bool DatabaseService::isLender() const
+bool DatabaseService::isHolder() const
 {
-    if (!sharing().isLent() || m_borrower == nullptr)
+    return isLent() && !m_isGivingUp && (m_borrower->rank(m_name) == 0 || BootClock::now() - m_lastLoan < lenderMemory);
+}
+
+std::optional<std::size_t> DatabaseService::holderRank() const { return m_borrower == nullptr ? std::nullopt : m_borrower->rank(m_name); }
+
+bool DatabaseService::watchesPrimary() const
+{
+    // Before the hosts are known, this one may be one of many that the databases have no connections for.
+    const bool isOwn = !isLent() && m_hosts != ConnectionSharing::unknownHosts;
+    return isOwn || isHolder() || BootClock::now() - m_lastOwnUse < ownUseMemory;
+}
+
+bool DatabaseService::isDoubtful(const Endpoint& primary, BootTime now) const
+{
+    return primary.failures >= doubtFailures && now - primary.lastAnswer > primaryDoubtAge;
+}
+
+bool DatabaseService::reaches(const ConnectionDemand& demand) const
+{
+    if (m_scheduler.expectedWait(demand.permit) == milliseconds::max())
         return false;
-    return m_borrower->isLender(m_name) || BootClock::now() - m_lastLoan < lenderMemory;
+    if (!demand.freshness || currentFloor(demand.freshness->maxStaleness, demand.freshness->own))
+        return true;
+    // Without a young position the primary has to be asked for one.
+    PermitRequest fromPrimary;
+    fromPrimary.eligibility = Eligibility::PrimaryOnly;
+    return m_scheduler.expectedWait(fromPrimary) != milliseconds::max();
+}
+
+bool DatabaseService::mayWait(const ConnectionDemand& demand) const
+{
+    const bool hasFloor = !demand.freshness || currentFloor(demand.freshness->maxStaleness, demand.freshness->own);
+    return !hasFloor || m_scheduler.expectedWait(demand.permit) > milliseconds(0);
 }
 
-Task<tl::expected<ConnectionLease, AcquireFailure>> DatabaseService::acquire(PermitRequest request, const SessionState& session, BootTime until, milliseconds answerTimeout)
+Task<tl::expected<ConnectionLease, AcquireFailure>> DatabaseService::acquire(ConnectionDemand demand, const SessionState& session)
 {
-    if (sharing().isLent() && m_borrower != nullptr) {
-        auto borrowed = co_await m_borrower->borrow(shared_from_this(), request, answerTimeout);
+    const auto self = shared_from_this();
+    if (isLent()) {
+        auto borrowed = co_await m_borrower->borrow(self, demand);
+        if (borrowed)
+            co_return std::move(*borrowed);
+    } else if (m_borrower != nullptr && !reaches(demand)) {
+        auto borrowed = co_await m_borrower->borrowAround(self, demand);
         if (borrowed)
             co_return std::move(*borrowed);
     }
-    co_return co_await acquireOwn(std::move(request), session, until);
+    co_return co_await acquireOwn(std::move(demand), session);
 }
 
-Task<tl::expected<ConnectionLease, AcquireFailure>> DatabaseService::acquireOwn(PermitRequest request, const SessionState& session, BootTime until)
+Task<tl::expected<ConnectionLease, AcquireFailure>> DatabaseService::acquireOwn(ConnectionDemand demand, const SessionState& session)
 {
+    m_lastOwnUse = BootClock::now();
+    if (demand.freshness) {
+        const auto position = co_await floor(demand.freshness->maxStaleness, demand.freshness->own, demand.until);
+        if (!position)
+            co_return tl::unexpected(AcquireFailure { ErrorCode::Busy, "the primary's position is not known", failurePause });
+    }
+    auto request = std::move(demand.permit);
+    const auto until = demand.until;
     while (true) {
         auto granted = m_scheduler.tryTake(request);
         if (!granted) {
@@ -475,7 +556,10 @@
 
 bool DatabaseService::wantsProbe(const Endpoint& primary, BootTime now) const
 {
-    const bool isInformed = now - m_lastPeerSample < peerSampleValidity;
+    if (!watchesPrimary())
+        return false;
+    // Where connections are lent, samples come only along with loans.
+    const bool isInformed = !isLent() && now - m_lastPeerSample < peerSampleValidity;
     if (now - primary.lastAnswer > (isInformed ? informedProbeAge : primaryProbeAge))
         return true;
     const auto* newest = m_floor.newest();
@@ -495,11 +579,11 @@
     if (known) {
         if (wantsProbe(*known, now))
             asio::co_spawn(m_io, probe(known), asio::detached);
-        const bool isDoubtful = known->failures > 0 && now - known->lastAnswer > primaryDoubtAge;
-        if (!isDoubtful)
+        const bool isSilent = known->failures > 0 && now - known->lastAnswer > primaryDoubtAge;
+        if (!isSilent)
             co_return;
     }
-    if (now - m_lastSearch < searchInterval)
+    if (!watchesPrimary() || now - m_lastSearch < searchInterval)
         co_return;
     m_lastSearch = now;
     for (const auto& [id, endpoint] : m_endpoints)
--- a/packages/pooler/src/DatabaseService.h
+++ b/packages/pooler/src/DatabaseService.h
@@ -1,8 +1,10 @@
 #pragma once
 
+#include "ConnectionDemand.h"
 #include "ConnectionLease.h"
 #include "Endpoint.h"
 #include "PoolerMetrics.h"
+#include "PositionSample.h"
 #include "kumquatbank/engine/Waiter.h"
 #include "kumquatbank/routing/ConnectionSharing.h"
 #include "kumquatbank/routing/ReadFloor.h"
@@ -39,13 +41,27 @@
     /// entry counts as a removed one after a grace period.
     void setEntries(const std::vector<EndpointEntry>& entries, bool isComplete);
 
-    /// Gets a connection for a session, borrowed or of this host. @p until: when to give up. @p answerTimeout: of each
-    /// statement on it.
-    Task<tl::expected<ConnectionLease, AcquireFailure>> acquire(PermitRequest request, const SessionState& session, BootTime until, std::chrono::milliseconds answerTimeout);
-    /// Gets a connection of this host, opening one if need be.
-    Task<tl::expected<ConnectionLease, AcquireFailure>> acquireOwn(PermitRequest request, const SessionState& session, BootTime until);
+    /// Gets a connection for a session, borrowed or of this host.
+    Task<tl::expected<ConnectionLease, AcquireFailure>> acquire(ConnectionDemand demand, const SessionState& session);
+    /// Gets a connection of this host, opening one if need be. A read first waits for the position that it must find.
+    Task<tl::expected<ConnectionLease, AcquireFailure>> acquireOwn(ConnectionDemand demand, const SessionState& session);
+    /// False if no endpoint that this host reaches may serve the demand now.
+    bool reaches(const ConnectionDemand& demand) const;
+    /// True if the demand would not be served at once.
+    bool mayWait(const ConnectionDemand& demand) const;
+    /// True if connections are scarce, so that holders lend them to the other hosts.
+    bool isLent() const { return sharing().isLent() && m_borrower != nullptr; }
+    /// Rank of this host among the holders of the service; 0 for the first in its region.
+    std::optional<std::size_t> holderRank() const;
+    /// True if this host asks the primary for its position and for a sign of life. Where connections are lent, only the
+    /// holders do, and hosts that found no holder.
+    bool watchesPrimary() const;
     /// Records that another host asked for a connection.
     void noteLoan() { m_lastLoan = BootClock::now(); }
+    /// Closes the connections that are held for other hosts, because this one is about to stop; the next holders open
+    /// theirs. Loans in use go on.
+    void giveUpHolding();
+    bool isGivingUpHolding() const { return m_isGivingUp; }
     /// Gets a connection to one endpoint outside the queue, for probes; null if none is free or it cannot be reached.
     Task<std::optional<ConnectionLease>> acquireProbe(std::shared_ptr<Endpoint> endpoint, std::chrono::milliseconds timeout);
 
@@ -55,8 +71,10 @@
 
     /// Records an answer that only the primary gives. @p sentAt: when the statement was sent.
     void notePrimary(Endpoint& endpoint, std::optional<LogPosition> position, BootTime sentAt);
-    /// Records a position that a peer had from the primary. @p takenAt: no later than the peer asked for it.
-    void notePeerSample(const std::string& endpoint, LogPosition position, BootTime takenAt);
+    /// Records a position that a peer had from the primary. @p askedAt: when the peer was asked.
+    void notePeerSample(const PositionSample& sample, BootTime askedAt);
+    /// The newest known position of the primary, its age counted from @p askedAt; empty if none is known.
+    std::optional<PositionSample> newestSample(BootTime askedAt) const;
     /// Records that the endpoint refused because it is not the primary.
     void noteNotPrimary(Endpoint& endpoint);
     void noteLagging(Endpoint& endpoint);
@@ -98,7 +116,10 @@
     void noteIdle(const Endpoint& endpoint);
     ConnectionSharing sharing() const { return { m_limits.maxConnections, m_hosts, m_lenders }; }
     /// True if this host holds connections that it keeps open for others.
-    bool isLender() const;
+    bool isHolder() const;
+    /// True if the primary fails to answer, so that nothing is sent to it before a probe has succeeded.
+    bool isDoubtful(const Endpoint& primary, BootTime now) const;
+    void addFloorSample(LogPosition position, BootTime takenAt);
     void setPrimary(const std::string& id, std::string_view evidence);
     void dropMissing(BootTime now);
     bool wantsProbe(const Endpoint& primary, BootTime now) const;
@@ -112,6 +133,8 @@
     int m_hosts = ConnectionSharing::unknownHosts;
     int m_lenders = 0;
     BootTime m_lastLoan {}; ///< When another host last asked for a connection.
+    bool m_isGivingUp = false;
+    BootTime m_lastOwnUse {}; ///< When a connection of this host was last wanted.
     std::map<std::string, std::shared_ptr<Endpoint>> m_endpoints;
     ServiceScheduler m_scheduler;
     Floor m_floor;
--- a/packages/pooler/src/Endpoint.h
+++ b/packages/pooler/src/Endpoint.h
@@ -24,6 +24,7 @@
 
     BootTime lastAnswer {}; ///< When the newest request that it answered was sent.
     int failures = 0; ///< Since the last answer.
+    BootTime drainingSince {}; ///< When it was first seen to be about to leave.
     BootTime unusableUntil {}; ///< No new work until then, after a failed connect.
     BootTime fullUntil {}; ///< No new connections until then, after one was refused for their number.
     BootTime laggingUntil {}; ///< No reads with a floor until then, after it lacked a position.
--- a/packages/pooler/src/HostDirectory.cpp
+++ b/packages/pooler/src/HostDirectory.cpp
@@ -3,7 +3,6 @@
 #include "kumquatbank/engine/EventLog.h"
 
 #include <array>
-#include <set>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -19,17 +18,19 @@
     constexpr milliseconds retryDelay { 1000 };
     /// The first renewals are close together, because all hosts of a new deployment register at the same time.
     constexpr std::array<milliseconds, 3> firstRenewals { milliseconds(1500), milliseconds(4000), milliseconds(8000) };
-    constexpr milliseconds renewalInterval { 15'000 };
-    /// A host whose entry has not changed for this long is gone.
-    constexpr milliseconds expiry { 50'000 };
-    /// Two, so that the loss of one leaves the positions fresh.
-    constexpr std::size_t samplersPerDataCentre = 2;
-    /// With fewer hosts in a data centre, asking each other saves less than it costs.
-    constexpr std::size_t minHostsForSamplers = 5;
-
-    nlohmann::json describeHost(const HostAddress& peerAddress, const std::string& dataCentre, const std::string& region, const std::optional<HostAddress>& loanAddress)
+    constexpr milliseconds minRenewalInterval { 30'000 };
+    /// Renewals that all hosts may make together: 1 in 50 of the writes that the users' smallest store takes, 400 a second.
+    constexpr int renewalsPerSecond = 8;
+    /// A host whose entry has not changed for this many renewal intervals is gone.
+    constexpr int expiryIntervals = 3;
+    /// Two, so that the loss of one leaves the others informed.
+    constexpr std::size_t followersPerRegion = 2;
+    /// With fewer hosts in a region, asking each other saves less than it costs.
+    constexpr std::ptrdiff_t minHostsForFollowers = 5;
+
+    nlohmann::json describeHost(const HostAddress& peerAddress, const std::string& dataCentre, const std::string& region, double weight, const std::optional<HostAddress>& loanAddress)
     {
-        nlohmann::json json { { "peerAddress", peerAddress.toString() }, { "dataCentre", dataCentre }, { "region", region } };
+        nlohmann::json json { { "peerAddress", peerAddress.toString() }, { "dataCentre", dataCentre }, { "region", region }, { "weight", weight } };
         if (loanAddress)
             json["loanAddress"] = loanAddress->toString();
         return json;
@@ -63,7 +64,7 @@
             co_await sleepFor(m_io, retryDelay);
             continue;
         }
-        co_await sleepFor(m_io, n < firstRenewals.size() ? firstRenewals[n] : renewalInterval);
+        co_await sleepFor(m_io, n < firstRenewals.size() ? firstRenewals[n] : renewalInterval());
         ++n;
     }
 }
@@ -96,12 +97,13 @@
 
 Task<bool> HostDirectory::refresh()
 {
-    const auto listing = co_await m_store->list(hostKind, m_renewals > 1, callTimeout);
+    const auto listing = co_await m_store->list(hostKind, true, callTimeout);
     m_metrics.storeCall("list_hosts", storeStatusName(listing.status));
     if (listing.status != StoreStatus::Ok)
         co_return false;
     apply(listing.objects);
     const auto now = BootClock::now();
+    const auto expiry = renewalInterval() * expiryIntervals;
     std::vector<std::string> expired;
     for (const auto& [name, seen] : m_seen) {
         if (name != m_settings.host && now - seen.changedAt >= expiry)
@@ -124,50 +126,57 @@
     };
     const auto address = HostAddress::parse(text("peerAddress"));
     const auto loanAddress = HostAddress::parse(text("loanAddress"));
+    const auto weight = content.is_object() ? content.value("weight", nlohmann::json()) : nlohmann::json();
     if (address)
-        m_peers.push_back({ name, *address, text("dataCentre"), text("region"), loanAddress ? std::optional(*loanAddress) : std::nullopt });
+        m_peers.push_back({ name, *address, text("dataCentre"), text("region"), loanAddress ? std::optional(*loanAddress) : std::nullopt, weight.is_number() ? weight.get<double>() : 1.0 });
     else
         EventLog::warn("host_entry_skipped", { { "peer", name } });
 }
 
 nlohmann::json HostDirectory::ownContent() const
 {
-    return describeHost(m_settings.peerAddress, m_settings.dataCentre, m_settings.region, m_settings.loanAddress);
+    return describeHost(m_settings.peerAddress, m_settings.dataCentre, m_settings.region, m_settings.weight(), m_settings.loanAddress);
 }
 
 void HostDirectory::publish()
 {
     ++m_version;
-    std::set<std::string> lendingRegions;
-    if (m_settings.loanAddress)
-        lendingRegions.insert(m_settings.region);
-    for (const auto& peer : m_peers) {
-        if (peer.loanAddress)
-            lendingRegions.insert(peer.region);
-    }
-    const int lenders = m_settings.loanAddress ? static_cast<int>(lendingRegions.size()) : 0;
+    place();
+    const int lenders = m_settings.loanAddress ? static_cast<int>(m_placement.lendingRegions().size()) : 0;
     m_registry.setHostCount(static_cast<int>(m_peers.size()) + 1, lenders);
 }
 
-std::vector<PeerHost> HostDirectory::firstOfDataCentre() const
+void HostDirectory::place()
 {
-    std::vector<PeerHost> near;
-    std::ranges::copy_if(m_peers, std::back_inserter(near), [this](const PeerHost& peer) { return peer.dataCentre == m_settings.dataCentre; });
-    if (near.size() + 1 < minHostsForSamplers)
-        return {};
-    std::ranges::sort(near, {}, &PeerHost::name);
-    near.resize(samplersPerDataCentre);
-    return near;
+    std::vector<PlacementHost> hosts { { m_settings.host, m_settings.dataCentre, m_settings.region, m_settings.weight(), m_settings.loanAddress.has_value() } };
+    for (const auto& peer : m_peers)
+        hosts.push_back({ peer.name, peer.dataCentre, peer.region, peer.weight, peer.loanAddress.has_value() });
+    m_placement = Placement(std::move(hosts));
+    m_followers.clear();
+    m_isFollower = false;
+    if (std::ranges::count(m_placement.hosts(), m_settings.region, &PlacementHost::region) < minHostsForFollowers)
+        return;
+    for (const auto& host : m_placement.followers(m_settings.region, followersPerRegion)) {
+        if (host.name == m_settings.host)
+            m_isFollower = true;
+        else
+            m_followers.push_back(*find(host.name));
+    }
+    if (m_isFollower)
+        m_followers.clear();
 }
 
-bool HostDirectory::isSampler() const
+const PeerHost* HostDirectory::find(const std::string& name) const
 {
-    // Every host of the data centre has the same order, so all agree on the first ones.
-    const auto others = firstOfDataCentre();
-    return !others.empty() && m_settings.host < others.back().name;
+    const auto it = std::ranges::find(m_peers, name, &PeerHost::name);
+    return it == m_peers.end() ? nullptr : &*it;
 }
 
-std::vector<PeerHost> HostDirectory::samplers() const { return isSampler() ? std::vector<PeerHost> {} : firstOfDataCentre(); }
+milliseconds HostDirectory::renewalInterval() const
+{
+    const auto hosts = static_cast<int>(m_peers.size()) + 1;
+    return std::max(minRenewalInterval, milliseconds(std::chrono::seconds(1)) * hosts / renewalsPerSecond);
+}
 
 std::vector<PeerHost> HostDirectory::contacts() const
 {
@@ -188,7 +197,7 @@
         return {};
     nlohmann::json hosts { { m_settings.host, ownContent() } };
     for (const auto& peer : m_peers)
-        hosts[peer.name] = describeHost(peer.address, peer.dataCentre, peer.region, peer.loanAddress);
+        hosts[peer.name] = describeHost(peer.address, peer.dataCentre, peer.region, peer.weight, peer.loanAddress);
     return hosts;
 }
 
@@ -208,6 +217,7 @@
 void HostDirectory::apply(const std::vector<StoreObject>& objects)
 {
     const auto now = BootClock::now();
+    const auto expiry = renewalInterval() * expiryIntervals;
     m_source = Source::Store;
     m_peers.clear();
     for (const auto& object : objects) {
--- a/packages/pooler/src/HostDirectory.h
+++ b/packages/pooler/src/HostDirectory.h
@@ -2,6 +2,7 @@
 
 #include "ServiceRegistry.h"
 #include "kumquatbank/adapter/ObjectStore.h"
+#include "kumquatbank/duties/duties.h"
 #include "kumquatbank/pooler/PoolerSettings.h"
 
 #include <random>
@@ -15,6 +16,7 @@
     std::string dataCentre; ///< Empty if unknown.
     std::string region; ///< Empty if unknown.
     std::optional<HostAddress> loanAddress; ///< Where it lends connections, if it does.
+    double weight = 1; ///< Processor time that it has, in usual cores.
 };
 
 /// The hosts of the deployment, registered in the store. A host renews its entry; one that is not renewed for several
@@ -36,12 +38,18 @@
     /// Hosts to ask while the store does not answer: the known ones, otherwise the seeds of the settings.
     std::vector<PeerHost> contacts() const;
 
-    /// Hosts of this data centre that ask the primaries for their positions, for the others to learn from. Empty if this
-    /// host is one of them, or if there are too few hosts for it to pay.
-    std::vector<PeerHost> samplers() const;
+    /// The hosts that are known, this one among them, and their duties.
+    const Placement& placement() const { return m_placement; }
+
+    /// The other host of that name; null if it is not known.
+    const PeerHost* find(const std::string& name) const;
+
+    /// Hosts of this region that follow the store, and the positions of the primaries where connections are plentiful,
+    /// for the others. Empty if this host is one of them, or if there are too few hosts for it to pay.
+    const std::vector<PeerHost>& followers() const { return m_followers; }
 
     /// True if this host is one of those for others.
-    bool isSampler() const;
+    bool isFollower() const { return m_isFollower; }
 
     /// The known hosts with this one, for a host that has no listing of its own; null before this one has one.
     nlohmann::json describe() const;
@@ -67,8 +75,10 @@
     Task<bool> registerSelf();
     Task<bool> refresh();
     void apply(const std::vector<StoreObject>& objects);
-    /// The other hosts of this data centre that come first by name; empty if there are too few hosts for samplers.
-    std::vector<PeerHost> firstOfDataCentre() const;
+    /// Works out the duties after the peers have changed.
+    void place();
+    /// Time between two renewals of this host's entry.
+    std::chrono::milliseconds renewalInterval() const;
     void addPeer(const std::string& name, const nlohmann::json& content);
     nlohmann::json ownContent() const;
     /// Tells the registry how many hosts there are after the peers have changed.
@@ -84,6 +94,9 @@
     std::uint64_t m_revision = 0; ///< Of the own entry; 0 before it is stored.
     std::map<std::string, Seen> m_seen;
     std::vector<PeerHost> m_peers;
+    Placement m_placement;
+    std::vector<PeerHost> m_followers;
+    bool m_isFollower = false;
     std::uint64_t m_version = 1;
     Source m_source = Source::None;
 };
--- a/packages/pooler/src/LenderLink.cpp
+++ b/packages/pooler/src/LenderLink.cpp
@@ -29,7 +29,7 @@
 
 std::string_view loanOutcomeName(LoanOutcome outcome)
 {
-    constexpr std::array<std::string_view, 3> names { "granted", "refused", "unavailable" };
+    constexpr std::array<std::string_view, 4> names { "granted", "refused", "unavailable", "unreachable" };
     return names.at(static_cast<std::size_t>(outcome));
 }
 
@@ -114,6 +114,7 @@
     if (asked.reply.kind == LoanReply::Kind::Granted) {
         result.outcome = LoanOutcome::Granted;
         result.endpoint = asked.reply.endpoint;
+        result.sample = std::move(asked.reply.sample);
         result.connection = std::make_unique<DatabaseConnection>(std::move(*asked.channel));
         co_return result;
     }
@@ -123,7 +124,7 @@
     }
     if (m_idle.size() < maxIdle)
         m_idle.push_back(std::move(*asked.channel));
-    result.outcome = LoanOutcome::Refused;
+    result.outcome = asked.reply.kind == LoanReply::Kind::Unreachable ? LoanOutcome::Unreachable : LoanOutcome::Refused;
     result.retryAfter = asked.reply.retryAfter;
     result.reason = std::move(asked.reply.reason);
     co_return result;
--- a/packages/pooler/src/LenderLink.h
+++ b/packages/pooler/src/LenderLink.h
@@ -13,6 +13,7 @@
     Granted,
     Refused, ///< By the lender's queue.
     Unavailable, ///< The lender is leaving or did not answer; nothing ran.
+    Unreachable, ///< The lender reaches no endpoint that may serve the request.
 };
 
 std::string_view loanOutcomeName(LoanOutcome outcome);
@@ -22,6 +23,7 @@
     LoanOutcome outcome = LoanOutcome::Unavailable;
     std::string endpoint; ///< Granted.
     std::unique_ptr<DatabaseConnection> connection; ///< Granted: speaks to the endpoint through the lender.
+    std::optional<PositionSample> sample; ///< Granted.
     std::chrono::milliseconds retryAfter { 0 }; ///< Refused.
     std::string reason; ///< Refused.
 };
--- a/packages/pooler/src/Loan.cpp
+++ b/packages/pooler/src/Loan.cpp
@@ -65,6 +65,19 @@
         m_lines.append(line).append("\r\n");
 }
 
+void Loan::noteReply(const DatabaseReply& reply, BootTime sentAt)
+{
+    auto& service = m_lease.service();
+    auto& endpoint = m_lease.endpoint();
+    if (reply.code == ErrorCode::Lagging)
+        service.noteLagging(endpoint);
+    else if (reply.code == ErrorCode::ReadOnly)
+        service.noteNotPrimary(endpoint);
+    // The answer time of one statement is known only if it was sent alone.
+    if (m_batch.size() == 1)
+        service.noteStatement(endpoint, sentAt, reply.code == ErrorCode::Busy);
+}
+
 Task<bool> Loan::exchangeBatch()
 {
     auto& connection = m_lease.connection();
@@ -98,6 +111,7 @@
             connection.state().noteValue(command.valueName, command.value);
         if (!command.preparedName.empty() && reply.isSuccess())
             connection.state().notePrepared(command.preparedName);
+        noteReply(reply, sentAt);
         answers.append(reply.body).append(reply.ready).append("\r\n");
     }
     if (status == ExchangeStatus::Ok)
--- a/packages/pooler/src/Loan.h
+++ b/packages/pooler/src/Loan.h
@@ -33,6 +33,8 @@
     void addLine(std::string_view line);
     /// Sends the batch to the endpoint and its answers to the borrower. False if either is gone.
     Task<bool> exchangeBatch();
+    /// Records what a reply says of the endpoint, for the borrowers that come later.
+    void noteReply(const DatabaseReply& reply, BootTime sentAt);
 
     ConnectionLease m_lease;
     LineChannel& m_channel;
--- a/packages/pooler/src/LoanMessage.cpp
+++ b/packages/pooler/src/LoanMessage.cpp
@@ -13,7 +13,7 @@
 
     constexpr std::string_view requestWord = "LOAN ASK ";
     constexpr std::string_view replyWord = "LOAN SAY ";
-    constexpr std::array<std::string_view, 4> replyNames { "queued", "granted", "refused", "leaving" };
+    constexpr std::array<std::string_view, 5> replyNames { "queued", "granted", "refused", "leaving", "unreachable" };
 
     std::string frame(std::string_view word, const Json& json) { return std::string(word) + json.dump() + "\r\n"; }
 
@@ -27,7 +27,10 @@
 
 std::string LoanMessage::formatRequest(const LoanRequest& request)
 {
-    return frame(requestWord, { { "service", request.service }, { "primary", request.eligibility == Eligibility::PrimaryOnly }, { "priority", request.priority }, { "maxWaitMs", request.maxWait.count() }, { "answerTimeoutMs", request.answerTimeout.count() }, { "excluded", request.excluded } });
+    Json json { { "service", request.service }, { "primary", request.eligibility == Eligibility::PrimaryOnly }, { "priority", request.priority }, { "maxWaitMs", request.maxWait.count() }, { "answerTimeoutMs", request.answerTimeout.count() }, { "excluded", request.excluded }, { "waitsForEndpoint", request.waitsForEndpoint } };
+    if (request.maxStaleness)
+        json["maxStalenessMs"] = request.maxStaleness->count();
+    return frame(requestWord, json);
 }
 
 std::optional<LoanRequest> LoanMessage::parseRequest(std::string_view line)
@@ -43,6 +46,9 @@
         request.maxWait = milliseconds(json.at("maxWaitMs").get<std::int64_t>());
         request.answerTimeout = milliseconds(json.at("answerTimeoutMs").get<std::int64_t>());
         request.excluded = json.at("excluded").get<std::set<std::string>>();
+        request.waitsForEndpoint = json.at("waitsForEndpoint").get<bool>();
+        if (json.contains("maxStalenessMs"))
+            request.maxStaleness = milliseconds(json["maxStalenessMs"].get<std::int64_t>());
         return request;
     } catch (const Json::exception&) {
         return std::nullopt; // Another version of the program; the caller logs it.
@@ -54,6 +60,8 @@
     Json json { { "kind", replyNames.at(static_cast<std::size_t>(reply.kind)) } };
     if (reply.kind == LoanReply::Kind::Granted)
         json["endpoint"] = reply.endpoint;
+    if (reply.sample)
+        json["sample"] = { { "primary", reply.sample->primary }, { "term", reply.sample->position.term }, { "position", reply.sample->position.position }, { "ageMs", reply.sample->age.count() } };
     if (reply.kind == LoanReply::Kind::Refused) {
         json["retryAfterMs"] = reply.retryAfter.count();
         json["reason"] = reply.reason;
@@ -74,6 +82,10 @@
         const auto kind = static_cast<LoanReply::Kind>(std::distance(replyNames.begin(), it));
         if (kind == LoanReply::Kind::Granted)
             reply.endpoint = json.at("endpoint").get<std::string>();
+        if (json.contains("sample")) {
+            const auto& sample = json["sample"];
+            reply.sample = { sample.at("primary").get<std::string>(), { sample.at("term").get<Term>(), sample.at("position").get<std::uint64_t>() }, milliseconds(sample.at("ageMs").get<std::int64_t>()) };
+        }
         if (kind == LoanReply::Kind::Refused) {
             reply.retryAfter = milliseconds(json.at("retryAfterMs").get<std::int64_t>());
             reply.reason = json.at("reason").get<std::string>();
--- a/packages/pooler/src/LoanMessage.h
+++ b/packages/pooler/src/LoanMessage.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "PositionSample.h"
 #include "kumquatbank/routing/ServiceScheduler.h"
 #include "kumquatbank/routing/StatementError.h"
 
@@ -18,6 +19,10 @@
     std::chrono::milliseconds maxWait { 0 }; ///< In the lender's queue.
     std::chrono::milliseconds answerTimeout { 0 }; ///< For each statement on the connection.
     std::set<std::string> excluded; ///< Endpoints that the request has tried in vain.
+    /// For reads that any endpoint may serve: how old the data may be.
+    std::optional<std::chrono::milliseconds> maxStaleness {};
+    /// Whether to wait for an endpoint if the lender reaches none; otherwise it says so at once.
+    bool waitsForEndpoint = true;
 };
 
 /// What a lender says before the connection is in use.
@@ -27,11 +32,13 @@
         Granted, ///< Lines now go to the endpoint and back, until the loan is returned.
         Refused,
         Leaving, ///< The lender is about to stop; ask another one.
+        Unreachable, ///< The lender reaches no endpoint that may serve the request; another one may.
         Unreadable,
     };
 
     Kind kind = Kind::Unreadable;
     std::string endpoint; ///< Granted.
+    std::optional<PositionSample> sample {}; ///< Granted: the newest that the lender has; its age counts from the request.
     std::chrono::milliseconds retryAfter { 0 }; ///< Refused: when to come back.
     std::string reason; ///< Refused.
 };
--- a/packages/pooler/src/PeerService.cpp
+++ b/packages/pooler/src/PeerService.cpp
@@ -24,10 +24,17 @@
     /// The store is taken as away after this time without an answer.
     constexpr milliseconds storeSilence { 3200 };
     constexpr milliseconds peerPollInterval { 500 };
+    /// Between two questions to a follower that also tells the positions of primaries.
     constexpr milliseconds sampleInterval { 250 };
-    constexpr milliseconds sampleTimeout { 200 };
-    /// Failed questions in a row after which the samplers count as lost: the services ask for themselves by then.
-    constexpr int samplerFailuresToReport = 3;
+    /// A follower answers a question without positions when it has news, at the latest after this time.
+    constexpr milliseconds newsWait { 1000 };
+    constexpr milliseconds maxNewsWait { 5000 };
+    /// How often a waiting answer looks for news.
+    constexpr milliseconds newsCheckInterval { 50 };
+    /// Beyond the wait, for the way there and back.
+    constexpr milliseconds newsTimeout { 200 };
+    /// Failed questions in a row after which the followers count as lost, and this host watches the store itself.
+    constexpr int followerFailuresToReport = 2;
 
     /// The number in @p text; 0 if there is none, which asks for everything.
     template <std::integral T>
@@ -51,7 +58,7 @@
 void PeerService::start()
 {
     asio::co_spawn(m_io, followPeers(), asio::detached);
-    asio::co_spawn(m_io, followSamplers(), asio::detached);
+    asio::co_spawn(m_io, askFollowers(), asio::detached);
 }
 
 Task<HttpReply> PeerService::call(HostAddress peer, std::string target, milliseconds timeout)
@@ -67,13 +74,14 @@
 
 Json PeerService::describePrimary(const std::string& service, const std::string& endpointId) const
 {
-    Json opinion { { "seen", false } };
+    Json opinion { { "seen", false }, { "watches", false } };
     const auto known = m_registry.find(service);
     const auto endpoint = known ? known->find(endpointId) : nullptr;
     if (!endpoint)
         return opinion;
     const auto silence = BootClock::now() - endpoint->lastAnswer;
     opinion["silenceMs"] = toMs(silence);
+    opinion["watches"] = known->watchesPrimary();
     opinion["seen"] = known->lastPrimary() == endpointId && known->primary() && silence < opinionSilence;
     return opinion;
 }
@@ -95,17 +103,38 @@
             known["hosts"] = m_hosts.describe();
         co_return HttpAnswer { 200, known.dump() };
     }
-    if (url->path() == "/v1/positions")
-        co_return HttpAnswer { 200, describeNews(numberOrZero<std::int64_t>(parameter("config")), numberOrZero<std::uint64_t>(parameter("endpoints"))).dump() };
+    if (url->path() == "/v1/news") {
+        const auto config = numberOrZero<std::int64_t>(parameter("config"));
+        const auto endpoints = numberOrZero<std::uint64_t>(parameter("endpoints"));
+        const milliseconds wait(std::clamp<std::int64_t>(numberOrZero<std::int64_t>(parameter("waitMs")), 0, maxNewsWait.count()));
+        const auto until = BootClock::now() + wait;
+        while (!m_sync.hasNewerThan(config, endpoints) && BootClock::now() < until)
+            co_await sleepFor(m_io, newsCheckInterval);
+        co_return HttpAnswer { 200, describeNews(config, endpoints).dump() };
+    }
     if (url->path() == "/v1/state")
         co_return HttpAnswer { 200, describeState().dump() };
     co_return HttpAnswer { 404, R"({"error":"unknown path"})" };
 }
 
-Task<std::vector<PeerOpinion>> PeerService::askAboutPrimary(std::string service, std::string endpoint)
+std::vector<PeerHost> PeerService::peersToAsk(const std::string& service) const
 {
     std::vector<PeerHost> asked;
-    std::ranges::sample(m_hosts.peers(), std::back_inserter(asked), maxOpinions, randomEngine());
+    const auto known = m_registry.find(service);
+    if (!known || !known->isLent()) {
+        std::ranges::sample(m_hosts.peers(), std::back_inserter(asked), maxOpinions, randomEngine());
+        return asked;
+    }
+    for (const auto& holder : m_hosts.placement().holdersOfAllRegions(service)) {
+        if (const auto* peer = m_hosts.find(holder.name))
+            asked.push_back(*peer);
+    }
+    return asked;
+}
+
+Task<std::vector<PeerOpinion>> PeerService::askAboutPrimary(std::string service, std::string endpoint)
+{
+    const auto asked = peersToAsk(service);
     auto opinions = std::make_shared<std::vector<PeerOpinion>>(asked.size());
     auto missing = std::make_shared<std::size_t>(asked.size());
     auto waiter = std::make_shared<Waiter>(m_io);
@@ -114,8 +143,10 @@
         const auto reply = co_await call(peer, target, opinionTimeout);
         const auto body = reply.isSuccess() ? Json::parse(reply.body, nullptr, false) : Json();
         auto& opinion = (*opinions)[n];
-        opinion.answered = body.is_object() && body.contains("seen") && body["seen"].is_boolean();
-        opinion.seesPrimary = opinion.answered && body["seen"].get<bool>();
+        const auto flag = [&body](const char* key) { return body.is_object() && body.contains(key) && body[key].is_boolean() && body[key].get<bool>(); };
+        // A host that does not ask the primary itself knows nothing of it.
+        opinion.answered = flag("watches");
+        opinion.seesPrimary = opinion.answered && flag("seen");
         if (--*missing == 0)
             waiter->wake();
     };
@@ -146,41 +177,47 @@
     }
 }
 
-Task<void> PeerService::followSamplers()
+bool PeerService::needsPositions() const
+{
+    return std::ranges::any_of(m_registry.services(), [](const auto& item) { return !item.second->isLent(); });
+}
+
+Task<void> PeerService::askFollowers()
 {
     while (true) {
-        co_await sleepFor(m_io, sampleInterval);
-        m_sync.setInformsPeers(m_hosts.isSampler());
-        const auto samplers = m_hosts.samplers();
-        if (samplers.empty())
+        m_sync.setInformsPeers(m_hosts.isFollower());
+        const auto followers = m_hosts.followers();
+        const auto wait = needsPositions() ? milliseconds(0) : newsWait;
+        if (followers.empty() || wait == milliseconds(0))
+            co_await sleepFor(m_io, sampleInterval);
+        if (followers.empty())
             continue;
-        const auto peer = randomElement(samplers);
+        const auto peer = followers[m_followerChoice % followers.size()];
         const auto askedAt = BootClock::now();
-        const auto target = fmt::format("/v1/positions?config={}&endpoints={}", configVersion(), m_sync.endpointRevision());
-        const auto reply = co_await call(peer.address, target, sampleTimeout);
-        noteSamplers(reply.isSuccess(), peer.name);
-        if (!reply.isSuccess())
-            continue; // Without news the services ask the primaries themselves.
-        try {
-            applyNews(reply.body, askedAt, peer.name);
-        } catch (const Json::exception&) {
-            EventLog::warn("peer_answer_unreadable", { { "peer", peer.name }, { "call", "positions" } });
-        }
+        const auto target = fmt::format("/v1/news?config={}&endpoints={}&waitMs={}", configVersion(), m_sync.endpointRevision(), wait.count());
+        const auto reply = co_await call(peer.address, target, wait + newsTimeout);
+        noteFollower(reply.isSuccess(), peer.name);
+        // Without news the services ask the primaries themselves, and this host watches the store.
+        if (!reply.isSuccess() || !applyNews(reply.body, askedAt, peer.name))
+            co_await sleepFor(m_io, sampleInterval);
     }
 }
 
-void PeerService::noteSamplers(bool answered, const std::string& peer)
+void PeerService::noteFollower(bool answered, const std::string& peer)
 {
     const auto now = BootClock::now();
     if (answered) {
-        if (m_samplerFailures >= samplerFailuresToReport)
-            EventLog::info("samplers_regained", { { "peer", peer }, { "away_ms", toMs(now - m_samplerAnsweredAt) } });
-        m_samplerFailures = 0;
-        m_samplerAnsweredAt = now;
+        if (m_followerFailures >= followerFailuresToReport)
+            EventLog::info("followers_regained", { { "peer", peer }, { "away_ms", toMs(now - m_followerAnsweredAt) } });
+        m_followerFailures = 0;
+        m_followerAnsweredAt = now;
         return;
     }
-    if (++m_samplerFailures == samplerFailuresToReport)
-        EventLog::warn("samplers_lost", { { "peer", peer }, { "last_answer_ms", toMs(now - m_samplerAnsweredAt) } });
+    ++m_followerChoice;
+    if (++m_followerFailures != followerFailuresToReport)
+        return;
+    m_sync.forgetPeerWord();
+    EventLog::warn("followers_lost", { { "peer", peer }, { "last_answer_ms", toMs(now - m_followerAnsweredAt) } });
 }
 
 Json PeerService::describeSamples() const
@@ -188,11 +225,11 @@
     const auto now = BootClock::now();
     Json samples = Json::object();
     for (const auto& [name, service] : m_registry.services()) {
-        const auto* sample = service->floorSamples().newest();
-        if (sample == nullptr || !service->primary() || sample->takenAt <= service->primarySince())
+        // Where connections are lent, the loans bring the positions.
+        if (service->isLent())
             continue;
-        // Rounded up: a sample must not look younger than it is.
-        samples[name] = { { "endpoint", service->lastPrimary() }, { "term", sample->position.term }, { "position", sample->position.position }, { "ageMs", std::chrono::ceil<milliseconds>(now - sample->takenAt).count() } };
+        if (const auto sample = service->newestSample(now); sample && !sample->primary.empty())
+            samples[name] = { { "endpoint", sample->primary }, { "term", sample->position.term }, { "position", sample->position.position }, { "ageMs", sample->age.count() } };
     }
     return samples;
 }
@@ -205,22 +242,26 @@
     return { { "samples", describeSamples() }, { "known", m_sync.newerThan(knownConfig, knownEndpoints) }, { "storeSilenceMs", silence.count() } };
 }
 
-void PeerService::applyNews(const std::string& body, BootTime askedAt, const std::string& peer)
+bool PeerService::applyNews(const std::string& body, BootTime askedAt, const std::string& peer)
 {
-    const auto news = Json::parse(body);
-    m_sync.applyFromPeer(news.at("known"), peer);
-    m_sync.notePeerWord(askedAt, milliseconds(news.at("storeSilenceMs").get<std::int64_t>()));
-    applySamples(news.at("samples"), askedAt);
+    try {
+        const auto news = Json::parse(body);
+        m_sync.applyFromPeer(news.at("known"), peer);
+        m_sync.notePeerWord(askedAt, milliseconds(news.at("storeSilenceMs").get<std::int64_t>()));
+        applySamples(news.at("samples"), askedAt);
+        return true;
+    } catch (const Json::exception&) {
+        EventLog::warn("peer_answer_unreadable", { { "peer", peer }, { "call", "news" } });
+        return false;
+    }
 }
 
 void PeerService::applySamples(const Json& samples, BootTime askedAt)
 {
-    for (const auto& [name, sample] : samples.items()) {
-        const LogPosition position { sample.at("term").get<Term>(), sample.at("position").get<std::uint64_t>() };
-        // The peer answered after it was asked, so the sample is at most this old.
-        const auto takenAt = askedAt - milliseconds(sample.at("ageMs").get<std::int64_t>());
+    for (const auto& [name, json] : samples.items()) {
+        const PositionSample sample { json.at("endpoint").get<std::string>(), { json.at("term").get<Term>(), json.at("position").get<std::uint64_t>() }, milliseconds(json.at("ageMs").get<std::int64_t>()) };
         if (const auto service = m_registry.find(name))
-            service->notePeerSample(sample.at("endpoint").get<std::string>(), position, takenAt);
+            service->notePeerSample(sample, askedAt);
     }
 }
 
--- a/packages/pooler/src/PeerService.h
+++ b/packages/pooler/src/PeerService.h
@@ -6,6 +6,8 @@
 #include "kumquatbank/engine/HttpListener.h"
 #include "kumquatbank/routing/PromotionPolicy.h"
 
+#include <random>
+
 namespace kumquatbank {
 
 /// What processes ask each other: opinions on a primary, and the configuration while the store does not answer.
@@ -26,13 +28,19 @@
 private:
     Task<HttpReply> call(HostAddress peer, std::string target, std::chrono::milliseconds timeout);
     Task<void> followPeers();
-    Task<void> followSamplers();
+    Task<void> askFollowers();
+    /// Whether any service needs positions that do not come with loans.
+    bool needsPositions() const;
+    /// Where connections are lent, the holders of the service; otherwise some peers.
+    std::vector<PeerHost> peersToAsk(const std::string& service) const;
     std::int64_t configVersion() const;
-    /// What a follower needs: positions, what is newer than it knows, and how long the store has been silent here.
+    /// What a host needs that does not follow the store: positions, what is newer than it knows, and how long the store
+    /// has been silent here.
     nlohmann::json describeNews(std::int64_t knownConfig, std::uint64_t knownEndpoints) const;
-    void applyNews(const std::string& body, BootTime askedAt, const std::string& peer);
+    /// False if the body cannot be read.
+    bool applyNews(const std::string& body, BootTime askedAt, const std::string& peer);
     void applySamples(const nlohmann::json& samples, BootTime askedAt);
-    void noteSamplers(bool answered, const std::string& peer);
+    void noteFollower(bool answered, const std::string& peer);
     nlohmann::json describeSamples() const;
     bool applyState(const std::string& body, const std::string& peer);
     nlohmann::json describePrimary(const std::string& service, const std::string& endpoint) const;
@@ -42,8 +50,9 @@
     ServiceRegistry& m_registry;
     StoreSync& m_sync;
     std::map<HostAddress, std::shared_ptr<HttpClient>> m_clients;
-    int m_samplerFailures = 0; ///< In a row.
-    BootTime m_samplerAnsweredAt {};
+    std::size_t m_followerChoice = std::random_device {}(); ///< Which one is asked; the next after a failure.
+    int m_followerFailures = 0; ///< In a row.
+    BootTime m_followerAnsweredAt {};
 };
 
 } // namespace kumquatbank
--- a/packages/pooler/src/PoolerProcess.cpp
+++ b/packages/pooler/src/PoolerProcess.cpp
@@ -92,6 +92,8 @@
         EventLog::info("drain", { { "sessions", m_gate.open }, { "grace_s", m_settings.grace.count() } });
         m_gate.isDraining = true;
         m_lender.stopLending();
+        for (const auto& [name, service] : m_registry.services())
+            service->giveUpHolding();
         const auto idleClose = since + m_settings.grace / 3;
         const auto end = since + m_settings.grace - exitMargin;
         while (BootClock::now() < end) {
--- a/packages/pooler/src/PoolerSettings.cpp
+++ b/packages/pooler/src/PoolerSettings.cpp
@@ -16,6 +16,10 @@
   "host": "proxy-1",
   "dataCentre": "lj-tivoli",
   "region": "osrednja",
+  // Part of a processor core that this process may use, and how many times as fast as the usual core it is; hosts get
+  // duties in proportion. Optional.
+  "processorShare": 1.0,
+  "processorSpeed": 1,
   // Clients; the load balancer's ready probe; other processes; metrics and state.
   "clientAddress": "127.0.0.1:8784",
   "readyAddress": "127.0.0.1:8785",
@@ -36,12 +40,14 @@
 }
 )";
 
-    constexpr std::array<std::string_view, 14> knownKeys { "host", "dataCentre", "region", "clientAddress", "readyAddress",
+    constexpr std::array<std::string_view, 16> knownKeys { "host", "dataCentre", "region", "processorShare", "processorSpeed", "clientAddress", "readyAddress",
         "peerAddress", "loanAddress", "metricsAddress", "storeAddress", "promotionAddress", "seeds", "graceSeconds",
         "logLinesPerSecond", "failureLinesPerSecond" };
 
     constexpr int maxGraceSeconds = 3600;
     constexpr int maxLogLines = 1'000'000;
+    constexpr double maxProcessorShare = 1024;
+    constexpr int maxProcessorSpeed = 1024;
 
     /// Reads keys and keeps the first error.
     class KeyReader {
@@ -97,6 +103,18 @@
             return fallback;
         }
 
+        /// A number above 0.
+        double positive(const char* key, double most, double fallback)
+        {
+            const auto it = m_json.find(key);
+            if (it == m_json.end())
+                return fallback;
+            if (it->is_number() && it->get<double>() > 0 && it->get<double>() <= most)
+                return *it;
+            fail(key, "must be a number above 0 and at most " + std::to_string(most));
+            return fallback;
+        }
+
         void fail(const std::string& key, const std::string& what)
         {
             if (m_error.empty())
@@ -135,6 +153,8 @@
     settings.host = reader.text("host");
     settings.dataCentre = reader.text("dataCentre");
     settings.region = reader.text("region");
+    settings.processorShare = reader.positive("processorShare", maxProcessorShare, settings.processorShare);
+    settings.processorSpeed = reader.number("processorSpeed", 1, maxProcessorSpeed, settings.processorSpeed);
     settings.clientAddress = reader.address("clientAddress");
     settings.readyAddress = reader.address("readyAddress");
     settings.peerAddress = reader.address("peerAddress");
--- a/packages/pooler/src/PromotionDuty.cpp
+++ b/packages/pooler/src/PromotionDuty.cpp
@@ -32,6 +32,10 @@
     constexpr milliseconds foreignDecisionTime { 2500 };
     /// Pause before such a decision is looked at again; every look is a call to the store.
     constexpr milliseconds foreignDecisionPause { 1200 };
+    /// Where connections are lent, the next holders in rank replace a primary that leaves after this time for each rank,
+    /// in case that those before them do not.
+    constexpr milliseconds leavingRankDelay { 1500 };
+    constexpr std::size_t leavingRanks = 3;
     constexpr int tokenAttempts = 4;
     /// Spreads the hosts' attempts, so that most find the decision already made.
     constexpr milliseconds maxStagger { 150 };
@@ -80,6 +84,11 @@
         return Need::None;
     const auto now = BootClock::now();
     const auto primary = service.primary();
+    if (!service.watchesPrimary()) {
+        const auto rank = service.holderRank();
+        const bool isNext = rank && *rank < leavingRanks && primary && primary->entry.isDraining;
+        return isNext && now - primary->drainingSince >= leavingRankDelay * *rank ? Need::Leaving : Need::None;
+    }
     if (!primary)
         return now - std::max(service.primarySince(), m_pausedUntil) >= noPrimaryTime ? Need::Lost : Need::None;
     if (primary->failures >= primaryFailures && now - std::max(primary->lastAnswer, m_pausedUntil) >= primarySilence)
@@ -118,16 +127,28 @@
 
 Task<std::vector<EndpointStatus>> PromotionDuty::statuses(std::shared_ptr<DatabaseService> service, std::string except)
 {
-    const auto statusCommand = WireDialect::status();
+    std::vector<std::shared_ptr<Endpoint>> asked;
+    for (const auto& [id, endpoint] : service->endpoints()) {
+        if (id != except && !endpoint->missingSince)
+            asked.push_back(endpoint);
+    }
+    // All at once, because one that is silent takes the whole timeout.
     std::vector<EndpointStatus> found;
-    const auto endpoints = service->endpoints();
-    for (const auto& [id, endpoint] : endpoints) {
-        if (id == except || endpoint->missingSince)
-            continue;
-        auto answered = co_await status(service, endpoint, statusCommand);
+    std::size_t missing = asked.size();
+    const auto waiter = std::make_shared<Waiter>(m_io);
+    const auto askOne = [&, waiter](std::shared_ptr<Endpoint> endpoint) -> Task<void> {
+        const auto command = WireDialect::status();
+        auto answered = co_await status(service, endpoint, command);
         if (answered)
             found.push_back(std::move(*answered));
-    }
+        if (--missing == 0)
+            waiter->wake();
+    };
+    for (const auto& endpoint : asked)
+        asio::co_spawn(m_io, askOne(endpoint), asio::detached);
+    // askOne lives in this frame, so every call has to be over before it ends.
+    while (missing > 0)
+        co_await waiter->wait(BootClock::now() + statusTimeout);
     co_return found;
 }
 
--- a/packages/pooler/src/SessionContext.cpp
+++ b/packages/pooler/src/SessionContext.cpp
@@ -61,22 +61,19 @@
         answer.refuse(ErrorCode::Busy, "no endpoint of the service is known", AttemptLimits::defaultRetryAfter);
         co_return std::nullopt;
     }
+    const auto askedAt = BootClock::now();
+    ConnectionDemand demand;
     if (eligibility == Eligibility::Any) {
-        const auto own = ownCommit(route);
-        const auto floor = co_await service->floor(route.maxStaleness, own, until - AttemptLimits::minTime);
-        if (!floor) {
-            answer.refuse(ErrorCode::Busy, "the primary's position is not known", AttemptLimits::defaultRetryAfter);
-            co_return std::nullopt;
-        }
+        demand.freshness = ReadFreshness { route.maxStaleness, ownCommit(route) };
         excluded.merge(service->laggingEndpoints());
     }
-    const auto askedAt = BootClock::now();
-    PermitRequest request;
-    request.eligibility = eligibility;
-    request.priority = route.priority;
-    request.giveUpAt = std::min<BootTime>(until - AttemptLimits::minTime, askedAt + route.targetLatency * queueSharePercent / 100);
-    request.excluded = std::move(excluded);
-    auto lease = co_await service->acquire(std::move(request), m_state, until, route.statementTimeout);
+    demand.permit.eligibility = eligibility;
+    demand.permit.priority = route.priority;
+    demand.permit.giveUpAt = std::min<BootTime>(until - AttemptLimits::minTime, askedAt + route.targetLatency * queueSharePercent / 100);
+    demand.permit.excluded = std::move(excluded);
+    demand.until = until - AttemptLimits::minTime;
+    demand.answerTimeout = route.statementTimeout;
+    auto lease = co_await service->acquire(std::move(demand), m_state);
     answer.queued += BootClock::now() - askedAt;
     if (lease) {
         answer.endpoint = lease->endpointId();
--- a/packages/pooler/src/StatementExchange.cpp
+++ b/packages/pooler/src/StatementExchange.cpp
@@ -78,7 +78,7 @@
         if (co_await connection.receive(ignored, until) != ExchangeStatus::Ok)
             connection.close();
     }
-    lease.service().noteAnswer(lease.endpoint(), exchange.sentAt);
+    lease.noteAnswer(exchange.sentAt);
     lease.service().noteStatement(lease.endpoint(), exchange.sentAt, exchange.reply.code == ErrorCode::Busy);
     if (!prepared.connectionName.empty() && exchange.reply.code != ErrorCode::UnknownStatement)
         connection.state().notePrepared(prepared.connectionName);
--- a/packages/pooler/src/StatementRunner.cpp
+++ b/packages/pooler/src/StatementRunner.cpp
@@ -120,7 +120,7 @@
         lease.noteFailure("begin");
         co_return refuseAttempt(lease, excluded, answer);
     }
-    service.noteAnswer(lease.endpoint(), sentAt);
+    lease.noteAnswer(sentAt);
     if (replies[0].isSuccess()) {
         service.notePrimary(lease.endpoint(), replies[0].position, sentAt);
         co_return Phase::Done;
--- a/packages/pooler/src/StoreSync.cpp
+++ b/packages/pooler/src/StoreSync.cpp
@@ -18,12 +18,15 @@
     constexpr milliseconds watchWait { 2000 };
     constexpr milliseconds watchAnswerTimeout { 800 };
     /// The same wait for a process that others follow the store through.
-    constexpr milliseconds informerWatchWait { 1000 };
+    constexpr milliseconds informerWatchWait { 1500 };
     /// A peer that had no answer for longer has lost the store: the wait of its watch, and a slow answer.
-    constexpr milliseconds maxPeerSilence { 1500 };
-    /// A peer's word counts for this time: three questions to it.
-    constexpr milliseconds peerWordValidity { 800 };
+    constexpr milliseconds maxPeerSilence { 2000 };
+    /// A peer's word counts for this time: two questions that are answered late, and one that fails. More failures end it.
+    constexpr milliseconds peerWordValidity { 3000 };
     constexpr milliseconds informedCheckInterval { 100 };
+    /// Changes that follow each other within this time are gathered: a new deployment registers its databases one by one,
+    /// and each would end a watch on every host.
+    constexpr milliseconds gatherTime { 300 };
     constexpr milliseconds minRetryDelay { 100 };
     constexpr milliseconds maxRetryDelay { 800 };
 
@@ -50,8 +53,10 @@
 
 void StoreSync::notePeerWord(BootTime askedAt, milliseconds peerSilence)
 {
-    if (peerSilence > maxPeerSilence)
+    if (peerSilence > maxPeerSilence) {
+        forgetPeerWord();
         return;
+    }
     m_informedAt = askedAt;
     for (auto* cursor : { &m_config, &m_endpoints }) {
         cursor->lastAnswer = std::max(cursor->lastAnswer, askedAt - peerSilence);
@@ -115,8 +120,10 @@
         co_return false;
     cursor.revision = listing.revision;
     cursor.isKnown = true;
-    if (&cursor == &m_endpoints)
+    if (&cursor == &m_endpoints) {
         m_entries.clear();
+        m_entriesRevision = listing.revision;
+    }
     for (const auto& object : listing.objects)
         applyObject(cursor, object, false);
     publish(cursor);
@@ -140,10 +147,18 @@
     if (cursor.revision != since)
         co_return true;
     cursor.revision = changes.revision;
+    const auto now = BootClock::now();
+    const bool isSeries = !changes.changes.empty() && now - cursor.lastChange < 2 * gatherTime;
+    if (!changes.changes.empty())
+        cursor.lastChange = now;
+    if (&cursor == &m_endpoints && !changes.changes.empty())
+        m_entriesRevision = changes.revision;
     for (const auto& change : changes.changes)
         applyObject(cursor, change.object, change.isRemoved);
     if (!changes.changes.empty() || &cursor == &m_endpoints)
         publish(cursor);
+    if (isSeries)
+        co_await sleepFor(m_io, gatherTime);
     co_return true;
 }
 
@@ -158,15 +173,22 @@
         m_configContent = content;
 }
 
+bool StoreSync::hasNewerThan(std::int64_t configVersion, std::uint64_t endpointRevision) const
+{
+    const auto config = m_registry.config();
+    return (config && config->version > configVersion) || m_entriesRevision > endpointRevision;
+}
+
 nlohmann::json StoreSync::newerThan(std::int64_t configVersion, std::uint64_t endpointRevision) const
 {
     auto state = nlohmann::json::object();
     const auto config = m_registry.config();
     if (config && config->version > configVersion)
         state["config"] = m_configContent;
-    if (this->endpointRevision() <= endpointRevision)
-        return state;
     state["endpointRevision"] = this->endpointRevision();
+    // Other objects advance the store's revision far more often than endpoints change.
+    if (m_entriesRevision <= endpointRevision)
+        return state;
     auto& objects = state["endpoints"] = nlohmann::json::array();
     for (const auto& [id, entry] : m_entries)
         objects.push_back({ { "name", id }, { "content", StoreCodec::formatEndpoint(entry) } });
@@ -181,6 +203,12 @@
     const auto revision = state.value("endpointRevision", std::uint64_t(0));
     if (revision <= endpointRevision())
         return;
+    if (!state.contains("endpoints")) {
+        // Nothing has changed since the revision that this process asked with.
+        if (m_endpoints.isKnown)
+            m_endpoints.revision = revision;
+        return;
+    }
     // Everything is read before anything changes, so that an unreadable item loses nothing.
     std::vector<StoreObject> objects;
     for (const auto& item : state.at("endpoints")) {
@@ -189,6 +217,7 @@
         object.content = item.at("content");
     }
     m_endpoints.revision = revision;
+    m_entriesRevision = revision;
     m_endpoints.isKnown = true;
     m_entries.clear();
     for (const auto& object : objects)
--- a/packages/pooler/src/StoreSync.h
+++ b/packages/pooler/src/StoreSync.h
@@ -17,7 +17,9 @@
     std::chrono::milliseconds endpointSilence() const;
     std::chrono::milliseconds configSilence() const;
 
-    /// What of the configuration and the endpoints is newer than the given version and revision; empty if nothing is.
+    /// What of the configuration and the endpoints is newer than the given version and revision, and the revision up to
+    /// which the endpoints are known here.
+    bool hasNewerThan(std::int64_t configVersion, std::uint64_t endpointRevision) const;
     nlohmann::json newerThan(std::int64_t configVersion, std::uint64_t endpointRevision) const;
     /// Revision of the newest endpoints known here, whoever they came from; 0 if there are none.
     std::uint64_t endpointRevision() const { return m_endpoints.revision; }
@@ -29,6 +31,8 @@
     /// Records that a peer told all that it knows. @p askedAt: when it was asked. @p peerSilence: time since the store had
     /// answered it. While such word is young, this process makes no watches of its own.
     void notePeerWord(BootTime askedAt, std::chrono::milliseconds peerSilence);
+    /// Ends what notePeerWord() began: the peers do not answer.
+    void forgetPeerWord() { m_informedAt = {}; }
 
 private:
     /// Progress of one kind's loop.
@@ -39,6 +43,7 @@
         bool isLost = false;
         BootTime lostSince {};
         int failures = 0;
+        BootTime lastChange {}; ///< When a watch last brought changes.
         bool isKnown = false; ///< The kind has been listed, or a peer's listing was taken over.
     };
 
@@ -60,6 +65,7 @@
     bool m_informsPeers = false;
     BootTime m_informedAt {}; ///< When the last word of a peer that follows the store was asked for.
     std::map<std::string, EndpointEntry> m_entries;
+    std::uint64_t m_entriesRevision = 0; ///< At which the entries last changed.
     nlohmann::json m_configContent;
 };
 
--- a/packages/pooler/src/TransactionRunner.cpp
+++ b/packages/pooler/src/TransactionRunner.cpp
@@ -94,7 +94,7 @@
         answer.refuse(ErrorCode::Busy, "connection to the endpoint broke", AttemptLimits::defaultRetryAfter);
         co_return Phase::Retry;
     }
-    service.noteAnswer(endpoint, sentAt);
+    lease->noteAnswer(sentAt);
     if (replies[0].isSuccess()) {
         if (!onReplica)
             service.notePrimary(endpoint, replies[0].position, sentAt);
--- /dev/null
+++ b/packages/pooler/tests/HolderTest.cpp
@@ -0,0 +1,131 @@
+#include "PoolerFixture.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace kumquatbank;
+using std::chrono::milliseconds;
+
+namespace {
+
+const std::string primaryDb = EmulatedPlatform::databaseName(0, ReadPolicy::Primary);
+const std::string boundedDb = EmulatedPlatform::databaseName(0, ReadPolicy::Bounded);
+
+constexpr int hosts = 6;
+/// Until every host has listed the others.
+constexpr milliseconds settling { 2500 };
+
+EmulatedPlatform::Shape shape(int maxConnections)
+{
+    EmulatedPlatform::Shape shape;
+    shape.maxConnections = maxConnections;
+    return shape;
+}
+
+std::uint64_t openedConnections(PoolerFixture& fixture)
+{
+    std::uint64_t opened = 0;
+    for (int n = 0; n < 3; ++n)
+        opened += fixture.platform().database(0, n).openedConnections();
+    return opened;
+}
+
+/// Runs @p text on a new session each @p pause until @p until; the number of failures.
+Task<int> repeat(PoolerFixture& fixture, int host, std::string database, std::string text, int times, milliseconds pause)
+{
+    int failed = 0;
+    TestClient client(fixture.io());
+    co_await client.start(fixture.clientAddress(host), database);
+    for (int n = 0; n < times; ++n) {
+        const auto answer = co_await client.query(text);
+        failed += answer.isSuccess() ? 0 : 1;
+        co_await fixture.sleep(pause);
+    }
+    co_return failed;
+}
+
+} // namespace
+
+/// The hosts that hold the connections of a service, and what the others do without.
+TEST_GROUP(Holder) {};
+
+// Pattern: a fleet of more hosts than connections under a steady load of reads and writes. Guards against hosts that open a
+// connection for each of their probes: the slots that this takes are missing to the statements. The bound is the aim of
+// one new connection for twenty requests.
+TEST(Holder, ASteadyLoadOpensHardlyAnyConnections)
+{
+    constexpr int times = 40;
+    PoolerFixture fixture(shape(4), hosts, 1);
+    fixture.run([](PoolerFixture& f) -> Task<void> {
+        co_await f.sleep(settling);
+        const auto before = openedConnections(f);
+        int left = hosts;
+        int failed = 0;
+        const auto work = [&](int host) -> Task<void> {
+            const auto failures = co_await repeat(f, host, host % 2 == 0 ? boundedDb : primaryDb, "READ item", times, milliseconds(50));
+            failed += failures;
+            --left;
+        };
+        for (int n = 0; n < hosts; ++n)
+            asio::co_spawn(f.io(), work(n), asio::detached);
+        while (left > 0)
+            co_await f.sleep(milliseconds(20));
+        LONGS_EQUAL(0, failed);
+        const auto opened = openedConnections(f) - before;
+        CHECK_TRUE_TEXT(opened * 20 <= hosts * times, ("new connections: " + std::to_string(opened)).c_str());
+    }(fixture));
+}
+
+// Pattern: a primary that is cut off from some hosts, among them one that holds its connections for a region. Guards
+// against a region that loses the primary because its holder does.
+TEST(Holder, RequestsGoAroundAHolderThatDoesNotReachThePrimary)
+{
+    PoolerFixture fixture(shape(4), hosts, 3, true, 2);
+    fixture.run([](PoolerFixture& f) -> Task<void> {
+        co_await f.sleep(settling);
+        const int cutOff = f.holder(f.platform().database(0, 0).entry().service, hosts, "region-0");
+        int borrower = 0;
+        while (borrower == cutOff)
+            borrower += 2;
+        co_await f.writeUntilSuccess(primaryDb, "WRITE item before", borrower);
+        f.platform().database(0, 0).behaviour().unheardHosts = { "host-" + std::to_string(cutOff) };
+        // The holder notices by its probes.
+        co_await f.sleep(milliseconds(1500));
+        const auto failedWrites = co_await repeat(f, borrower, primaryDb, "WRITE item after", 20, milliseconds(50));
+        LONGS_EQUAL(0, failedWrites);
+        const auto failedReads = co_await repeat(f, cutOff, boundedDb, "READ item", 10, milliseconds(50));
+        LONGS_EQUAL(0, failedReads);
+    }(fixture));
+    LONGS_EQUAL_TEXT(0, fixture.platform().promotions().size(), "a primary that others reach was replaced");
+}
+
+// The same where every host has connections of its own.
+TEST(Holder, AHostThatDoesNotReachThePrimaryBorrowsFromOneThatDoes)
+{
+    PoolerFixture fixture(shape(20), 3);
+    fixture.run([](PoolerFixture& f) -> Task<void> {
+        co_await f.sleep(settling);
+        co_await f.writeUntilSuccess(primaryDb, "WRITE item before", 0);
+        f.platform().database(0, 0).behaviour().unheardHosts = { "host-0" };
+        co_await f.sleep(milliseconds(1500));
+        const auto failedWrites = co_await repeat(f, 0, primaryDb, "WRITE item after", 20, milliseconds(50));
+        LONGS_EQUAL(0, failedWrites);
+        const auto failedReads = co_await repeat(f, 0, boundedDb, "READ item", 10, milliseconds(50));
+        LONGS_EQUAL(0, failedReads);
+    }(fixture));
+    LONGS_EQUAL_TEXT(0, fixture.platform().promotions().size(), "a primary that others reach was replaced");
+    fixture.checkTransactions();
+}
+
+// Guards against a fleet whose hosts ask everybody about one lost primary, or nobody: with scarce connections only the
+// holders know it.
+TEST(Holder, HoldersReplaceACrashedPrimary)
+{
+    PoolerFixture fixture(shape(4), hosts, 3, true, 3);
+    fixture.run([](PoolerFixture& f) -> Task<void> {
+        co_await f.sleep(settling);
+        co_await f.writeUntilSuccess(primaryDb, "WRITE item before", 1);
+        f.platform().primary(0).crash();
+        co_await f.writeUntilSuccess(primaryDb, "WRITE other after", 1);
+    }(fixture));
+    LONGS_EQUAL(1, std::ranges::count(fixture.platform().promotions(), 200, &OrderedPromotion::status));
+}
--- a/packages/routing/include/kumquatbank/routing/ConnectionSharing.h
+++ b/packages/routing/include/kumquatbank/routing/ConnectionSharing.h
@@ -34,15 +34,15 @@
         return isScarce() ? scarceShare : m_limit / m_hosts;
     }
 
-    /// Probability with which a host keeps a scarce connection after its use. With a fixed time instead, the hosts that
+    /// Probability with which a host keeps a scarce connection that is not lent after its use. With a fixed time instead, the hosts that
     /// use theirs often would keep them for good, and the others would never find one.
-    double keepProbability() const { return (isLent() ? 1.0 - lentPart : keptPart) * m_limit / m_hosts; }
+    double keepProbability() const { return keptPart * m_limit / m_hosts; }
 
 private:
     static constexpr int scarceShare = 2;
     /// Part of the connections that may be idle at the hosts; the rest is for hosts that open one.
     static constexpr double keptPart = 0.7;
-    /// Part of the connections that the lenders hold; the rest is for probes and for hosts that reach no lender.
+    /// Part of the connections that the lenders hold; the rest is for hosts that reach no lender.
     static constexpr double lentPart = 0.75;
 
     int m_limit;
--- a/packages/routing/include/kumquatbank/routing/routing.h
+++ b/packages/routing/include/kumquatbank/routing/routing.h
@@ -6,7 +6,6 @@
 #include "kumquatbank/routing/ConnectionSharing.h"
 #include "kumquatbank/routing/EndpointEntry.h"
 #include "kumquatbank/routing/FadingAverage.h"
-#include "kumquatbank/routing/LenderRanking.h"
 #include "kumquatbank/routing/PromotionPolicy.h"
 #include "kumquatbank/routing/ReadFloor.h"
 #include "kumquatbank/routing/RoutingConfig.h"
--- a/tools/emulator/EmulatedDatabase.cpp
+++ b/tools/emulator/EmulatedDatabase.cpp
@@ -33,6 +33,7 @@
 
     LineChannel channel;
     std::uint64_t number;
+    std::string host; ///< As the caller names itself.
     bool isStarted = false;
     std::map<std::string, std::string> values;
     std::map<std::string, Statement> prepared;
@@ -316,7 +317,13 @@
     m_sessions.insert(session);
     std::string_view line;
     while (co_await session->channel.readLine(line, BootTime::max()) == ChannelStatus::Ok) {
-        if (m_behaviour.isSilent)
+        if (line.starts_with("START ")) {
+            auto rest = line;
+            for (int n = 0; n < 2; ++n)
+                takeWord(rest);
+            session->host = takeWord(rest);
+        }
+        if (m_behaviour.isSilent || m_behaviour.unheardHosts.contains(session->host))
             continue;
         std::string copy(line);
         co_await answer(*session, std::move(copy));
--- a/tools/emulator/EmulatedDatabase.h
+++ b/tools/emulator/EmulatedDatabase.h
@@ -20,6 +20,7 @@
     int maxConnections = 20;
     int queue = 24; ///< Statements that wait for a slot; more are refused.
     bool isSilent = false; ///< Accepts connections and answers nothing.
+    std::set<std::string> unheardHosts {}; ///< What they send gets no answer, as over a link that is cut.
     int answersToLose = 0; ///< So many answers to reads, writes and commits are lost after they ran.
 };
 
@@ -47,6 +48,8 @@
     const std::vector<RanStatement>& ran() const { return m_ran; }
     int connections() const { return m_connections; }
     int mostConnections() const { return m_mostConnections; }
+    /// Connections that were opened so far, also those that were refused.
+    std::uint64_t openedConnections() const { return m_nextConnection; }
     /// Closes every connection and refuses new ones.
     void crash();
     /// Listens again after a crash, as a replica with the log it had.
