Fewer calls to the store at a start and while it is away; doubt a primary by own answers

While the store was down each host tried both watches every 0.8 s. In the tests a host that is cut off from a primary tried it again after each loan, because the loan's position counted as a sign of life.

Change: the hosts count once this one is in the listing, and before that nobody probes on its own account; changes are gathered for 1 s meanwhile; a host that restarts finds its entry and does not write it; informed hosts try a store that is away every 3.2 s; one follower removes expired entries. Doubt of a primary rests on this host's own answers.

--- a/packages/pooler/src/DatabaseService.cpp
+++ b/packages/pooler/src/DatabaseService.cpp
@@ -401,7 +401,7 @@
 
 bool DatabaseService::isDoubtful(const Endpoint& primary, BootTime now) const
 {
-    return primary.failures >= doubtFailures && now - primary.lastAnswer > primaryDoubtAge;
+    return primary.failures >= doubtFailures && now - primary.lastOwnAnswer > primaryDoubtAge;
 }
 
 bool DatabaseService::reaches(const ConnectionDemand& demand) const
--- a/packages/pooler/src/Endpoint.h
+++ b/packages/pooler/src/Endpoint.h
@@ -22,7 +22,8 @@
     std::vector<IdleConnection> idle; ///< The one that was used last at the end.
     int open = 0; ///< Connections of this host, idle or in use.
 
-    BootTime lastAnswer {}; ///< When the newest request that it answered was sent.
+    BootTime lastAnswer {}; ///< When the newest request that it answered was sent, by this host or by one that told it.
+    BootTime lastOwnAnswer {}; ///< The same for requests of this host.
     int failures = 0; ///< Since the last answer.
     BootTime drainingSince {}; ///< When it was first seen to be about to leave.
     BootTime unusableUntil {}; ///< No new work until then, after a failed connect.
@@ -43,6 +44,7 @@
     void noteAnswer(BootTime sentAt)
     {
         lastAnswer = std::max(lastAnswer, sentAt);
+        lastOwnAnswer = std::max(lastOwnAnswer, sentAt);
         failures = 0;
     }
 };
--- a/packages/pooler/src/HostDirectory.cpp
+++ b/packages/pooler/src/HostDirectory.cpp
@@ -16,6 +16,8 @@
     constexpr const char* hostKind = "kumquatbank-hosts";
     constexpr milliseconds callTimeout { 1500 };
     constexpr milliseconds retryDelay { 1000 };
+    /// The same once the hosts are known.
+    constexpr milliseconds renewalRetryDelay { 5000 };
     /// The first renewals are close together, because all hosts of a new deployment register at the same time.
     constexpr std::array<milliseconds, 3> firstRenewals { milliseconds(1500), milliseconds(4000), milliseconds(8000) };
     constexpr milliseconds minRenewalInterval { 30'000 };
@@ -53,15 +55,17 @@
 {
     std::size_t n = 0;
     while (true) {
-        // Only the first round and every later renewal write; the rounds between only read.
-        const bool writes = n == 0 || n > firstRenewals.size();
+        // Only the first round and every later renewal write; the rounds between only read. A host that restarts finds its
+        // entry in the store.
         bool succeeded = true;
-        if (writes)
+        if (n > firstRenewals.size() || (n == firstRenewals.size() && m_renewals == 0))
             succeeded = co_await registerSelf();
         if (succeeded)
             succeeded = co_await refresh();
+        if (succeeded && n == 0 && !m_isListed)
+            succeeded = co_await registerSelf();
         if (!succeeded) {
-            co_await sleepFor(m_io, retryDelay);
+            co_await sleepFor(m_io, m_source == Source::None ? retryDelay : renewalRetryDelay);
             continue;
         }
         co_await sleepFor(m_io, n < firstRenewals.size() ? firstRenewals[n] : renewalInterval());
@@ -112,6 +116,9 @@
     for (const auto& name : expired) {
         EventLog::info("host_expired", { { "peer", name }, { "unchanged_ms", toMs(now - m_seen[name].changedAt) } });
         m_seen.erase(name);
+        // One call is enough, and the other followers make it if this host does not.
+        if (!m_isFollower && !m_followers.empty())
+            continue;
         const auto removed = co_await m_store->remove(hostKind, name, callTimeout);
         m_metrics.storeCall("remove_host", storeStatusName(removed.status));
     }
@@ -218,13 +225,23 @@
 {
     const auto now = BootClock::now();
     const auto expiry = renewalInterval() * expiryIntervals;
+    // A listing from before this host has registered lacks most hosts of a new deployment, so that this one would take too
+    // large a share of the connections.
+    const bool hasOwn = std::ranges::find(objects, m_settings.host, &StoreObject::name) != objects.end();
+    if (m_source != Source::Store && !hasOwn)
+        return;
     m_source = Source::Store;
     m_peers.clear();
     for (const auto& object : objects) {
         auto& seen = m_seen[object.name];
         if (seen.revision != object.revision)
             seen = { object.revision, now };
-        if (object.name == m_settings.host || now - seen.changedAt >= expiry)
+        if (object.name == m_settings.host) {
+            m_revision = std::max(m_revision, object.revision);
+            m_isListed = object.content.is_object() && std::ranges::all_of(ownContent().items(), [&](const auto& item) { return object.content.contains(item.key()) && object.content[item.key()] == item.value(); });
+            continue;
+        }
+        if (now - seen.changedAt >= expiry)
             continue;
         addPeer(object.name, object.content);
     }
--- a/packages/pooler/src/HostDirectory.h
+++ b/packages/pooler/src/HostDirectory.h
@@ -92,6 +92,7 @@
     std::uint64_t m_incarnation = std::random_device {}();
     std::uint64_t m_renewals = 0;
     std::uint64_t m_revision = 0; ///< Of the own entry; 0 before it is stored.
+    bool m_isListed = false; ///< The store had an entry of this host as it is now.
     std::map<std::string, Seen> m_seen;
     std::vector<PeerHost> m_peers;
     Placement m_placement;
--- a/packages/pooler/src/PeerService.cpp
+++ b/packages/pooler/src/PeerService.cpp
@@ -185,14 +185,16 @@
 Task<void> PeerService::askFollowers()
 {
     while (true) {
-        m_sync.setInformsPeers(m_hosts.isFollower());
+        m_sync.setRole(m_hosts.isFollower() ? StoreSync::Role::Follower : m_hosts.followers().empty() ? StoreSync::Role::Alone
+                                                                                                      : StoreSync::Role::Informed);
         const auto followers = m_hosts.followers();
-        const auto wait = needsPositions() ? milliseconds(0) : newsWait;
-        if (followers.empty() || wait == milliseconds(0))
+        if (followers.empty() || needsPositions())
             co_await sleepFor(m_io, sampleInterval);
         if (followers.empty())
             continue;
-        const auto peer = followers[m_followerChoice % followers.size()];
+        // The first answer comes at once, so that this host need not watch the store.
+        const auto wait = needsPositions() || !m_sync.isInformed() ? milliseconds(0) : newsWait;
+        const auto& peer = followers[m_followerChoice % followers.size()];
         const auto askedAt = BootClock::now();
         const auto target = fmt::format("/v1/news?config={}&endpoints={}&waitMs={}", configVersion(), m_sync.endpointRevision(), wait.count());
         const auto reply = co_await call(peer.address, target, wait + newsTimeout);
--- a/packages/pooler/src/StoreSync.cpp
+++ b/packages/pooler/src/StoreSync.cpp
@@ -18,7 +18,7 @@
     constexpr milliseconds watchWait { 2000 };
     constexpr milliseconds watchAnswerTimeout { 800 };
     /// The same wait for a process that others follow the store through.
-    constexpr milliseconds informerWatchWait { 1500 };
+    constexpr milliseconds followerWatchWait { 1500 };
     /// A peer that had no answer for longer has lost the store: the wait of its watch, and a slow answer.
     constexpr milliseconds maxPeerSilence { 2000 };
     /// A peer's word counts for this time: two questions that are answered late, and one that fails. More failures end it.
@@ -27,8 +27,15 @@
     /// Changes that follow each other within this time are gathered: a new deployment registers its databases one by one,
     /// and each would end a watch on every host.
     constexpr milliseconds gatherTime { 300 };
+    /// The same before the hosts are known, when every host of the deployment watches.
+    constexpr milliseconds firstGatherTime { 1000 };
+    /// After the first listing, for the followers to be found and asked.
+    constexpr milliseconds firstNewsTime { 500 };
     constexpr milliseconds minRetryDelay { 100 };
+    constexpr int maxRetryDoublings = 5;
     constexpr milliseconds maxRetryDelay { 800 };
+    /// The same for a host that followers tell when the store is back.
+    constexpr milliseconds maxInformedRetryDelay { 3200 };
 
 } // namespace
 
@@ -79,12 +86,16 @@
             continue;
         }
         bool succeeded = false;
-        if (cursor.revision == 0)
+        if (cursor.revision == 0) {
             succeeded = co_await listOnce(cursor);
-        else
+            if (succeeded && m_role == Role::Unknown)
+                co_await sleepFor(m_io, firstNewsTime);
+        } else {
             succeeded = co_await watchOnce(cursor);
+        }
         if (!succeeded) {
-            const auto delay = std::min(maxRetryDelay, minRetryDelay * (1 << std::min(cursor.failures, 4)));
+            const auto longest = m_role == Role::Informed ? maxInformedRetryDelay : maxRetryDelay;
+            const auto delay = std::min(longest, minRetryDelay * (1 << std::min(cursor.failures, maxRetryDoublings)));
             co_await sleepFor(m_io, randomDelay(delay / 2, delay));
         }
     }
@@ -133,7 +144,7 @@
 Task<bool> StoreSync::watchOnce(Cursor& cursor)
 {
     const auto since = cursor.revision;
-    const auto wait = m_informsPeers ? informerWatchWait : watchWait;
+    const auto wait = m_role == Role::Follower ? followerWatchWait : watchWait;
     auto changes = co_await m_store->watch(cursor.kind, since, wait, wait + watchAnswerTimeout);
     const bool isOk = noteOutcome(cursor, "watch", changes.status, changes.detail);
     if (cursor.revision == since && (changes.status == StoreStatus::HistoryGone || (changes.status == StoreStatus::Ok && changes.revision < cursor.revision))) {
@@ -148,7 +159,8 @@
         co_return true;
     cursor.revision = changes.revision;
     const auto now = BootClock::now();
-    const bool isSeries = !changes.changes.empty() && now - cursor.lastChange < 2 * gatherTime;
+    const auto gather = m_role == Role::Unknown ? firstGatherTime : gatherTime;
+    const bool isSeries = !changes.changes.empty() && now - cursor.lastChange < 2 * gather;
     if (!changes.changes.empty())
         cursor.lastChange = now;
     if (&cursor == &m_endpoints && !changes.changes.empty())
@@ -158,7 +170,7 @@
     if (!changes.changes.empty() || &cursor == &m_endpoints)
         publish(cursor);
     if (isSeries)
-        co_await sleepFor(m_io, gatherTime);
+        co_await sleepFor(m_io, gather);
     co_return true;
 }
 
--- a/packages/pooler/src/StoreSync.h
+++ b/packages/pooler/src/StoreSync.h
@@ -26,13 +26,22 @@
     /// Applies what a peer's newerThan() returned, unless this process knows as much.
     void applyFromPeer(const nlohmann::json& state, const std::string& peer);
 
-    /// Whether peers follow the store through this process, which then looks for silence more often.
-    void setInformsPeers(bool informs) { m_informsPeers = informs; }
+    /// How this process learns of changes.
+    enum class Role {
+        Unknown, ///< The hosts are not known yet.
+        Alone, ///< There are too few hosts for followers.
+        Follower, ///< Peers follow the store through this process, which looks for silence more often.
+        Informed, ///< Followers tell it, and it watches itself while they do not.
+    };
+    void setRole(Role role) { m_role = role; }
+
     /// Records that a peer told all that it knows. @p askedAt: when it was asked. @p peerSilence: time since the store had
     /// answered it. While such word is young, this process makes no watches of its own.
     void notePeerWord(BootTime askedAt, std::chrono::milliseconds peerSilence);
     /// Ends what notePeerWord() began: the peers do not answer.
     void forgetPeerWord() { m_informedAt = {}; }
+    /// True while the word of a peer is young.
+    bool isInformed() const;
 
 private:
     /// Progress of one kind's loop.
@@ -47,7 +56,6 @@
         bool isKnown = false; ///< The kind has been listed, or a peer's listing was taken over.
     };
 
-    bool isInformed() const;
     Task<void> follow(Cursor& cursor);
     Task<bool> listOnce(Cursor& cursor);
     Task<bool> watchOnce(Cursor& cursor);
@@ -62,7 +70,7 @@
     PoolerMetrics& m_metrics;
     Cursor m_config;
     Cursor m_endpoints;
-    bool m_informsPeers = false;
+    Role m_role = Role::Unknown;
     BootTime m_informedAt {}; ///< When the last word of a peer that follows the store was asked for.
     std::map<std::string, EndpointEntry> m_entries;
     std::uint64_t m_entriesRevision = 0; ///< At which the entries last changed.
