--- a/packages/pooler/src/HostDirectory.cpp
+++ b/packages/pooler/src/HostDirectory.cpp
@@ -15,7 +15,7 @@
 
     constexpr const char* hostKind = "kumquatbank-hosts";
     constexpr milliseconds callTimeout { 1500 };
-    constexpr milliseconds retryDelay { 1000 };
+    constexpr milliseconds retryDelay { 300 };
     /// The same once the hosts are known.
     constexpr milliseconds renewalRetryDelay { 5000 };
     /// The first renewals are close together, because all hosts of a new deployment register at the same time.
--- a/packages/pooler/src/HostDirectory.h
+++ b/packages/pooler/src/HostDirectory.h
@@ -32,6 +32,9 @@
     /// The other hosts, as far as they are known.
     const std::vector<PeerHost>& peers() const { return m_peers; }
 
+    /// False before the hosts have been listed, here or by a peer.
+    bool isKnown() const { return m_source != Source::None; }
+
     /// Changes whenever peers() may have.
     std::uint64_t version() const { return m_version; }
 
--- a/packages/pooler/src/PeerService.cpp
+++ b/packages/pooler/src/PeerService.cpp
@@ -182,11 +182,19 @@
     return std::ranges::any_of(m_registry.services(), [](const auto& item) { return !item.second->isLent(); });
 }
 
+StoreSync::Role PeerService::followingRole() const
+{
+    if (!m_hosts.isKnown())
+        return StoreSync::Role::Unknown;
+    if (m_hosts.isFollower())
+        return StoreSync::Role::Follower;
+    return m_hosts.followers().empty() ? StoreSync::Role::Alone : StoreSync::Role::Informed;
+}
+
 Task<void> PeerService::askFollowers()
 {
     while (true) {
-        m_sync.setRole(m_hosts.isFollower() ? StoreSync::Role::Follower : m_hosts.followers().empty() ? StoreSync::Role::Alone
-                                                                                                      : StoreSync::Role::Informed);
+        m_sync.setRole(followingRole());
         const auto followers = m_hosts.followers();
         if (followers.empty() || needsPositions())
             co_await sleepFor(m_io, sampleInterval);
@@ -199,8 +207,10 @@
         const auto target = fmt::format("/v1/news?config={}&endpoints={}&waitMs={}", configVersion(), m_sync.endpointRevision(), wait.count());
         const auto reply = co_await call(peer.address, target, wait + newsTimeout);
         noteFollower(reply.isSuccess(), peer.name);
-        // Without news the services ask the primaries themselves, and this host watches the store.
-        if (!reply.isSuccess() || !applyNews(reply.body, askedAt, peer.name))
+        const bool isRead = reply.isSuccess() && applyNews(reply.body, askedAt, peer.name);
+        // Without news the services ask the primaries themselves, and this host watches the store. A follower that has lost
+        // the store answers at once.
+        if (!isRead || !m_sync.isInformed())
             co_await sleepFor(m_io, sampleInterval);
     }
 }
--- a/packages/pooler/src/PeerService.h
+++ b/packages/pooler/src/PeerService.h
@@ -29,6 +29,7 @@
     Task<HttpReply> call(HostAddress peer, std::string target, std::chrono::milliseconds timeout);
     Task<void> followPeers();
     Task<void> askFollowers();
+    StoreSync::Role followingRole() const;
     /// Whether any service needs positions that do not come with loans.
     bool needsPositions() const;
     /// Where connections are lent, the holders of the service; otherwise some peers.
--- a/packages/pooler/src/StoreSync.cpp
+++ b/packages/pooler/src/StoreSync.cpp
@@ -88,7 +88,7 @@
         bool succeeded = false;
         if (cursor.revision == 0) {
             succeeded = co_await listOnce(cursor);
-            if (succeeded && m_role == Role::Unknown)
+            if (succeeded && m_role == Role::Unknown && &cursor == &m_endpoints)
                 co_await sleepFor(m_io, firstNewsTime);
         } else {
             succeeded = co_await watchOnce(cursor);
@@ -160,7 +160,8 @@
     cursor.revision = changes.revision;
     const auto now = BootClock::now();
     const auto gather = m_role == Role::Unknown ? firstGatherTime : gatherTime;
-    const bool isSeries = !changes.changes.empty() && now - cursor.lastChange < 2 * gather;
+    // A configuration comes alone and is not delayed.
+    const bool isSeries = &cursor == &m_endpoints && !changes.changes.empty() && now - cursor.lastChange < 2 * gather;
     if (!changes.changes.empty())
         cursor.lastChange = now;
     if (&cursor == &m_endpoints && !changes.changes.empty())
