--- a/packages/pooler/tests/HolderTest.cpp
+++ b/packages/pooler/tests/HolderTest.cpp
@@ -75,6 +75,17 @@
     }(fixture));
 }
 
+// Pattern: all hosts of a deployment start at once, before any of them knows the others. Guards against a host that takes
+// itself for the only one and more connections than are left for it.
+TEST(Holder, AStartOfAllHostsKeepsWithinTheLimit)
+{
+    constexpr int limit = 4;
+    PoolerFixture fixture(shape(limit), hosts, 1);
+    fixture.run([](PoolerFixture& f) -> Task<void> { co_await f.sleep(settling); }(fixture));
+    for (int n = 0; n < 3; ++n)
+        CHECK_TRUE(fixture.platform().database(0, n).mostConnections() <= limit);
+}
+
 // Pattern: a primary that is cut off from some hosts, among them one that holds its connections for a region. Guards
 // against a region that loses the primary because its holder does.
 TEST(Holder, RequestsGoAroundAHolderThatDoesNotReachThePrimary)
--- a/packages/pooler/tests/PoolerFixture.h
+++ b/packages/pooler/tests/PoolerFixture.h
@@ -59,6 +59,7 @@
     asio::io_context& io() { return *m_io; }
     EmulatedPlatform& platform() { return *m_platform; }
     HostAddress clientAddress(int host = 0) const { return address(host, 0); }
+    HostAddress peerAddress(int host) const { return address(host, 2); }
     PoolerProcess& process(int host) { return *m_processes.at(static_cast<std::size_t>(host)); }
     void startHost(int host);
 
--- a/packages/pooler/tests/StoreFollowingTest.cpp
+++ b/packages/pooler/tests/StoreFollowingTest.cpp
@@ -1,4 +1,5 @@
 #include "PoolerFixture.h"
+#include "kumquatbank/engine/HttpClient.h"
 #include "kumquatbank/engine/HttpListener.h"
 
 #include <CppUTest/TestHarness.h>
@@ -47,6 +48,30 @@
     }(fixture));
 }
 
+// Pattern: the store's revision rises with every renewal of every host, and endpoints change a few times an hour. Guards
+// against followers that send all endpoints to all hosts each time.
+TEST(StoreFollowing, UnchangedEndpointsAreNotSentAgain)
+{
+    PoolerFixture fixture({}, 1);
+    fixture.run([](PoolerFixture& f) -> Task<void> {
+        co_await f.sleep(settling);
+        HttpClient client(f.io(), f.peerAddress(0));
+        const auto ask = [&](std::uint64_t known) -> Task<nlohmann::json> {
+            HttpCall call;
+            call.target = "/v1/news?config=0&endpoints=" + std::to_string(known);
+            const auto reply = co_await client.call(std::move(call), milliseconds(500));
+            co_return nlohmann::json::parse(reply.body).at("known");
+        };
+        const auto all = co_await ask(0);
+        CHECK_TRUE(all.contains("endpoints"));
+        f.platform().store().put("kumquatbank-hosts", "host-9", { { "peerAddress", "127.0.0.1:9" } });
+        co_await f.sleep(milliseconds(2500));
+        const auto news = co_await ask(all.at("endpointRevision"));
+        CHECK_FALSE(news.contains("endpoints"));
+        CHECK_TRUE(news.at("endpointRevision") > all.at("endpointRevision"));
+    }(fixture));
+}
+
 // Guards against a configuration that does not reach the hosts that make no watches.
 TEST(StoreFollowing, AChangeReachesHostsThatDoNotWatch)
 {
