--- a/scripts/compare_worth.py
+++ b/scripts/compare_worth.py
@@ -29,16 +29,17 @@
     site = entry["site"]
     # A day that was drawn just now has no earlier figure.
     worth = {day["name"]: day["G"] for day in entry["days"] if not day["name"].startswith("fresh")}
+    commit = entry["head"][:7] + (" with changes" if entry["dirty"] else "")
     before = landed.get(site, {"commit": "none", "days": {}})
     common = [day for day in worth if day in before["days"]]
-    print(f"{site}: worth on {before['commit']} and on {entry['head'][:7]}")
+    print(f"{site}: worth on {before['commit']} and on {commit}")
     for day, now in worth.items():
         was = before["days"].get(day)
         print(f"  {day:12} {'-' if was is None else f'{was:.3f}':>6} {now:.3f}")
     difference = sum(worth[day] - before["days"][day] for day in common) / len(common) if common else 0.0
     print(f"  mean difference {difference:+.3f}, noise {NOISE}")
     if update:
-        landed[site] = {"commit": entry["head"][:7], "days": {day: round(now, 4) for day, now in worth.items()}}
+        landed[site] = {"commit": commit, "days": {day: round(now, 4) for day, now in worth.items()}}
         with open(files[0], "w", encoding="utf-8") as file:
             json.dump(landed, file, indent=2, sort_keys=True)
             file.write("\n")
