pooler: keep the holders that are asked, not the ranking of all hosts

Each kept the ranking of all hosts for each service, some 200 B x 300 hosts x 600 services.

Ruled out: endpoints (1,800 x about 1 KB). Change: the ranking is cut to the three holders that are asked. Behaviour is the same: no one asks beyond the third holder.

--- a/packages/pooler/src/ConnectionBorrower.cpp
+++ b/packages/pooler/src/ConnectionBorrower.cpp
@@ -33,8 +33,12 @@
         });
     }
     const auto [it, isNew] = m_rankings.try_emplace(service);
-    if (isNew)
+    if (isNew) {
         it->second = m_hosts.placement().holders(service, m_settings.region);
+        // The rest is never asked, and all hosts for each service would be most of the memory of a large fleet.
+        it->second.resize(std::min(it->second.size(), maxLenders));
+        it->second.shrink_to_fit();
+    }
     return it->second;
 }
 
@@ -93,8 +97,7 @@
 Task<ConnectionBorrower::Loan> ConnectionBorrower::borrow(std::shared_ptr<DatabaseService> service, ConnectionDemand demand)
 {
     // A copy: the ranking may change during a call.
-    auto holders = ranking(service->name());
-    holders.resize(std::min(holders.size(), maxLenders));
+    const auto holders = ranking(service->name());
     std::shared_ptr<LenderLink> unreachable;
     for (const auto& holder : holders) {
         if (holder.name == m_settings.host) {
--- a/packages/pooler/src/ConnectionBorrower.h
+++ b/packages/pooler/src/ConnectionBorrower.h
@@ -15,7 +15,8 @@
 
     using Loan = std::optional<tl::expected<ConnectionLease, AcquireFailure>>;
 
-    /// Rank of this host among the holders of @p service, 0 for the first holder in its region; empty if it lends nothing.
+    /// Rank of this host among the holders of @p service, 0 for the first holder in its region; empty if it is not among
+    /// those that are asked.
     std::optional<std::size_t> rank(const std::string& service);
 
     /// Asks the holders of @p service in their order. Empty if this host should use its own connections: it is the next
@@ -33,6 +34,7 @@
         bool isUnreachable = false; ///< The lender answers, and reaches no endpoint.
     };
 
+    /// The holders that are asked, the first in rank at the front.
     const std::vector<PlacementHost>& ranking(const std::string& service);
     /// Null if the host is not known any more, or did not answer lately.
     std::shared_ptr<LenderLink> usableLink(const std::string& host);
