--- a/packages/engine/include/kumquatbank/engine/HttpClient.h
+++ b/packages/engine/include/kumquatbank/engine/HttpClient.h
@@ -3,6 +3,7 @@
 #include "kumquatbank/engine/Async.h"
 
 #include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/fields.hpp>
 #include <map>
 #include <memory>
 #include <optional>
@@ -27,6 +28,7 @@
 
     Outcome outcome = Outcome::NotSent;
     int status = 0;
+    boost::beast::http::fields headers;
     std::string body;
 
     bool isSuccess() const { return outcome == Outcome::Completed && status >= 200 && status < 300; }
--- a/packages/engine/include/kumquatbank/engine/HttpListener.h
+++ b/packages/engine/include/kumquatbank/engine/HttpListener.h
@@ -23,6 +23,7 @@
     int status = 200;
     std::string body;
     std::string contentType = "application/json";
+    std::map<std::string, std::string> headers {};
 };
 
 /// HTTP/1.1 server on one address. Each connection is served by its own coroutine.
--- a/packages/engine/src/HttpClient.cpp
+++ b/packages/engine/src/HttpClient.cpp
@@ -98,7 +98,9 @@
     reply.status = static_cast<int>(response.result_int());
     reply.body = std::move(response.body());
     timer.stop();
-    if (response.keep_alive() && m_idle.size() < maxIdleConnections)
+    const bool isReusable = response.keep_alive();
+    reply.headers = std::move(response.base());
+    if (isReusable && m_idle.size() < maxIdleConnections)
         m_idle.push_back(std::move(connection));
     co_return reply;
 }
--- a/packages/engine/src/HttpListener.cpp
+++ b/packages/engine/src/HttpListener.cpp
@@ -52,6 +52,8 @@
             co_return;
         http::response<http::string_body> response(static_cast<http::status>(result.status), request.version());
         response.set(http::field::content_type, result.contentType);
+        for (const auto& [name, value] : result.headers)
+            response.set(name, value);
         response.keep_alive(request.keep_alive());
         response.body() = result.body;
         response.prepare_payload();
--- a/packages/pooler/src/PoolerMetrics.cpp
+++ b/packages/pooler/src/PoolerMetrics.cpp
@@ -34,6 +34,7 @@
     , m_waiting(family(m_registry, prometheus::BuildGauge(), "kumquatbank_waiting_requests", "Requests that wait for a connection"))
     , m_sessions(family(m_registry, prometheus::BuildGauge(), "kumquatbank_sessions", "Open client sessions").Add({}))
     , m_configVersion(family(m_registry, prometheus::BuildGauge(), "kumquatbank_config_version", "Version of the configuration in force").Add({}))
+    , m_storeEra(family(m_registry, prometheus::BuildGauge(), "kumquatbank_store_era", "Era of the newest answer of the store; rises when it comes back from an older copy").Add({}))
     , m_droppedLogLines(family(m_registry, prometheus::BuildGauge(), "kumquatbank_dropped_log_lines", "Log lines left out since the start").Add({}))
 {
 }
@@ -77,6 +78,7 @@
 void PoolerMetrics::sessionOpened() { m_sessions.Increment(); }
 void PoolerMetrics::sessionClosed() { m_sessions.Decrement(); }
 void PoolerMetrics::setConfigVersion(std::int64_t version) { m_configVersion.Set(static_cast<double>(version)); }
+void PoolerMetrics::setStoreEra(std::uint64_t era) { m_storeEra.Set(static_cast<double>(era)); }
 void PoolerMetrics::setPrimarySilence(const std::string& service, double age) { m_primarySilence.Add({ { "service", service } }).Set(age); }
 void PoolerMetrics::setWaiting(const std::string& service, double requests) { m_waiting.Add({ { "service", service } }).Set(requests); }
 
--- a/packages/pooler/src/PoolerMetrics.h
+++ b/packages/pooler/src/PoolerMetrics.h
@@ -32,6 +32,7 @@
     void sessionClosed();
     void statementRetried(std::string_view reason);
     void setConfigVersion(std::int64_t version);
+    void setStoreEra(std::uint64_t era);
     void setPrimarySilence(const std::string& service, double seconds);
     void setWaiting(const std::string& service, double requests);
 
@@ -53,6 +54,7 @@
     prometheus::Family<prometheus::Gauge>& m_waiting;
     prometheus::Gauge& m_sessions;
     prometheus::Gauge& m_configVersion;
+    prometheus::Gauge& m_storeEra;
     prometheus::Gauge& m_droppedLogLines;
 
     struct RouteSeries {
--- a/packages/pooler/src/PoolerProcess.cpp
+++ b/packages/pooler/src/PoolerProcess.cpp
@@ -155,6 +155,7 @@
                 m_promotions.recordProcessPause();
             }
             last = now;
+            m_metrics.setStoreEra(m_store->era());
             for (const auto& [name, service] : m_registry.services()) {
                 asio::co_spawn(m_io, service->runMaintenance(), asio::detached);
                 if (const auto primary = service->primary())
--- a/packages/pooler/src/StoreSync.cpp
+++ b/packages/pooler/src/StoreSync.cpp
@@ -108,7 +108,7 @@
     const bool answered = status == StoreStatus::Ok || status == StoreStatus::NotFound || status == StoreStatus::HistoryGone;
     if (answered) {
         if (cursor.isLost)
-            EventLog::info("store_regained", { { "kind", cursor.kind }, { "away_ms", toMs(now - cursor.lostSince) } });
+            EventLog::info("store_regained", { { "kind", cursor.kind }, { "away_ms", toMs(now - cursor.lostSince) }, { "revision", cursor.revision }, { "era", m_store->era() } });
         cursor.isLost = false;
         cursor.failures = 0;
         cursor.lastAnswer = now;
@@ -129,6 +129,7 @@
     auto listing = co_await m_store->list(cursor.kind, false, callTimeout);
     if (!recordOutcome(cursor, "list", listing.status, listing.detail))
         co_return false;
+    EventLog::info("store_listed", { { "kind", cursor.kind }, { "objects", listing.objects.size() }, { "revision", listing.revision }, { "era", m_store->era() } });
     cursor.revision = listing.revision;
     cursor.isPopulated = true;
     if (&cursor == &m_endpoints) {
@@ -148,7 +149,7 @@
     auto changes = co_await m_store->watch(cursor.kind, since, wait, wait + watchAnswerTimeout);
     const bool isOk = recordOutcome(cursor, "watch", changes.status, changes.detail);
     if (cursor.revision == since && (changes.status == StoreStatus::HistoryGone || (changes.status == StoreStatus::Ok && changes.revision < cursor.revision))) {
-        EventLog::info("store_history_gone", { { "kind", cursor.kind }, { "revision", cursor.revision } });
+        EventLog::info("store_history_gone", { { "kind", cursor.kind }, { "revision", cursor.revision }, { "store_revision", changes.revision }, { "era", m_store->era() }, { "status", changes.detail } });
         cursor.revision = 0;
         co_return true;
     }
@@ -182,8 +183,11 @@
         EventLog::error("config_unreadable", { { "error", config.error() }, { "source", source } });
         return;
     }
+    const auto version = config->version;
     if (m_registry.apply(std::make_shared<const RoutingConfig>(std::move(*config)), source))
         m_configContent = content;
+    else if (version < m_registry.config()->version)
+        EventLog::warn("older_config_ignored", { { "version", version }, { "in_force", m_registry.config()->version }, { "source", source } });
 }
 
 bool StoreSync::hasNewerThan(std::int64_t configVersion, std::uint64_t endpointRevision) const
