Emulate a store that comes back from an older copy; three failing tests

Cause: the emulator's store could forget its history but never went back, so no test or soak reached the state. Change: EmulatedStore has eras, copies and restore(); watches from a revision that it does not have get 410, waiting ones are cut off.

--- /dev/null
+++ b/packages/pooler/tests/RestoredStoreTest.cpp
@@ -0,0 +1,151 @@
+#include "PoolerFixture.h"
+
+#include <CppUTest/TestHarness.h>
+#include <fmt/format.h>
+
+using namespace kumquatbank;
+using std::chrono::milliseconds;
+
+namespace {
+
+const std::string primaryDb = EmulatedPlatform::databaseName(0, ReadPolicy::Primary);
+const std::string boundedDb = EmulatedPlatform::databaseName(0, ReadPolicy::Bounded);
+
+/// From the acknowledgement of a configuration to its being in force on every host: ConfigApplyMs of the deployments.
+constexpr milliseconds configApplyTime { 3000 };
+/// Hosts of one region, of which two follow the store for the others.
+constexpr int manyHosts = 10;
+/// Until every host has listed the others and the watches of followers have ended.
+constexpr milliseconds hostDiscoveryTime { 4500 };
+constexpr milliseconds outage { 800 };
+/// Changes that are lost with the copy, and as many again on the store's return.
+constexpr int lostChanges = 12;
+
+/// Changes to objects that no host reads; each takes a revision.
+void takeRevisions(EmulatedStore& store, int count)
+{
+    for (int n = 0; n < count; ++n)
+        store.put("unrelated", "object", n);
+}
+
+/// The store goes away and comes back from @p copy, without what was written since.
+Task<void> returnFrom(PoolerFixture& fixture, EmulatedStore::Copy copy, milliseconds away = outage)
+{
+    auto& store = fixture.platform().store();
+    store.behaviour().isDown = true;
+    co_await fixture.sleep(away);
+    store.restore(copy);
+    store.behaviour().isDown = false;
+}
+
+Task<int> hostsWithoutRoute(PoolerFixture& fixture, int hosts)
+{
+    int found = 0;
+    for (int n = 0; n < hosts; ++n) {
+        TestClient client(fixture.io());
+        const auto answer = co_await client.start(fixture.clientAddress(n), boundedDb);
+        found += answer.code() == "NODB" ? 1 : 0;
+    }
+    co_return found;
+}
+
+/// Crashes the primary and waits until a host has had another one promoted.
+Task<void> replacePrimary(PoolerFixture& fixture)
+{
+    auto& lost = fixture.platform().primary(0);
+    lost.crash();
+    co_await fixture.writeUntilSuccess(primaryDb, "WRITE item x");
+    lost.restart();
+    co_await fixture.sleep(milliseconds(300));
+}
+
+/// Fails the test unless each accepted promotion has a greater token than the one before.
+void checkTokensIncrease(const EmulatedPlatform& platform, std::size_t expected)
+{
+    std::uint64_t newest = 0;
+    std::size_t accepted = 0;
+    for (const auto& order : platform.promotions()) {
+        if (order.status != 200)
+            continue;
+        ++accepted;
+        CHECK_TRUE_TEXT(order.token > newest, fmt::format("token {} of {} after token {}", order.token, order.holder, newest).c_str());
+        newest = order.token;
+    }
+    CHECK_TRUE_TEXT(accepted >= expected, fmt::format("{} promotions", accepted).c_str());
+}
+
+} // namespace
+
+/// The store comes back from an older copy: revisions are given out again, and what the hosts wrote since is gone.
+TEST_GROUP(RestoredStore) {};
+
+// Guards against a version that is never applied: a watch from a revision of the lost history skips the changes that got
+// the same revisions again.
+TEST(RestoredStore, AVersionWithAReusedRevisionIsApplied)
+{
+    PoolerFixture fixture;
+    fixture.run([](PoolerFixture& f) -> Task<void> {
+        auto& store = f.platform().store();
+        co_await f.sleep(milliseconds(500));
+        const auto copy = store.copy();
+        takeRevisions(store, lostChanges);
+        f.platform().putConfig();
+        co_await f.sleep(milliseconds(500));
+        store.behaviour().isDown = true;
+        co_await f.sleep(milliseconds(2500));
+        store.restore(copy);
+        f.platform().config().routes.erase(boundedDb);
+        f.platform().putConfig();
+        takeRevisions(store, 2 * lostChanges);
+        store.behaviour().isDown = false;
+        co_await f.sleep(configApplyTime);
+        const int changed = co_await hostsWithoutRoute(f, 1);
+        LONGS_EQUAL(1, changed);
+    }(fixture));
+}
+
+// Guards against a fencing token that is given out twice: the write that took it is lost with the copy.
+TEST(RestoredStore, ATokenThatTheStoreHasLostIsNotGivenOutAgain)
+{
+    PoolerFixture fixture({}, 3);
+    fixture.run([](PoolerFixture& f) -> Task<void> {
+        co_await f.sleep(milliseconds(1700));
+        co_await f.writeUntilSuccess(primaryDb, "WRITE item before");
+        const auto copy = f.platform().store().copy();
+        co_await replacePrimary(f);
+        co_await returnFrom(f, copy);
+        f.platform().restoreStore(copy);
+        co_await f.sleep(milliseconds(3000));
+        co_await replacePrimary(f);
+    }(fixture),
+        std::chrono::seconds(30));
+    checkTokensIncrease(fixture.platform(), 2);
+}
+
+// Guards against subscribers that keep the endpoints of the lost history: updates from followers were ordered by the
+// number of the revision alone.
+TEST(RestoredStore, AnEndpointWithAReusedRevisionReachesHostsThatDoNotWatch)
+{
+    PoolerFixture fixture({}, manyHosts, 1);
+    fixture.run([](PoolerFixture& f) -> Task<void> {
+        auto& store = f.platform().store();
+        co_await f.sleep(hostDiscoveryTime);
+        const auto copy = store.copy();
+        takeRevisions(store, lostChanges);
+        f.platform().announce(f.platform().database(0, 1), true);
+        co_await f.sleep(milliseconds(1500));
+        takeRevisions(store, lostChanges);
+        co_await f.sleep(milliseconds(2500));
+        co_await returnFrom(f, copy);
+        f.platform().announce(f.platform().database(0, 1), false);
+        f.platform().announce(f.platform().database(0, 2), true);
+        co_await f.sleep(configApplyTime);
+        for (int n = 0; n < manyHosts; ++n) {
+            const auto state = co_await f.state(n);
+            const auto& endpoints = state.at("services").at("service-0").at("endpoints");
+            CHECK_TRUE_TEXT(endpoints.at("i-0-2").at("draining") == true, fmt::format("host {} misses the entry written after the return", n).c_str());
+            CHECK_TRUE_TEXT(endpoints.at("i-0-1").at("draining") == false, fmt::format("host {} keeps an entry of the lost history", n).c_str());
+        }
+    }(fixture),
+        std::chrono::seconds(30));
+}
--- a/tools/emulator/EmulatedPlatform.cpp
+++ b/tools/emulator/EmulatedPlatform.cpp
@@ -102,9 +102,22 @@
     return found;
 }
 
+void EmulatedPlatform::restoreStore(const EmulatedStore::Copy& copy)
+{
+    m_store.restore(copy);
+    writeConfig();
+    for (const auto& service : m_services)
+        announceAll(*service);
+}
+
 void EmulatedPlatform::putConfig()
 {
     ++m_config.version;
+    writeConfig();
+}
+
+void EmulatedPlatform::writeConfig()
+{
     m_store.put(std::string(StoreCodec::configKind), std::string(StoreCodec::configName), StoreCodec::formatConfig(m_config));
 }
 
--- a/tools/emulator/EmulatedPlatform.h
+++ b/tools/emulator/EmulatedPlatform.h
@@ -50,6 +50,8 @@
     /// Names of the databases that clients may give, by policy of their route.
     static std::string databaseName(int service, ReadPolicy policy);
 
+    /// The store comes back from an older copy, and the operator and the databases write again what it has lost.
+    void restoreStore(const EmulatedStore::Copy& copy);
     /// Writes the next version of the configuration.
     void putConfig();
     RoutingConfig& config() { return m_config; }
@@ -60,6 +62,7 @@
     Task<HttpResponse> promote(HttpRequest request);
     Task<void> takeEffect(std::shared_ptr<EmulatedService> service, std::string id);
     void announceAll(const EmulatedService& service);
+    void writeConfig();
 
     asio::io_context& m_io;
     Shape m_shape;
--- a/tools/emulator/EmulatedStore.cpp
+++ b/tools/emulator/EmulatedStore.cpp
@@ -47,6 +47,17 @@
         waiter->wake();
 }
 
+void EmulatedStore::restore(const Copy& copy)
+{
+    m_objects = copy.objects;
+    m_revision = copy.revision;
+    m_firstRevision = std::min(m_firstRevision, m_revision + 1);
+    std::erase_if(m_events, [this](const Event& event) { return event.revision > m_revision; });
+    ++m_era;
+    for (const auto& waiter : std::exchange(m_waiters, {}))
+        waiter->wake();
+}
+
 Json EmulatedStore::get(const std::string& kind, const std::string& name) const
 {
     const auto objects = m_objects.find(kind);
@@ -59,8 +70,11 @@
 Task<HttpResponse> EmulatedStore::watch(std::string kind, std::uint64_t revision, std::chrono::milliseconds wait)
 {
     const auto until = BootClock::now() + wait;
+    const auto era = m_era;
     while (true) {
-        if (revision + 1 < m_firstRevision)
+        if (era != m_era)
+            co_return lostAnswer();
+        if (revision + 1 < m_firstRevision || revision > m_revision)
             co_return HttpResponse { 410, "{}" };
         Json events = Json::array();
         for (const auto& event : m_events) {
@@ -103,6 +117,13 @@
 }
 
 Task<HttpResponse> EmulatedStore::answer(HttpRequest request)
+{
+    auto response = co_await process(std::move(request));
+    response.headers["Store-Era"] = std::to_string(m_era);
+    co_return response;
+}
+
+Task<HttpResponse> EmulatedStore::process(HttpRequest request)
 {
     ++m_calls;
     if (m_behaviour.isDown)
--- a/tools/emulator/EmulatedStore.h
+++ b/tools/emulator/EmulatedStore.h
@@ -13,11 +13,19 @@
     int answersToLose = 0; ///< So many writes are done, and their answers lost.
 };
 
-/// The platform's object store: kinds, conditional writes, watches and a bounded history.
+/// The platform's object store: kinds, conditional writes, watches, a bounded history, and returns from an older copy.
 class EmulatedStore {
 public:
     EmulatedStore(asio::io_context& io, const HostAddress& address);
 
+    using Objects = std::map<std::string, std::map<std::string, nlohmann::json>>;
+
+    /// What the store holds at one moment.
+    struct Copy {
+        Objects objects;
+        std::uint64_t revision = 0;
+    };
+
     StoreBehaviour& behaviour() { return m_behaviour; }
     void put(const std::string& kind, const std::string& name, const nlohmann::json& spec);
     void remove(const std::string& kind, const std::string& name);
@@ -27,6 +35,13 @@
     void forgetHistory() { m_firstRevision = m_revision + 1; }
     std::uint64_t calls() const { return m_calls; }
 
+    Copy copy() const { return { m_objects, m_revision }; }
+    /// Replaces the contents by an older copy: later changes are lost, their revisions are given out again, waiting
+    /// watches are cut off, and a new era begins.
+    void restore(const Copy& copy);
+    std::uint64_t revision() const { return m_revision; }
+    std::uint64_t era() const { return m_era; }
+
 private:
     struct Event {
         std::uint64_t revision;
@@ -36,16 +51,18 @@
     };
 
     Task<HttpResponse> answer(HttpRequest request);
+    Task<HttpResponse> process(HttpRequest request);
     Task<HttpResponse> watch(std::string kind, std::uint64_t revision, std::chrono::milliseconds wait);
     HttpResponse change(const std::string& method, const std::string& kind, const std::string& name, const std::string& body);
     void store(const std::string& kind, const std::string& name, nlohmann::json object);
 
     asio::io_context& m_io;
     StoreBehaviour m_behaviour;
-    std::map<std::string, std::map<std::string, nlohmann::json>> m_objects;
+    Objects m_objects;
     std::vector<Event> m_events;
     std::uint64_t m_revision = 1;
     std::uint64_t m_firstRevision = 1;
+    std::uint64_t m_era = 1;
     std::uint64_t m_calls = 0;
     std::vector<std::shared_ptr<AutoResetEvent>> m_waiters;
     HttpListener m_listener;
