--- a/cmake/TestMain.cpp
+++ b/cmake/TestMain.cpp
@@ -1,6 +1,3 @@
-#include <CppUTest/CommandLineTestRunner.h>
-#include <CppUTest/MemoryLeakWarningPlugin.h>
-#include <CppUTest/TestRegistry.h>
 #include <algorithm>
 #include <iostream>
 #include <set>
@@ -8,6 +5,11 @@
 #include <string_view>
 #include <vector>
 
+// After the standard headers, because CppUTest redefines new.
+#include <CppUTest/CommandLineTestRunner.h>
+#include <CppUTest/MemoryLeakWarningPlugin.h>
+#include <CppUTest/TestRegistry.h>
+
 namespace {
 
 /// Followed by the Group.Name of a test that is not run. CppUTest's own -xsn leaves out nothing when it is given twice.
