Order everything read from the store by era and revision

On sites with followers an endpoint's new entry would not have reached most hosts. Cause: revisions were compared as plain numbers. The store counts them again after a return. A host that watched again late, when the store had passed the old number, got 200 and only the changes above it; updates between hosts with lower numbers were dropped as old. Ruled out: a store that does not answer (store_regained is logged on all hosts), an unreadable configuration. Change: StoreRevision is an era and a number. Hosts tell each other the era with the revision (parameter era, field storeEra); a peer that is an era behind does not count as a source of updates. Requests of builds without eras are answered as before. Conclusion: numbers of two histories cannot be compared any more by mistake, as the type does not allow it.

--- a/packages/pooler/src/HostDirectory.cpp
+++ b/packages/pooler/src/HostDirectory.cpp
@@ -90,7 +90,7 @@
         m_metrics.storeCall("register", storeStatusName(stored.status));
     }
     if (stored.status == StoreStatus::NotFound)
-        m_revision = 0;
+        m_revision = {};
     if (stored.status != StoreStatus::Ok || stored.objects.empty()) {
         EventLog::warn("host_not_registered", { { "status", storeStatusName(stored.status) }, { "detail", stored.detail } });
         co_return false;
--- a/packages/pooler/src/HostDirectory.h
+++ b/packages/pooler/src/HostDirectory.h
@@ -73,7 +73,7 @@
 
     /// Revision of a host's entry and when it last changed.
     struct ObservedEntry {
-        std::uint64_t revision = 0;
+        StoreRevision revision;
         BootTime changedAt {};
     };
 
@@ -97,7 +97,7 @@
     PoolerMetrics& m_metrics;
     std::uint64_t m_incarnation = std::random_device {}();
     std::uint64_t m_renewals = 0;
-    std::uint64_t m_revision = 0; ///< Revision of this host's entry; 0 before it is stored.
+    StoreRevision m_revision; ///< Of this host's entry; number 0 before it is stored.
     bool m_isListed = false; ///< The store has an entry of this host with its current content.
     std::map<std::string, ObservedEntry> m_observedEntries;
     std::vector<PeerHost> m_peers;
--- a/packages/pooler/src/PeerService.cpp
+++ b/packages/pooler/src/PeerService.cpp
@@ -97,15 +97,18 @@
     };
     if (url->path() == "/v1/primary")
         co_return HttpResponse { 200, describePrimary(parameter("service"), parameter("endpoint")).dump() };
+    const auto config = numberOrZero<std::int64_t>(parameter("config"));
+    StoreRevision endpoints { numberOrZero<std::uint64_t>(parameter("era")), numberOrZero<std::uint64_t>(parameter("endpoints")) };
+    // Builds without eras send none; their revisions are compared by number, as they do themselves.
+    if (parameter("era").empty())
+        endpoints.era = m_sync.endpointRevision().era;
     if (url->path() == "/v1/known") {
-        Json known = m_sync.newerThan(numberOrZero<std::int64_t>(parameter("config")), numberOrZero<std::uint64_t>(parameter("endpoints")));
+        Json known = m_sync.newerThan(config, endpoints);
         if (parameter("hosts") == "1")
             known["hosts"] = m_hosts.describe();
         co_return HttpResponse { 200, known.dump() };
     }
     if (url->path() == "/v1/news") {
-        const auto config = numberOrZero<std::int64_t>(parameter("config"));
-        const auto endpoints = numberOrZero<std::uint64_t>(parameter("endpoints"));
         const milliseconds wait(std::clamp<std::int64_t>(numberOrZero<std::int64_t>(parameter("waitMs")), 0, maxUpdateWait.count()));
         const auto until = BootClock::now() + wait;
         while (!m_sync.hasNewerThan(config, endpoints) && BootClock::now() < until)
@@ -170,7 +173,7 @@
         if (peersOrSeeds.empty())
             continue;
         const auto peer = randomElement(peersOrSeeds);
-        const auto target = fmt::format("/v1/known?config={}&endpoints={}&hosts={}", configVersion(), m_sync.endpointRevision(), m_hosts.peers().empty() ? 1 : 0);
+        const auto target = fmt::format("/v1/known?{}&hosts={}", knownParameters(), m_hosts.peers().empty() ? 1 : 0);
         const auto reply = co_await call(peer.address, target, peerQueryTimeout);
         if (reply.isSuccess() && !applyState(reply.body, peer.name))
             EventLog::warn("peer_answer_unreadable", { { "peer", peer.name }, { "call", "known" } });
@@ -204,7 +207,7 @@
         const auto wait = needsPositions() || !m_sync.hasRecentPeerUpdate() ? milliseconds(0) : updateWait;
         const auto& peer = followers[m_followerIndex % followers.size()];
         const auto requestedAt = BootClock::now();
-        const auto target = fmt::format("/v1/news?config={}&endpoints={}&waitMs={}", configVersion(), m_sync.endpointRevision(), wait.count());
+        const auto target = fmt::format("/v1/news?{}&waitMs={}", knownParameters(), wait.count());
         const auto reply = co_await call(peer.address, target, wait + updateTimeoutMargin);
         recordFollowerResult(reply.isSuccess(), peer.name);
         const bool isApplied = reply.isSuccess() && applyUpdates(reply.body, requestedAt, peer.name);
@@ -248,7 +251,13 @@
 
 std::int64_t PeerService::configVersion() const { return m_registry.config() ? m_registry.config()->version : 0; }
 
-Json PeerService::describeUpdates(std::int64_t knownConfig, std::uint64_t knownEndpoints) const
+std::string PeerService::knownParameters() const
+{
+    const auto endpoints = m_sync.endpointRevision();
+    return fmt::format("config={}&endpoints={}&era={}", configVersion(), endpoints.number, endpoints.era);
+}
+
+Json PeerService::describeUpdates(std::int64_t knownConfig, StoreRevision knownEndpoints) const
 {
     const auto silence = std::max(m_sync.configSilence(), m_sync.endpointSilence());
     return { { "samples", describeSamples() }, { "known", m_sync.newerThan(knownConfig, knownEndpoints) }, { "storeSilenceMs", silence.count() } };
@@ -258,8 +267,10 @@
 {
     try {
         const auto updates = Json::parse(body);
-        m_sync.applyFromPeer(updates.at("known"), peer);
-        m_sync.recordPeerUpdate(requestedAt, milliseconds(updates.at("storeSilenceMs").get<std::int64_t>()));
+        if (m_sync.applyFromPeer(updates.at("known"), peer))
+            m_sync.recordPeerUpdate(requestedAt, milliseconds(updates.at("storeSilenceMs").get<std::int64_t>()));
+        else
+            m_sync.clearPeerUpdate();
         applySamples(updates.at("samples"), requestedAt);
         return true;
     } catch (const Json::exception&) {
@@ -307,7 +318,7 @@
     Json peers = Json::array();
     for (const auto& peer : m_hosts.peers())
         peers.push_back(peer.name);
-    return { { "configVersion", m_registry.config() ? m_registry.config()->version : 0 }, { "configSilenceMs", toMs(m_sync.configSilence()) }, { "endpointSilenceMs", toMs(m_sync.endpointSilence()) }, { "peers", std::move(peers) }, { "services", std::move(services) } };
+    return { { "configVersion", m_registry.config() ? m_registry.config()->version : 0 }, { "configSilenceMs", toMs(m_sync.configSilence()) }, { "endpointSilenceMs", toMs(m_sync.endpointSilence()) }, { "endpointRevision", m_sync.endpointRevision().number }, { "storeEra", m_sync.endpointRevision().era }, { "peers", std::move(peers) }, { "services", std::move(services) } };
 }
 
 } // namespace kumquatbank
--- a/packages/pooler/src/PeerService.h
+++ b/packages/pooler/src/PeerService.h
@@ -36,9 +36,11 @@
     /// The holders of the service where connections are lent; otherwise a random sample of peers.
     std::vector<PeerHost> peersToQuery(const std::string& service) const;
     std::int64_t configVersion() const;
+    /// The parameters of a request that name what this host has.
+    std::string knownParameters() const;
     /// The update for a host that does not watch the store: positions, configuration and endpoints newer than the given
     /// ones, and the time since the store last answered this process.
-    nlohmann::json describeUpdates(std::int64_t knownConfig, std::uint64_t knownEndpoints) const;
+    nlohmann::json describeUpdates(std::int64_t knownConfig, StoreRevision knownEndpoints) const;
     /// False if the body cannot be parsed.
     bool applyUpdates(const std::string& body, BootTime requestedAt, const std::string& peer);
     void applySamples(const nlohmann::json& samples, BootTime requestedAt);
--- a/packages/pooler/src/PromotionController.cpp
+++ b/packages/pooler/src/PromotionController.cpp
@@ -166,7 +166,7 @@
             const auto& stored = current.objects.front();
             const auto& content = stored.content;
             if (!content.is_object() || !content.value("token", nlohmann::json()).is_number_unsigned()) {
-                EventLog::error("promotion_object_unreadable", { { "service", service }, { "revision", stored.revision } });
+                EventLog::error("promotion_object_unreadable", { { "service", service }, { "revision", stored.revision.number } });
                 co_return std::nullopt;
             }
             const bool isOwn = content.value("run", std::uint64_t(0)) == m_runId;
@@ -188,7 +188,7 @@
                 co_return progress.heldToken;
             }
             object.revision = stored.revision;
-            EventLog::info("promotion_object_read", { { "service", service }, { "token", content["token"].get<std::uint64_t>() }, { "revision", stored.revision }, { "era", m_store->era() }, { "by", content.value("holder", "") } });
+            EventLog::info("promotion_object_read", { { "service", service }, { "token", content["token"].get<std::uint64_t>() }, { "revision", stored.revision.number }, { "era", stored.revision.era }, { "by", content.value("holder", "") } });
             token = content["token"].get<std::uint64_t>() + 1;
         } else if (current.status != StoreStatus::NotFound) {
             if (progress.heldToken != 0 && mayReuse) {
@@ -198,7 +198,7 @@
             EventLog::warn("promotion_without_store", { { "service", service }, { "store", current.detail }, { "held_token", progress.heldToken } });
             co_return std::nullopt;
         }
-        if (object.revision == 0)
+        if (object.revision.number == 0)
             EventLog::info("promotion_object_absent", { { "service", service }, { "era", m_store->era() } });
         object.content = { { "token", token }, { "holder", m_settings.host }, { "run", m_runId }, { "lost", lost }, { "endpoint", candidate } };
         const auto written = co_await m_store->put(promotionKind, object, storeTimeout);
--- a/packages/pooler/src/PromotionController.h
+++ b/packages/pooler/src/PromotionController.h
@@ -25,7 +25,7 @@
         bool isBusy = false;
         BootTime notBefore {}; ///< Earliest next attempt, so that the previous one can take effect.
         std::uint64_t heldToken = 0; ///< Newest token obtained by this run; 0 if none.
-        std::uint64_t peerDecisionRevision = 0; ///< Store revision of the last decision read from the store.
+        StoreRevision peerDecisionRevision; ///< Store revision of the last decision read from the store.
         BootTime peerDecisionSeenAt {};
     };
 
--- a/packages/pooler/src/StoreSync.cpp
+++ b/packages/pooler/src/StoreSync.cpp
@@ -81,12 +81,12 @@
 Task<void> StoreSync::syncKind(Cursor& cursor)
 {
     while (true) {
-        if (cursor.revision != 0 && hasRecentPeerUpdate()) {
+        if (cursor.revision.number != 0 && hasRecentPeerUpdate()) {
             co_await sleepFor(m_io, peerUpdateCheckInterval);
             continue;
         }
         bool succeeded = false;
-        if (cursor.revision == 0) {
+        if (cursor.revision.number == 0) {
             succeeded = co_await listOnce(cursor);
             if (succeeded && m_role == Role::Unknown && &cursor == &m_endpoints)
                 co_await sleepFor(m_io, followerDiscoveryDelay);
@@ -105,10 +105,10 @@
 {
     m_metrics.storeCall(call, storeStatusName(status));
     const auto now = BootClock::now();
-    const bool answered = status == StoreStatus::Ok || status == StoreStatus::NotFound || status == StoreStatus::HistoryGone;
+    const bool answered = status == StoreStatus::Ok || status == StoreStatus::NotFound || status == StoreStatus::HistoryGone || status == StoreStatus::Restored;
     if (answered) {
         if (cursor.isLost)
-            EventLog::info("store_regained", { { "kind", cursor.kind }, { "away_ms", toMs(now - cursor.lostSince) }, { "revision", cursor.revision }, { "era", m_store->era() } });
+            EventLog::info("store_regained", { { "kind", cursor.kind }, { "away_ms", toMs(now - cursor.lostSince) }, { "revision", cursor.revision.number }, { "revision_era", cursor.revision.era }, { "era", m_store->era() } });
         cursor.isLost = false;
         cursor.failures = 0;
         cursor.lastAnswer = now;
@@ -129,7 +129,7 @@
     auto listing = co_await m_store->list(cursor.kind, false, callTimeout);
     if (!recordOutcome(cursor, "list", listing.status, listing.detail))
         co_return false;
-    EventLog::info("store_listed", { { "kind", cursor.kind }, { "objects", listing.objects.size() }, { "revision", listing.revision }, { "era", m_store->era() } });
+    EventLog::info("store_listed", { { "kind", cursor.kind }, { "objects", listing.objects.size() }, { "revision", listing.revision.number }, { "era", listing.revision.era } });
     cursor.revision = listing.revision;
     cursor.isPopulated = true;
     if (&cursor == &m_endpoints) {
@@ -148,9 +148,10 @@
     const auto wait = m_role == Role::Follower ? followerWatchWait : watchWait;
     auto changes = co_await m_store->watch(cursor.kind, since, wait, wait + watchAnswerTimeout);
     const bool isOk = recordOutcome(cursor, "watch", changes.status, changes.detail);
-    if (cursor.revision == since && (changes.status == StoreStatus::HistoryGone || (changes.status == StoreStatus::Ok && changes.revision < cursor.revision))) {
-        EventLog::info("store_history_gone", { { "kind", cursor.kind }, { "revision", cursor.revision }, { "store_revision", changes.revision }, { "era", m_store->era() }, { "status", changes.detail } });
-        cursor.revision = 0;
+    const bool isOutdated = changes.status == StoreStatus::HistoryGone || changes.status == StoreStatus::Restored || (changes.status == StoreStatus::Ok && changes.revision < since);
+    if (cursor.revision == since && isOutdated) {
+        EventLog::info("store_history_gone", { { "kind", cursor.kind }, { "revision", since.number }, { "revision_era", since.era }, { "era", m_store->era() }, { "status", changes.detail } });
+        cursor.revision = {};
         co_return true;
     }
     if (!isOk)
@@ -190,19 +191,20 @@
         EventLog::warn("older_config_ignored", { { "version", version }, { "in_force", m_registry.config()->version }, { "source", source } });
 }
 
-bool StoreSync::hasNewerThan(std::int64_t configVersion, std::uint64_t endpointRevision) const
+bool StoreSync::hasNewerThan(std::int64_t configVersion, StoreRevision endpointRevision) const
 {
     const auto config = m_registry.config();
     return (config && config->version > configVersion) || m_entriesRevision > endpointRevision;
 }
 
-nlohmann::json StoreSync::newerThan(std::int64_t configVersion, std::uint64_t endpointRevision) const
+nlohmann::json StoreSync::newerThan(std::int64_t configVersion, StoreRevision endpointRevision) const
 {
     auto state = nlohmann::json::object();
     const auto config = m_registry.config();
     if (config && config->version > configVersion)
         state["config"] = m_configContent;
-    state["endpointRevision"] = this->endpointRevision();
+    state["endpointRevision"] = this->endpointRevision().number;
+    state["storeEra"] = this->endpointRevision().era;
     // Other objects advance the store's revision far more often than endpoints change.
     if (m_entriesRevision <= endpointRevision)
         return state;
@@ -212,19 +214,23 @@
     return state;
 }
 
-void StoreSync::applyFromPeer(const nlohmann::json& state, const std::string& peer)
+bool StoreSync::applyFromPeer(const nlohmann::json& state, const std::string& peer)
 {
     const auto source = "peer " + peer;
     if (state.contains("config"))
         applyConfig(state["config"], source);
-    const auto revision = state.value("endpointRevision", std::uint64_t(0));
+    const StoreRevision revision { state.value("storeEra", std::uint64_t(0)), state.value("endpointRevision", std::uint64_t(0)) };
+    if (revision.era < endpointRevision().era) {
+        EventLog::info("peer_state_outdated", { { "source", source }, { "peer_era", revision.era }, { "era", endpointRevision().era } });
+        return false;
+    }
     if (revision <= endpointRevision())
-        return;
+        return true;
     if (!state.contains("endpoints")) {
         // Nothing has changed since the revision that this process sent in its request.
         if (m_endpoints.isPopulated)
             m_endpoints.revision = revision;
-        return;
+        return true;
     }
     // All items are parsed before any state changes, so that an unreadable item leaves the current entries intact.
     std::vector<StoreObject> objects;
@@ -239,8 +245,9 @@
     m_entries.clear();
     for (const auto& object : objects)
         applyObject(m_endpoints, object, false);
-    EventLog::info("endpoints_from_peer", { { "source", source }, { "revision", revision }, { "endpoints", m_entries.size() } });
+    EventLog::info("endpoints_from_peer", { { "source", source }, { "revision", revision.number }, { "era", revision.era }, { "endpoints", m_entries.size() } });
     publishEndpoints(m_endpoints);
+    return true;
 }
 
 void StoreSync::applyObject(const Cursor& cursor, const StoreObject& object, bool isRemoved)
@@ -255,7 +262,7 @@
         return;
     auto entry = StoreCodec::parseEndpoint(object);
     if (!entry) {
-        EventLog::warn("endpoint_entry_skipped", { { "endpoint", object.name }, { "revision", object.revision }, { "error", entry.error() } });
+        EventLog::warn("endpoint_entry_skipped", { { "endpoint", object.name }, { "revision", object.revision.number }, { "error", entry.error() } });
         return;
     }
     m_entries.insert_or_assign(object.name, std::move(*entry));
--- a/packages/pooler/src/StoreSync.h
+++ b/packages/pooler/src/StoreSync.h
@@ -20,12 +20,13 @@
 
     /// Returns the configuration and the endpoints if they are newer than the given version and revision, and the
     /// revision up to which this process has the endpoints.
-    bool hasNewerThan(std::int64_t configVersion, std::uint64_t endpointRevision) const;
-    nlohmann::json newerThan(std::int64_t configVersion, std::uint64_t endpointRevision) const;
-    /// Revision of the newest endpoints received from the store or a peer; 0 if there are none.
-    std::uint64_t endpointRevision() const { return m_endpoints.revision; }
-    /// Applies the result of a peer's newerThan(). Data that is not newer than this process's own is ignored.
-    void applyFromPeer(const nlohmann::json& state, const std::string& peer);
+    bool hasNewerThan(std::int64_t configVersion, StoreRevision endpointRevision) const;
+    nlohmann::json newerThan(std::int64_t configVersion, StoreRevision endpointRevision) const;
+    /// Revision of the newest endpoints received from the store or a peer; number 0 if there are none.
+    StoreRevision endpointRevision() const { return m_endpoints.revision; }
+    /// Applies the result of a peer's newerThan(). Data that is not newer than this process's own is ignored. Returns
+    /// false if the peer has not noticed yet that the store has come back from an older copy.
+    bool applyFromPeer(const nlohmann::json& state, const std::string& peer);
 
     /// How this process receives changes.
     enum class Role {
@@ -50,7 +51,7 @@
     /// Progress of one kind's loop.
     struct Cursor {
         std::string kind;
-        std::uint64_t revision = 0; ///< Revision to watch from; 0 requests a listing.
+        StoreRevision revision; ///< To watch from; number 0 requests a listing.
         BootTime lastAnswer {};
         bool isLost = false;
         BootTime lostSince {};
@@ -76,7 +77,7 @@
     Role m_role = Role::Unknown;
     BootTime m_peerUpdateRequestedAt {}; ///< When the last valid update was requested from a follower.
     std::map<std::string, EndpointEntry> m_entries;
-    std::uint64_t m_entriesRevision = 0; ///< Revision at which the entries last changed.
+    StoreRevision m_entriesRevision; ///< Revision at which the entries last changed.
     nlohmann::json m_configContent;
 };
 
