Fencing tokens: a range of its own for each era of the store

Cause: the token is one more than the one stored. The store had lost the object, or its newest version, and the next host counted the same tokens again. The conditional write protects within one history only. Ruled out: two writes that both succeeded (promotion_object_absent before the second), a reused token while the store is down (no promotion_token_reused in the logs). Change: FencingToken::next starts each era above all tokens of the eras before, so a token that the store has lost is never reached again, also when every process has lost its memory. The step is random, so that two hosts do not get one token if a write of an earlier era is carried out late and replaces the stored object. A decision of an earlier era is not waited for. An object without era (older builds) counts as of the present one. Conclusion: uniqueness no longer depends on what the store remembers of an era that has ended.

--- a/packages/pooler/src/PromotionController.cpp
+++ b/packages/pooler/src/PromotionController.cpp
@@ -2,6 +2,7 @@
 
 #include "kumquatbank/engine/EventLog.h"
 #include "kumquatbank/engine/Random.h"
+#include "kumquatbank/routing/FencingToken.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -156,41 +157,47 @@
 Task<std::optional<std::uint64_t>> PromotionController::takeToken(const std::string& service, const std::string& lost, const std::string& candidate, bool mayReuse)
 {
     auto& progress = m_progress[service];
+    std::uniform_int_distribution<std::uint64_t> stepDistribution(1, FencingToken::maxStep);
     for (int n = 0; n < tokenAttempts; ++n) {
         const auto current = co_await m_store->get(promotionKind, service, storeTimeout);
         m_metrics.storeCall("get_promotion", storeStatusName(current.status));
+        const auto era = current.revision.era;
         StoreObject object;
         object.name = service;
-        std::uint64_t token = 1;
+        object.revision = current.revision;
         if (current.status == StoreStatus::Ok && !current.objects.empty()) {
-            const auto& stored = current.objects.front();
-            const auto& content = stored.content;
+            const auto& content = current.objects.front().content;
             if (!content.is_object() || !content.value("token", nlohmann::json()).is_number_unsigned()) {
-                EventLog::error("promotion_object_unreadable", { { "service", service }, { "revision", stored.revision.number } });
+                EventLog::error("promotion_object_unreadable", { { "service", service }, { "revision", current.revision.number } });
                 co_return std::nullopt;
             }
+            const auto storedToken = content["token"].get<std::uint64_t>();
+            const auto storedEra = content.value("era", era);
             const bool isOwn = content.value("run", std::uint64_t(0)) == m_runId;
+            EventLog::info("promotion_object_read", { { "service", service }, { "token", storedToken }, { "token_era", storedEra }, { "revision", current.revision.number }, { "era", era }, { "by", content.value("holder", "") } });
             // A decision for an endpoint other than the one that this host considers lost is newer than the recorded
             // state of this host, or has not taken effect yet.
             const bool namesOtherEndpoint = content.value("endpoint", lost) != lost;
-            if (progress.peerDecisionRevision != stored.revision) {
-                progress.peerDecisionRevision = stored.revision;
+            // One of an earlier era is older than the copy from which the store has come back.
+            const bool isOfThisEra = storedEra == era;
+            if (progress.peerDecisionRevision != current.revision) {
+                progress.peerDecisionRevision = current.revision;
                 progress.peerDecisionSeenAt = BootClock::now();
             }
-            if (!isOwn && namesOtherEndpoint && BootClock::now() - progress.peerDecisionSeenAt < peerDecisionTimeout) {
-                EventLog::info("promotion_left_to_peer", { { "service", service }, { "peer", content.value("holder", "") }, { "token", content["token"].get<std::uint64_t>() } });
+            if (!isOwn && isOfThisEra && namesOtherEndpoint && BootClock::now() - progress.peerDecisionSeenAt < peerDecisionTimeout) {
+                EventLog::info("promotion_left_to_peer", { { "service", service }, { "peer", content.value("holder", "") }, { "token", storedToken } });
                 progress.notBefore = BootClock::now() + peerDecisionRecheckDelay;
                 co_return std::nullopt;
             }
-            if (isOwn && content["token"] == progress.heldToken + 1 && n > 0) {
+            if (isOwn && isOfThisEra && storedToken == progress.heldToken + 1 && n > 0) {
                 // The write of the previous attempt succeeded although its answer was lost.
-                progress.heldToken = content["token"];
+                progress.heldToken = storedToken;
                 co_return progress.heldToken;
             }
-            object.revision = stored.revision;
-            EventLog::info("promotion_object_read", { { "service", service }, { "token", content["token"].get<std::uint64_t>() }, { "revision", stored.revision.number }, { "era", stored.revision.era }, { "by", content.value("holder", "") } });
-            token = content["token"].get<std::uint64_t>() + 1;
-        } else if (current.status != StoreStatus::NotFound) {
+            progress.newestToken = std::max(progress.newestToken, storedToken);
+        } else if (current.status == StoreStatus::NotFound) {
+            EventLog::info("promotion_object_absent", { { "service", service }, { "era", era }, { "newest_token", progress.newestToken } });
+        } else {
             if (progress.heldToken != 0 && mayReuse) {
                 EventLog::warn("promotion_token_reused", { { "service", service }, { "token", progress.heldToken }, { "store", current.detail } });
                 co_return progress.heldToken;
@@ -198,11 +205,11 @@
             EventLog::warn("promotion_without_store", { { "service", service }, { "store", current.detail }, { "held_token", progress.heldToken } });
             co_return std::nullopt;
         }
-        if (object.revision.number == 0)
-            EventLog::info("promotion_object_absent", { { "service", service }, { "era", m_store->era() } });
-        object.content = { { "token", token }, { "holder", m_settings.host }, { "run", m_runId }, { "lost", lost }, { "endpoint", candidate } };
+        const auto token = FencingToken::next(progress.newestToken, era, stepDistribution(randomEngine()));
+        object.content = { { "token", token }, { "era", era }, { "holder", m_settings.host }, { "run", m_runId }, { "lost", lost }, { "endpoint", candidate } };
         const auto written = co_await m_store->put(promotionKind, object, storeTimeout);
         m_metrics.storeCall("take_promotion", storeStatusName(written.status));
+        progress.newestToken = token;
         if (written.status == StoreStatus::Ok) {
             progress.heldToken = token;
             co_return token;
--- a/packages/pooler/src/PromotionController.h
+++ b/packages/pooler/src/PromotionController.h
@@ -25,6 +25,7 @@
         bool isBusy = false;
         BootTime notBefore {}; ///< Earliest next attempt, so that the previous one can take effect.
         std::uint64_t heldToken = 0; ///< Newest token obtained by this run; 0 if none.
+        std::uint64_t newestToken = 0; ///< Newest token read or obtained by this run; 0 if none.
         StoreRevision peerDecisionRevision; ///< Store revision of the last decision read from the store.
         BootTime peerDecisionSeenAt {};
     };
