Use no token after a lost answer that was not obtained

Seen: not by callers yet; found while searching for what the store gives out twice. ATokenThatWasNotObtainedIsNotUsed failed before (one promotion, with a token that this host never held) and passes. Cause: after a write without an answer, takeToken() recorded the token before it as held, as a mark for the next read. If the store went down before that read, the mark was taken for a held token and reused. Ruled out: nothing else sets heldToken. Change: the unconfirmed token is a variable of its own, and only a read in the same era that shows this run's write makes it held. The stored decision is a type with a parser that cannot throw: a field of another type ended the process before. Conclusion: heldToken only holds what was confirmed.

--- a/packages/pooler/src/PromotionController.cpp
+++ b/packages/pooler/src/PromotionController.cpp
@@ -154,68 +154,85 @@
     co_return found;
 }
 
+bool PromotionController::leavesToPeer(const std::string& service, const PromotionDecision& decision, StoreRevision revision, const std::string& lost)
+{
+    auto& progress = m_progress[service];
+    if (progress.peerDecisionRevision != revision) {
+        progress.peerDecisionRevision = revision;
+        progress.peerDecisionSeenAt = BootClock::now();
+    }
+    // One of an earlier era is older than the copy from which the store has come back.
+    const bool isOfThisEra = decision.era == revision.era;
+    // A decision for an endpoint other than the one that this host considers lost is newer than the recorded state of
+    // this host, or has not taken effect yet.
+    const bool namesOtherEndpoint = !decision.endpoint.empty() && decision.endpoint != lost;
+    if (decision.run == m_runId || !isOfThisEra || !namesOtherEndpoint || BootClock::now() - progress.peerDecisionSeenAt >= peerDecisionTimeout)
+        return false;
+    EventLog::info("promotion_left_to_peer", { { "service", service }, { "peer", decision.holder }, { "token", decision.token }, { "era", decision.era } });
+    progress.notBefore = BootClock::now() + peerDecisionRecheckDelay;
+    return true;
+}
+
+std::optional<std::uint64_t> PromotionController::reuseToken(const std::string& service, const std::string& storeDetail, bool mayReuse) const
+{
+    const auto held = m_progress.at(service).heldToken;
+    if (held != 0 && mayReuse) {
+        EventLog::warn("promotion_token_reused", { { "service", service }, { "token", held }, { "store", storeDetail } });
+        return held;
+    }
+    EventLog::warn("promotion_without_store", { { "service", service }, { "store", storeDetail }, { "held_token", held } });
+    return std::nullopt;
+}
+
 Task<std::optional<std::uint64_t>> PromotionController::takeToken(const std::string& service, const std::string& lost, const std::string& candidate, bool mayReuse)
 {
     auto& progress = m_progress[service];
     std::uniform_int_distribution<std::uint64_t> stepDistribution(1, FencingToken::maxStep);
+    std::uint64_t unconfirmedToken = 0; // Of a write whose answer is missing; 0 if there is none.
     for (int n = 0; n < tokenAttempts; ++n) {
         const auto current = co_await m_store->get(promotionKind, service, storeTimeout);
         m_metrics.storeCall("get_promotion", storeStatusName(current.status));
         const auto era = current.revision.era;
-        StoreObject object;
-        object.name = service;
-        object.revision = current.revision;
         if (current.status == StoreStatus::Ok && !current.objects.empty()) {
-            const auto& content = current.objects.front().content;
-            if (!content.is_object() || !content.value("token", nlohmann::json()).is_number_unsigned()) {
+            const auto decision = PromotionDecision::parse(current.objects.front().content, era);
+            if (!decision) {
                 EventLog::error("promotion_object_unreadable", { { "service", service }, { "revision", current.revision.number } });
                 co_return std::nullopt;
             }
-            const auto storedToken = content["token"].get<std::uint64_t>();
-            const auto storedEra = content.value("era", era);
-            const bool isOwn = content.value("run", std::uint64_t(0)) == m_runId;
-            EventLog::info("promotion_object_read", { { "service", service }, { "token", storedToken }, { "token_era", storedEra }, { "revision", current.revision.number }, { "era", era }, { "by", content.value("holder", "") } });
-            // A decision for an endpoint other than the one that this host considers lost is newer than the recorded
-            // state of this host, or has not taken effect yet.
-            const bool namesOtherEndpoint = content.value("endpoint", lost) != lost;
-            // One of an earlier era is older than the copy from which the store has come back.
-            const bool isOfThisEra = storedEra == era;
-            if (progress.peerDecisionRevision != current.revision) {
-                progress.peerDecisionRevision = current.revision;
-                progress.peerDecisionSeenAt = BootClock::now();
-            }
-            if (!isOwn && isOfThisEra && namesOtherEndpoint && BootClock::now() - progress.peerDecisionSeenAt < peerDecisionTimeout) {
-                EventLog::info("promotion_left_to_peer", { { "service", service }, { "peer", content.value("holder", "") }, { "token", storedToken } });
-                progress.notBefore = BootClock::now() + peerDecisionRecheckDelay;
+            EventLog::info("promotion_object_read", { { "service", service }, { "token", decision->token }, { "token_era", decision->era }, { "revision", current.revision.number }, { "era", era }, { "by", decision->holder } });
+            if (leavesToPeer(service, *decision, current.revision, lost))
                 co_return std::nullopt;
+            progress.newestToken = std::max(progress.newestToken, decision->token);
+            if (decision->run == m_runId && decision->era == era && decision->token == unconfirmedToken) {
+                progress.heldToken = unconfirmedToken;
+                co_return unconfirmedToken;
             }
-            if (isOwn && isOfThisEra && storedToken == progress.heldToken + 1 && n > 0) {
-                // The write of the previous attempt succeeded although its answer was lost.
-                progress.heldToken = storedToken;
-                co_return progress.heldToken;
-            }
-            progress.newestToken = std::max(progress.newestToken, storedToken);
         } else if (current.status == StoreStatus::NotFound) {
             EventLog::info("promotion_object_absent", { { "service", service }, { "era", era }, { "newest_token", progress.newestToken } });
         } else {
-            if (progress.heldToken != 0 && mayReuse) {
-                EventLog::warn("promotion_token_reused", { { "service", service }, { "token", progress.heldToken }, { "store", current.detail } });
-                co_return progress.heldToken;
-            }
-            EventLog::warn("promotion_without_store", { { "service", service }, { "store", current.detail }, { "held_token", progress.heldToken } });
-            co_return std::nullopt;
+            co_return reuseToken(service, current.detail, mayReuse);
         }
-        const auto token = FencingToken::next(progress.newestToken, era, stepDistribution(randomEngine()));
-        object.content = { { "token", token }, { "era", era }, { "holder", m_settings.host }, { "run", m_runId }, { "lost", lost }, { "endpoint", candidate } };
+        PromotionDecision decision;
+        decision.token = FencingToken::next(progress.newestToken, era, stepDistribution(randomEngine()));
+        decision.era = era;
+        decision.run = m_runId;
+        decision.holder = m_settings.host;
+        decision.lost = lost;
+        decision.endpoint = candidate;
+        StoreObject object;
+        object.name = service;
+        object.revision = current.revision;
+        object.content = decision.toJson();
         const auto written = co_await m_store->put(promotionKind, object, storeTimeout);
         m_metrics.storeCall("take_promotion", storeStatusName(written.status));
-        progress.newestToken = token;
+        progress.newestToken = decision.token;
         if (written.status == StoreStatus::Ok) {
-            progress.heldToken = token;
-            co_return token;
+            progress.heldToken = decision.token;
+            co_return decision.token;
         }
         if (written.status == StoreStatus::Unknown)
-            progress.heldToken = token - 1;
+            unconfirmedToken = decision.token;
+        EventLog::info("promotion_token_not_confirmed", { { "service", service }, { "token", decision.token }, { "era", era }, { "status", storeStatusName(written.status) } });
     }
     EventLog::warn("promotion_token_not_taken", { { "service", service }, { "attempts", tokenAttempts } });
     co_return std::nullopt;
--- a/packages/pooler/src/PromotionController.h
+++ b/packages/pooler/src/PromotionController.h
@@ -2,6 +2,7 @@
 
 #include "HostDirectory.h"
 #include "PeerService.h"
+#include "PromotionDecision.h"
 #include "kumquatbank/adapter/PromotionClient.h"
 
 namespace kumquatbank {
@@ -44,6 +45,10 @@
     Task<std::vector<EndpointStatus>> queryStatuses(std::shared_ptr<DatabaseService> service, std::string except);
     Task<std::optional<EndpointStatus>> queryStatus(std::shared_ptr<DatabaseService> service, std::shared_ptr<Endpoint> endpoint, std::string command);
     Task<bool> handOver(std::shared_ptr<DatabaseService> service, EndpointStatus candidate);
+    /// True if another host's decision has to be waited for, because it may not have taken effect yet.
+    bool leavesToPeer(const std::string& service, const PromotionDecision& decision, StoreRevision revision, const std::string& lost);
+    /// The token that this run holds, for use while the store does not answer.
+    std::optional<std::uint64_t> reuseToken(const std::string& service, const std::string& storeDetail, bool mayReuse) const;
     Task<std::optional<std::uint64_t>> takeToken(const std::string& service, const std::string& lost, const std::string& candidate, bool mayReuse);
 
     asio::io_context& m_io;
--- a/packages/pooler/tests/PromotionTest.cpp
+++ b/packages/pooler/tests/PromotionTest.cpp
@@ -130,6 +130,24 @@
     checkTokens(fixture.platform());
 }
 
+// Guards against a host that promotes with a token that another host holds: the answer to its write of the next token is
+// lost, and the store goes down before it can read the object again.
+TEST(Promotion, ATokenThatWasNotObtainedIsNotUsed)
+{
+    PoolerFixture fixture;
+    fixture.run([](PoolerFixture& f) -> Task<void> {
+        auto& store = f.platform().store();
+        co_await f.writeUntilSuccess(primaryDb, "WRITE item before");
+        store.put("kumquatbank-promotions", "service-0", { { "token", 7 }, { "holder", "host-9" }, { "run", 1 }, { "lost", "i-0-0" }, { "endpoint", "i-0-0" } });
+        store.behaviour().answersToLose = 1;
+        store.behaviour().goesDownAfterLostAnswers = true;
+        f.platform().primary(0).crash();
+        co_await f.sleep(milliseconds(4000));
+        CHECK_TRUE(store.behaviour().isDown);
+    }(fixture));
+    LONGS_EQUAL(0, fixture.platform().promotions().size());
+}
+
 // Guards against a host that keeps querying an unresponsive primary while the store cannot report the new one.
 TEST(Promotion, AHostWithoutTheStoreFindsTheNewPrimary)
 {
--- a/tools/emulator/EmulatedStore.cpp
+++ b/tools/emulator/EmulatedStore.cpp
@@ -110,7 +110,8 @@
         return { 409, current.dump() };
     store(kind, target, { { "meta", { { "Finalizers", Json::array() } } }, { "spec", json.value("spec", Json()) }, { "status", nullptr } });
     if (m_behaviour.answersToLose > 0) {
-        --m_behaviour.answersToLose;
+        if (--m_behaviour.answersToLose == 0 && m_behaviour.goesDownAfterLostAnswers)
+            m_behaviour.isDown = true;
         return lostAnswer();
     }
     return { 200, get(kind, target).dump() };
--- a/tools/emulator/EmulatedStore.h
+++ b/tools/emulator/EmulatedStore.h
@@ -11,6 +11,7 @@
 struct StoreBehaviour {
     bool isDown = false; ///< Every call gets 503.
     int answersToLose = 0; ///< So many writes are done, and their answers lost.
+    bool goesDownAfterLostAnswers = false; ///< The store is down once the last of these is lost.
 };
 
 /// The platform's object store: kinds, conditional writes, watches, a bounded history, and returns from an older copy.
