Hosts confirm their registrations after the store's return

Seen: not by callers yet; by the search for the class. The two new tests failed before (no entry of host-1 after 4 s; a host counted 0 of 2 peers) and pass. Cause: a registration that the copy lacks was written again with the next renewal, up to 30 s later (N/8 s on large fleets), and until then each host that listed the others lost it from its list: placement, shares of connections and peers to ask went by an incomplete list. Liveness was judged by the revision of an entry: after a return every entry has another one, so hosts that had left counted as alive for another 90 s. Change: when the era rises, seen by this process or told by a follower, each host lists again within 1.5 s, not stale, and registers anew if its entry is missing; hosts known before stay in that round and count by the store's list again 4 s later. HostLiveness judges by the incarnation and the renewals that a host counts itself, and remembers expired hosts for 10 minutes. A registration refused as not found or based on the lost history is repeated at once.

--- a/packages/pooler/src/HostDirectory.cpp
+++ b/packages/pooler/src/HostDirectory.cpp
@@ -1,6 +1,7 @@
 #include "HostDirectory.h"
 
 #include "kumquatbank/engine/EventLog.h"
+#include "kumquatbank/engine/Random.h"
 
 #include <array>
 
@@ -25,6 +26,16 @@
     constexpr int maxFleetRenewalsPerSecond = 8;
     /// An entry that has not changed for this many renewal intervals has expired.
     constexpr int expiryIntervals = 3;
+    /// Hosts that are no longer listed are remembered for this time, far longer than the age of a copy of the store.
+    constexpr milliseconds unlistedRetention { 600'000 };
+    /// A create or an update based on an entry that has changed meanwhile is repeated on what the store holds.
+    constexpr int registrationAttempts = 3;
+    /// Spreads the calls of all hosts after the store has come back from an older copy.
+    constexpr milliseconds maxRestoredDelay { 1500 };
+    /// Until every host that reaches the store has registered again.
+    constexpr milliseconds restoredRoundInterval { 4000 };
+    /// In the first round hosts register again, and from the second on a missing entry means that the host has left.
+    constexpr int restoredRounds = 2;
     /// Two, so that the other hosts still receive updates after the loss of one.
     constexpr std::size_t followersPerRegion = 2;
     /// With fewer hosts in a region, polling followers costs more calls than it saves.
@@ -38,6 +49,15 @@
         return json;
     }
 
+    HostRenewal renewalOf(const nlohmann::json& content)
+    {
+        const auto number = [&content](const char* key) {
+            const auto value = content.is_object() ? content.value(key, nlohmann::json()) : nlohmann::json();
+            return value.is_number_unsigned() ? value.get<std::uint64_t>() : 0;
+        };
+        return { number("incarnation"), number("renewals") };
+    }
+
 } // namespace
 
 HostDirectory::HostDirectory(asio::io_context& io, std::shared_ptr<ObjectStore> store, const PoolerSettings& settings, ServiceRegistry& registry, PoolerMetrics& metrics)
@@ -46,6 +66,7 @@
     , m_settings(settings)
     , m_registry(registry)
     , m_metrics(metrics)
+    , m_wake(io)
 {
 }
 
@@ -55,22 +76,57 @@
 {
     std::size_t n = 0;
     while (true) {
-        // Only the first round and the renewals after the initial delays write; the rounds between only read. A host
-        // that restarts finds its entry in the store.
-        bool succeeded = true;
-        if (n > initialRenewalDelays.size() || (n == initialRenewalDelays.size() && m_renewals == 0))
-            succeeded = co_await registerSelf();
-        if (succeeded)
-            succeeded = co_await refresh();
-        if (succeeded && n == 0 && !m_isListed)
-            succeeded = co_await registerSelf();
-        if (!succeeded) {
-            co_await sleepFor(m_io, m_source == Source::None ? retryDelay : renewalRetryDelay);
-            continue;
-        }
-        co_await sleepFor(m_io, n < initialRenewalDelays.size() ? initialRenewalDelays[n] : renewalInterval());
-        ++n;
+        const bool succeeded = co_await runRound(n);
+        auto delay = n < initialRenewalDelays.size() ? initialRenewalDelays[n] : renewalInterval();
+        if (!succeeded)
+            delay = m_source == Source::None ? retryDelay : renewalRetryDelay;
+        else if (isRestoring() && --m_restoredRounds > 0)
+            delay = restoredRoundInterval;
+        const bool isWoken = co_await m_wake.wait(BootClock::now() + delay);
+        if (isWoken)
+            co_await sleepFor(m_io, randomDelay(milliseconds(0), maxRestoredDelay));
+        else if (succeeded)
+            ++n;
+    }
+}
+
+void HostDirectory::recordEra(std::uint64_t era)
+{
+    if (noticeEra(era))
+        m_wake.wake();
+}
+
+bool HostDirectory::noticeEra(std::uint64_t era)
+{
+    if (era <= m_era)
+        return false;
+    const bool isFirst = m_era == 0;
+    m_era = era;
+    if (isFirst)
+        return false;
+    EventLog::info("hosts_to_be_confirmed", { { "era", era }, { "peers", m_peers.size() } });
+    m_restoredRounds = restoredRounds;
+    return true;
+}
+
+Task<bool> HostDirectory::runRound(std::size_t n)
+{
+    // Only the first round and the renewals after the initial delays write; the rounds between only read. A host that
+    // restarts finds its entry in the store.
+    const bool isRenewal = n > initialRenewalDelays.size() || (n == initialRenewalDelays.size() && m_renewals == 0);
+    if (isRenewal && !isRestoring()) {
+        const bool isRegistered = co_await registerSelf();
+        if (!isRegistered)
+            co_return false;
+    }
+    const bool isRefreshed = co_await refresh();
+    if (!isRefreshed)
+        co_return false;
+    if ((n == 0 || isRestoring()) && !m_isListed) {
+        const bool isRegistered = co_await registerSelf();
+        co_return isRegistered;
     }
+    co_return true;
 }
 
 Task<bool> HostDirectory::registerSelf()
@@ -81,17 +137,20 @@
     object.content = ownContent();
     object.content["incarnation"] = m_incarnation;
     object.content["renewals"] = ++m_renewals;
-    auto stored = co_await m_store->put(hostKind, object, callTimeout);
-    m_metrics.storeCall("register", storeStatusName(stored.status));
-    if (stored.status == StoreStatus::Conflict && !stored.objects.empty()) {
-        // An entry of an earlier run of this host, or of a write of this run whose answer was lost.
-        object.revision = stored.objects.front().revision;
+    StoreListing stored;
+    for (int attempt = 0; attempt < registrationAttempts; ++attempt) {
         stored = co_await m_store->put(hostKind, object, callTimeout);
         m_metrics.storeCall("register", storeStatusName(stored.status));
+        // An entry of an earlier run of this host, or of a write of this run whose answer was lost.
+        if (stored.status == StoreStatus::Conflict && !stored.objects.empty())
+            object.revision = stored.objects.front().revision;
+        else if (stored.status == StoreStatus::NotFound || stored.status == StoreStatus::Restored)
+            object.revision = {};
+        else
+            break;
     }
-    if (stored.status == StoreStatus::NotFound)
-        m_revision = {};
     if (stored.status != StoreStatus::Ok || stored.objects.empty()) {
+        m_revision = object.revision;
         EventLog::warn("host_not_registered", { { "status", storeStatusName(stored.status) }, { "detail", stored.detail } });
         co_return false;
     }
@@ -101,28 +160,36 @@
 
 Task<bool> HostDirectory::refresh()
 {
-    const auto listing = co_await m_store->list(hostKind, true, callTimeout);
+    // A stale listing may still be one of the lost history.
+    const auto listing = co_await m_store->list(hostKind, !isRestoring(), callTimeout);
     m_metrics.storeCall("list_hosts", storeStatusName(listing.status));
     if (listing.status != StoreStatus::Ok)
         co_return false;
+    if (listing.revision.era < m_era) {
+        EventLog::info("host_listing_outdated", { { "listed_era", listing.revision.era }, { "era", m_era } });
+        co_return false;
+    }
+    noticeEra(listing.revision.era);
     apply(listing.objects);
+    co_await removeExpired(listing.objects);
+    co_return true;
+}
+
+Task<void> HostDirectory::removeExpired(const std::vector<StoreObject>& listed)
+{
     const auto now = BootClock::now();
     const auto expiry = renewalInterval() * expiryIntervals;
-    std::vector<std::string> expired;
-    for (const auto& [name, observed] : m_observedEntries) {
-        if (name != m_settings.host && now - observed.changedAt >= expiry)
-            expired.push_back(name);
-    }
-    for (const auto& name : expired) {
-        EventLog::info("host_expired", { { "peer", name }, { "unchanged_ms", toMs(now - m_observedEntries[name].changedAt) } });
-        m_observedEntries.erase(name);
-        // One removal is enough, and followers make it if this host does not.
-        if (!m_isFollower && !m_followers.empty())
+    m_liveness.forgetUnlisted(now, unlistedRetention);
+    // One removal is enough, and followers make it if this host does not.
+    if (!m_isFollower && !m_followers.empty())
+        co_return;
+    for (const auto& object : listed) {
+        if (object.name == m_settings.host || !m_liveness.hasExpired(object.name, now, expiry))
             continue;
-        const auto removed = co_await m_store->remove(hostKind, name, callTimeout);
+        EventLog::info("host_expired", { { "peer", object.name }, { "unchanged_ms", toMs(m_liveness.sinceRenewal(object.name, now)) } });
+        const auto removed = co_await m_store->remove(hostKind, object.name, callTimeout);
         m_metrics.storeCall("remove_host", storeStatusName(removed.status));
     }
-    co_return true;
 }
 
 void HostDirectory::addPeer(const std::string& name, const nlohmann::json& content)
@@ -231,19 +298,23 @@
     if (m_source != Source::Store && !hasOwn)
         return;
     m_source = Source::Store;
-    m_peers.clear();
+    m_isListed = false;
+    const auto knownPeers = std::exchange(m_peers, {});
     for (const auto& object : objects) {
-        auto& observed = m_observedEntries[object.name];
-        if (observed.revision != object.revision)
-            observed = { object.revision, now };
+        m_liveness.record(object.name, renewalOf(object.content), now);
         if (object.name == m_settings.host) {
             m_revision = std::max(m_revision, object.revision);
             m_isListed = object.content.is_object() && std::ranges::all_of(ownContent().items(), [&](const auto& item) { return object.content.contains(item.key()) && object.content[item.key()] == item.value(); });
             continue;
         }
-        if (now - observed.changedAt >= expiry)
-            continue;
-        addPeer(object.name, object.content);
+        if (!m_liveness.hasExpired(object.name, now, expiry))
+            addPeer(object.name, object.content);
+    }
+    if (m_restoredRounds == restoredRounds) {
+        // The copy may lack hosts that live, and they register again in this round.
+        std::ranges::copy_if(knownPeers, std::back_inserter(m_peers), [&](const PeerHost& peer) {
+            return find(peer.name) == nullptr && !m_liveness.hasExpired(peer.name, now, expiry);
+        });
     }
     handlePeersChanged();
 }
--- a/packages/pooler/src/HostDirectory.h
+++ b/packages/pooler/src/HostDirectory.h
@@ -3,6 +3,7 @@
 #include "ServiceRegistry.h"
 #include "kumquatbank/adapter/ObjectStore.h"
 #include "kumquatbank/duties/duties.h"
+#include "kumquatbank/engine/AutoResetEvent.h"
 #include "kumquatbank/pooler/PoolerSettings.h"
 
 #include <random>
@@ -29,6 +30,10 @@
     void start();
     void setStore(std::shared_ptr<ObjectStore> store) { m_store = std::move(store); }
 
+    /// Records the era of the store that this process or a peer has seen. When it rises, the hosts are listed again soon,
+    /// and this host registers anew if the store has lost its entry.
+    void recordEra(std::uint64_t era);
+
     /// The other hosts listed so far.
     const std::vector<PeerHost>& peers() const { return m_peers; }
 
@@ -71,20 +76,21 @@
         Store,
     };
 
-    /// Revision of a host's entry and when it last changed.
-    struct ObservedEntry {
-        StoreRevision revision;
-        BootTime changedAt {};
-    };
-
     Task<void> maintain();
+    /// Returns true if the era has risen, so that the next rounds have to confirm the entries.
+    bool noticeEra(std::uint64_t era);
+    /// One round: lists the hosts and registers this one if necessary.
+    Task<bool> runRound(std::size_t n);
     Task<bool> registerSelf();
     Task<bool> refresh();
+    Task<void> removeExpired(const std::vector<StoreObject>& listed);
     void apply(const std::vector<StoreObject>& objects);
     /// Recomputes the duties after the peers have changed.
     void updatePlacement();
     /// Time between two renewals of this host's entry.
     std::chrono::milliseconds renewalInterval() const;
+    /// True in the rounds after a return of the store from an older copy, in which entries may be missing.
+    bool isRestoring() const { return m_restoredRounds > 0; }
     void addPeer(const std::string& name, const nlohmann::json& content);
     nlohmann::json ownContent() const;
     /// Updates the version, the duties and the host count of the registry after the peers have changed.
@@ -99,7 +105,10 @@
     std::uint64_t m_renewals = 0;
     StoreRevision m_revision; ///< Of this host's entry; number 0 before it is stored.
     bool m_isListed = false; ///< The store has an entry of this host with its current content.
-    std::map<std::string, ObservedEntry> m_observedEntries;
+    HostLiveness m_liveness;
+    std::uint64_t m_era = 0;
+    int m_restoredRounds = 0; ///< Rounds that follow soon, because the store has come back from an older copy.
+    AutoResetEvent m_wake; ///< Ends the wait for the next round.
     std::vector<PeerHost> m_peers;
     Placement m_placement;
     std::vector<PeerHost> m_followers;
--- a/packages/pooler/src/PoolerProcess.cpp
+++ b/packages/pooler/src/PoolerProcess.cpp
@@ -155,7 +155,9 @@
                 m_promotions.recordProcessPause();
             }
             last = now;
-            m_metrics.setStoreEra(m_store->era());
+            const auto era = std::max(m_store->era(), m_sync.endpointRevision().era);
+            m_metrics.setStoreEra(era);
+            m_hosts.recordEra(era);
             for (const auto& [name, service] : m_registry.services()) {
                 asio::co_spawn(m_io, service->runMaintenance(), asio::detached);
                 if (const auto primary = service->primary())
--- a/packages/pooler/tests/RestoredStoreTest.cpp
+++ b/packages/pooler/tests/RestoredStoreTest.cpp
@@ -18,6 +18,9 @@
 /// Until every host has listed the others and the watches of followers have ended.
 constexpr milliseconds hostDiscoveryTime { 4500 };
 constexpr milliseconds outage { 800 };
+/// Until what the hosts have written of themselves is back in the store. The databases take two seconds for the same.
+constexpr milliseconds entryReturnTime { 4000 };
+const std::string hostKind = "kumquatbank-hosts";
 /// Changes that are lost with the copy, and as many again on the store's return.
 constexpr int lostChanges = 12;
 
@@ -149,3 +152,46 @@
     }(fixture),
         std::chrono::seconds(30));
 }
+
+// Guards against hosts that stay unknown to the others: registrations that the copy lacks were renewed after up to 30 s.
+TEST(RestoredStore, AHostWhoseRegistrationIsLostRegistersAgain)
+{
+    PoolerFixture fixture;
+    fixture.run([](PoolerFixture& f) -> Task<void> {
+        auto& store = f.platform().store();
+        const auto copy = store.copy();
+        f.startHost(1);
+        co_await f.waitUntilReady(1);
+        while (store.get(hostKind, "host-1").is_null())
+            co_await f.sleep(milliseconds(50));
+        co_await f.sleep(milliseconds(2500));
+        co_await returnFrom(f, copy);
+        co_await f.sleep(entryReturnTime);
+        CHECK_FALSE(store.get(hostKind, "host-1").is_null());
+        const auto state = co_await f.state(0);
+        LONGS_EQUAL(1, state.at("peers").size());
+    }(fixture));
+}
+
+// Guards against a share of the connections that is too large: a host that lists the others right after the return does
+// not find those that have not registered again yet.
+TEST(RestoredStore, AHostThatHasNotRegisteredAgainYetStillCounts)
+{
+    PoolerFixture fixture({}, 3);
+    fixture.run([](PoolerFixture& f) -> Task<void> {
+        auto& store = f.platform().store();
+        co_await f.sleep(hostDiscoveryTime);
+        auto copy = store.copy();
+        copy.objects[hostKind].clear();
+        co_await returnFrom(f, copy);
+        const auto until = BootClock::now() + entryReturnTime;
+        while (BootClock::now() < until) {
+            for (int n = 0; n < 3; ++n) {
+                const auto state = co_await f.state(n);
+                LONGS_EQUAL(2, state.at("peers").size());
+            }
+            co_await f.sleep(milliseconds(100));
+        }
+        LONGS_EQUAL(3, store.copy().objects.at(hostKind).size());
+    }(fixture));
+}
