Hold back entries of endpoints that the store's copy makes older

Seen: not by callers yet; by the search for the class. Cause: after the store's return its entries replaced newer ones known here: a draining endpoint got requests again, one that had left was used again, and an entry with the role of a former primary changed the belief of who is primary, until the endpoints had written again or the entries had lapsed (three heartbeats). Change: EndpointTable keeps the endpoints by what they say of themselves, start and sequence. In the first listing of a new era an entry older than the known one, or a removed one, is held back until its endpoint writes; after 5 s the store is listed again and counts. Within an era nothing changes. Absence from a copy is no removal. A listing whose pages or era were overtaken is dropped. The era of the cursor stays when a listing is requested, so that a follower of the old era cannot fill the gap. Cost: one more listing a host and return, only if entries were held back.

--- a/packages/pooler/src/StoreSync.cpp
+++ b/packages/pooler/src/StoreSync.cpp
@@ -81,6 +81,10 @@
 Task<void> StoreSync::syncKind(Cursor& cursor)
 {
     while (true) {
+        if (&cursor == &m_endpoints && cursor.revision.number != 0 && m_table.isConfirmationDue(BootClock::now())) {
+            EventLog::info("endpoints_to_be_confirmed", { { "revision", cursor.revision.number }, { "era", cursor.revision.era } });
+            requestListing(cursor);
+        }
         if (cursor.revision.number != 0 && hasRecentPeerUpdate()) {
             co_await sleepFor(m_io, peerUpdateCheckInterval);
             continue;
@@ -132,12 +136,7 @@
     EventLog::info("store_listed", { { "kind", cursor.kind }, { "objects", listing.objects.size() }, { "revision", listing.revision.number }, { "era", listing.revision.era } });
     cursor.revision = listing.revision;
     cursor.isPopulated = true;
-    if (&cursor == &m_endpoints) {
-        m_entries.clear();
-        m_entriesRevision = listing.revision;
-    }
-    for (const auto& object : listing.objects)
-        applyObject(cursor, object, false);
+    applyListing(cursor, listing.objects, listing.revision);
     publishEndpoints(cursor);
     co_return true;
 }
@@ -151,7 +150,7 @@
     const bool isOutdated = changes.status == StoreStatus::HistoryGone || changes.status == StoreStatus::Restored || (changes.status == StoreStatus::Ok && changes.revision < since);
     if (cursor.revision == since && isOutdated) {
         EventLog::info("store_history_gone", { { "kind", cursor.kind }, { "revision", since.number }, { "revision_era", since.era }, { "era", m_store->era() }, { "status", changes.detail } });
-        cursor.revision = {};
+        requestListing(cursor);
         co_return true;
     }
     if (!isOk)
@@ -169,7 +168,7 @@
     if (&cursor == &m_endpoints && !changes.changes.empty())
         m_entriesRevision = changes.revision;
     for (const auto& change : changes.changes)
-        applyObject(cursor, change.object, change.isRemoved);
+        applyChange(cursor, change);
     if (!changes.changes.empty() || &cursor == &m_endpoints)
         publishEndpoints(cursor);
     if (isBurst)
@@ -209,7 +208,7 @@
     if (m_entriesRevision <= endpointRevision)
         return state;
     auto& objects = state["endpoints"] = nlohmann::json::array();
-    for (const auto& [id, entry] : m_entries)
+    for (const auto& [id, entry] : m_table.entries())
         objects.push_back({ { "name", id }, { "content", StoreCodec::formatEndpoint(entry) } });
     return state;
 }
@@ -240,38 +239,58 @@
         object.content = item.at("content");
     }
     m_endpoints.revision = revision;
-    m_entriesRevision = revision;
     m_endpoints.isPopulated = true;
-    m_entries.clear();
-    for (const auto& object : objects)
-        applyObject(m_endpoints, object, false);
-    EventLog::info("endpoints_from_peer", { { "source", source }, { "revision", revision.number }, { "era", revision.era }, { "endpoints", m_entries.size() } });
+    applyListing(m_endpoints, objects, revision);
+    EventLog::info("endpoints_from_peer", { { "source", source }, { "revision", revision.number }, { "era", revision.era }, { "endpoints", m_table.entries().size() } });
     publishEndpoints(m_endpoints);
     return true;
 }
 
-void StoreSync::applyObject(const Cursor& cursor, const StoreObject& object, bool isRemoved)
+void StoreSync::applyListing(const Cursor& cursor, const std::vector<StoreObject>& objects, StoreRevision revision)
 {
     if (&cursor == &m_config) {
-        if (object.name == StoreCodec::configName && !isRemoved)
-            applyConfig(object.content, "store");
+        for (const auto& object : objects)
+            applyChange(cursor, { object, false });
         return;
     }
-    m_entries.erase(object.name);
-    if (isRemoved)
-        return;
-    auto entry = StoreCodec::parseEndpoint(object);
-    if (!entry) {
-        EventLog::warn("endpoint_entry_skipped", { { "endpoint", object.name }, { "revision", object.revision.number }, { "error", entry.error() } });
+    EndpointTable::Entries entries;
+    for (const auto& object : objects) {
+        if (auto entry = parseEndpoint(object))
+            entries.insert_or_assign(object.name, std::move(*entry));
+    }
+    for (const auto& id : m_table.replace(std::move(entries), revision.era, BootClock::now()))
+        EventLog::info("endpoint_entry_outdated", { { "endpoint", id }, { "revision", revision.number }, { "era", revision.era } });
+    m_entriesRevision = revision;
+}
+
+void StoreSync::applyChange(const Cursor& cursor, const StoreChange& change)
+{
+    const auto& object = change.object;
+    if (&cursor == &m_config) {
+        if (object.name == StoreCodec::configName && !change.isRemoved)
+            applyConfig(object.content, "store");
         return;
     }
-    m_entries.insert_or_assign(object.name, std::move(*entry));
+    auto entry = change.isRemoved ? std::nullopt : parseEndpoint(object);
+    if (entry)
+        m_table.set(std::move(*entry));
+    else
+        m_table.remove(object.name, BootClock::now());
+}
+
+std::optional<EndpointEntry> StoreSync::parseEndpoint(const StoreObject& object)
+{
+    auto entry = StoreCodec::parseEndpoint(object);
+    if (entry)
+        return std::move(*entry);
+    EventLog::warn("endpoint_entry_skipped", { { "endpoint", object.name }, { "revision", object.revision.number }, { "error", entry.error() } });
+    return std::nullopt;
 }
 
 void StoreSync::publishEndpoints(const Cursor& cursor)
 {
     if (&cursor == &m_endpoints && cursor.isPopulated)
-        m_registry.setEndpoints(m_entries, !cursor.isLost);
+        m_registry.setEndpoints(m_table.entries(), !cursor.isLost);
 }
 
 } // namespace kumquatbank
--- a/packages/pooler/src/StoreSync.h
+++ b/packages/pooler/src/StoreSync.h
@@ -2,6 +2,7 @@
 
 #include "ServiceRegistry.h"
 #include "kumquatbank/adapter/ObjectStore.h"
+#include "kumquatbank/routing/EndpointTable.h"
 
 namespace kumquatbank {
 
@@ -61,11 +62,17 @@
     };
 
     Task<void> syncKind(Cursor& cursor);
+    /// Has the kind listed anew instead of watched.
+    void requestListing(Cursor& cursor) { cursor.revision = { std::max(cursor.revision.era, m_store->era()), 0 }; }
     Task<bool> listOnce(Cursor& cursor);
     Task<bool> watchOnce(Cursor& cursor);
     bool recordOutcome(Cursor& cursor, std::string_view call, StoreStatus status, const std::string& detail);
     void applyConfig(const nlohmann::json& content, std::string_view source);
-    void applyObject(const Cursor& cursor, const StoreObject& object, bool isRemoved);
+    /// Applies one change reported by a watch.
+    void applyChange(const Cursor& cursor, const StoreChange& change);
+    /// Replaces everything that is known of the kind.
+    void applyListing(const Cursor& cursor, const std::vector<StoreObject>& objects, StoreRevision revision);
+    static std::optional<EndpointEntry> parseEndpoint(const StoreObject& object);
     void publishEndpoints(const Cursor& cursor);
 
     asio::io_context& m_io;
@@ -76,7 +83,7 @@
     Cursor m_endpoints;
     Role m_role = Role::Unknown;
     BootTime m_peerUpdateRequestedAt {}; ///< When the last valid update was requested from a follower.
-    std::map<std::string, EndpointEntry> m_entries;
+    EndpointTable m_table;
     StoreRevision m_entriesRevision; ///< Revision at which the entries last changed.
     nlohmann::json m_configContent;
 };
--- a/packages/routing/include/kumquatbank/routing/routing.h
+++ b/packages/routing/include/kumquatbank/routing/routing.h
@@ -6,6 +6,7 @@
 #include "kumquatbank/routing/ConnectionSharing.h"
 #include "kumquatbank/routing/DecayingAverage.h"
 #include "kumquatbank/routing/EndpointEntry.h"
+#include "kumquatbank/routing/EndpointTable.h"
 #include "kumquatbank/routing/FencingToken.h"
 #include "kumquatbank/routing/PromotionPolicy.h"
 #include "kumquatbank/routing/ReadFloor.h"
