--- a/tools/emulator/EmulatedPlatform.cpp
+++ b/tools/emulator/EmulatedPlatform.cpp
@@ -102,9 +102,8 @@
     return found;
 }
 
-void EmulatedPlatform::restoreStore(const EmulatedStore::Copy& copy)
+void EmulatedPlatform::announceEntries()
 {
-    m_store.restore(copy);
     writeConfig();
     for (const auto& service : m_services)
         announceAll(*service);
@@ -126,6 +125,7 @@
     auto entry = database.entry();
     m_draining[entry.id] = isDraining;
     entry.isDraining = isDraining;
+    entry.sequence = ++m_sequences[entry.id];
     entry.address.port = static_cast<std::uint16_t>(entry.address.port + m_shape.announcedOffset);
     const auto service = std::ranges::find(m_services, entry.service, [](const auto& known) { return known->name(); });
     entry.role = (*service)->isPrimary(entry.id) ? EndpointRole::Primary : EndpointRole::Replica;
--- a/tools/emulator/EmulatedPlatform.h
+++ b/tools/emulator/EmulatedPlatform.h
@@ -50,8 +50,8 @@
     /// Names of the databases that clients may give, by policy of their route.
     static std::string databaseName(int service, ReadPolicy policy);
 
-    /// The store comes back from an older copy, and the operator and the databases write again what it has lost.
-    void restoreStore(const EmulatedStore::Copy& copy);
+    /// The operator and the databases write again what the store may have lost.
+    void announceEntries();
     /// Writes the next version of the configuration.
     void putConfig();
     RoutingConfig& config() { return m_config; }
@@ -71,6 +71,7 @@
     std::vector<std::unique_ptr<EmulatedDatabase>> m_databases;
     std::map<std::string, std::uint64_t> m_tokens; ///< Highest seen by service.
     std::map<std::string, bool> m_draining;
+    std::map<std::string, std::int64_t> m_sequences; ///< Entries written so far, by database.
     std::vector<OrderedPromotion> m_promotions;
     RoutingConfig m_config;
     HttpListener m_promotionListener;
--- a/tools/emulator/platform_emulator.cpp
+++ b/tools/emulator/platform_emulator.cpp
@@ -3,6 +3,7 @@
 #include <boost/asio/signal_set.hpp>
 #include <csignal>
 #include <cxxopts.hpp>
+#include <fmt/format.h>
 #include <iostream>
 #include <random>
 
@@ -28,7 +29,7 @@
     {
         while (BootClock::now() < until) {
             co_await sleepFor(m_io, interval);
-            switch (m_random() % 9) {
+            switch (m_random() % 10) {
             case 0:
                 asio::co_spawn(m_io, storeDown(), asio::detached);
                 break;
@@ -55,6 +56,9 @@
             case 7:
                 asio::co_spawn(m_io, keepSilent(), asio::detached);
                 break;
+            case 8:
+                asio::co_spawn(m_io, returnFromCopy(), asio::detached);
+                break;
             default:
                 m_platform.putConfig();
                 report("a new configuration");
@@ -81,9 +85,37 @@
     Task<void> storeDown()
     {
         report("the store is down for 3 s");
+        ++m_outages;
         m_platform.store().behaviour().isDown = true;
         co_await sleepFor(m_io, seconds(3));
-        m_platform.store().behaviour().isDown = false;
+        endOutage();
+    }
+
+    /// The store comes back from a copy of one to six seconds before. What the operator and the databases wrote since is
+    /// written again within two seconds; what the proxies wrote is lost.
+    Task<void> returnFromCopy()
+    {
+        const auto age = milliseconds(1000 + m_random() % 5000);
+        const auto away = milliseconds(500 + m_random() % 2000);
+        const auto silence = milliseconds(m_random() % 2000);
+        auto& store = m_platform.store();
+        const auto copy = store.copy();
+        co_await sleepFor(m_io, age);
+        ++m_outages;
+        store.behaviour().isDown = true;
+        co_await sleepFor(m_io, away);
+        report(fmt::format("the store returns after {} ms from a copy of {} ms before, revision {} instead of {}", away.count(), age.count(), copy.revision, store.revision()));
+        store.restore(copy);
+        endOutage();
+        co_await sleepFor(m_io, silence);
+        m_platform.announceEntries();
+    }
+
+    /// Outages overlap; the store is back after the last one.
+    void endOutage()
+    {
+        if (--m_outages == 0)
+            m_platform.store().behaviour().isDown = false;
     }
 
     /// One crash of a service at a time: with two, the platform itself may lose acknowledged commits.
@@ -141,6 +173,7 @@
     std::mt19937 m_random;
     EmulatedPlatform::Shape m_shape;
     std::set<int> m_crashedServices;
+    int m_outages = 0; ///< Outages of the store that have not ended.
 };
 
 Task<void> crashPrimary(asio::io_context& io, EmulatedPlatform& platform, milliseconds after)
