--- a/scripts/pooler_soak.sh
+++ b/scripts/pooler_soak.sh
@@ -63,6 +63,18 @@
     esac
 }
 
+# True if every host is up and has the newest configuration that the operator has written.
+all_configured() { # tick
+    local n version expected
+    expected=$(grep -oE 'a new configuration, version [0-9]+' "$pooler_dir/platform.log" | grep -oE '[0-9]+$' | tail -n 1)
+    for ((n = 0; n < hosts; n++)); do
+        recover "$n" "$1"
+        [ "${host_state[$n]}" = up ] || return 1
+        version=$(curl -sf --max-time 1 "http://$pooler_ip:$((pooler_base + n * 10 + 3))/state" | grep -oE '"configVersion":[0-9]+' | grep -oE '[0-9]+$') || return 1
+        [ "$version" -ge "${expected:-1}" ] || { lagging="host-$n has version $version, the operator wrote ${expected:-1}"; return 1; }
+    done
+}
+
 status=0
 last_tick=$((trouble_seconds * 4))
 for ((now = 0; ; now++)); do
@@ -73,6 +85,13 @@
     sleep "$tick"
 done
 wait "$load_pid" || status=1
+# The last return of the store ends its outage and what is written again within this time, and a change is then in force.
+lagging="a host is not up"
+for ((end = now + 60; now < end; now++)); do
+    all_configured "$now" && break
+    sleep "$tick"
+done
+[ "$now" -lt "$end" ] || { echo "violation: $lagging"; status=1; }
 emulator_stop || status=1
 cat "$pooler_dir/load.txt"
 grep -hE '^(trouble|violation)' "$pooler_dir/platform.log" "$pooler_dir/faults.log" || true
--- a/tools/emulator/platform_emulator.cpp
+++ b/tools/emulator/platform_emulator.cpp
@@ -61,7 +61,7 @@
                 break;
             default:
                 m_platform.putConfig();
-                report("a new configuration");
+                report(fmt::format("a new configuration, version {}", m_platform.config().version));
             }
         }
     }
