A new primary is not judged by the isolation of its predecessor

Cause: PromotionTrigger kept the time since which the primary was isolated when the primary changed. The new one had no contact with its replicas yet, so it was replaced within 24 ms, and the primary that was cut off led again (log of a failed run: slot 1 is primary of term 2, 24 ms later slot 0 is primary of term 3, both 'the primary answers but no replica has contact with it'). Ruled out: the repeated follow message (it does not reset the age of the contact), slow probes. Change: the times start anew with each primary.

--- a/packages/group/src/GroupView.h
+++ b/packages/group/src/GroupView.h
@@ -33,6 +33,8 @@
 struct PrimaryView {
     std::size_t slot = 0;
     Term term = 0;
+
+    bool operator==(const PrimaryView&) const = default;
 };
 
 /// Position of a slot as returned by one request.
--- a/packages/group/src/PromotionTrigger.cpp
+++ b/packages/group/src/PromotionTrigger.cpp
@@ -1,6 +1,7 @@
 #include "PromotionTrigger.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace kumquatbank {
 
@@ -27,6 +28,14 @@
 {
 }
 
+void PromotionTrigger::resetTimes()
+{
+    m_noPrimarySince.reset();
+    m_demotedSince.reset();
+    m_greaterTermSince.reset();
+    m_isolatedSince.reset();
+}
+
 bool PromotionTrigger::hasHeldFor(std::optional<TimePoint>& since, bool holds, Milliseconds limit)
 {
     if (!holds) {
@@ -43,6 +52,8 @@
     if (m_view.reachableCount() < m_view.majority())
         return std::nullopt;
     const auto primary = m_view.primary();
+    if (primary && primary != std::exchange(m_primary, primary))
+        resetTimes();
     if (hasHeldFor(m_noPrimarySince, !primary, electionDelay))
         return Decision { "no primary is known", std::nullopt };
     if (!primary)
--- a/packages/group/src/PromotionTrigger.h
+++ b/packages/group/src/PromotionTrigger.h
@@ -29,10 +29,13 @@
     std::optional<Decision> evaluateSuspect(const std::vector<SlotView>& slots, std::size_t primary) const;
     bool hasReplicaContact(const std::vector<SlotView>& slots, std::size_t primary) const;
     bool isIsolated(const std::vector<SlotView>& slots, std::size_t primary) const;
+    /// Starts the times anew, because a new primary must not be judged by what its predecessor did.
+    void resetTimes();
     bool hasHeldFor(std::optional<TimePoint>& since, bool holds, Milliseconds limit);
 
     const GroupView& m_view;
     const Milliseconds m_forcedPromotionDelay;
+    std::optional<PrimaryView> m_primary; ///< The primary to which the times below refer.
     std::optional<TimePoint> m_noPrimarySince;
     std::optional<TimePoint> m_demotedSince;
     std::optional<TimePoint> m_greaterTermSince;
