--- a/scripts/pooler_soak.sh
+++ b/scripts/pooler_soak.sh
@@ -2,15 +2,17 @@
 # Random faults against proxies in front of an emulated platform, each a process on loopback: signals to the proxies,
 # network faults by a proxy between all parts, faults of the store and the databases. They overlap, and the same seed
 # draws the same ones. The clients check what they read, the emulator what its databases ran.
-# Usage: scripts/pooler_soak.sh [--seed N] [--seconds N]
+# Usage: scripts/pooler_soak.sh [--seed N] [--seconds N] [--hosts N]
 set -euo pipefail
 cd "$(dirname "$0")/.."
 seed=1
 seconds=30
+hosts=4
 while [ $# -gt 0 ]; do
     case $1 in
     --seed) seed=$2 ;;
     --seconds) seconds=$2 ;;
+    --hosts) hosts=$2 ;;
     *) echo "unknown option $1" >&2; exit 2 ;;
     esac
     shift 2
@@ -20,7 +22,7 @@
 . scripts/pooler_fleet.sh
 trap pooler_stop_all EXIT
 
-readonly hosts=4 tick=0.25
+readonly hosts tick=0.25
 # The last part of the run is free of new faults, so that what is acknowledged can be read at the end.
 readonly quiet_seconds=5
 trouble_seconds=$((seconds > 2 * quiet_seconds ? seconds - quiet_seconds : quiet_seconds))
