A new process asks one peer for the configuration once

Seen: not by callers yet; by the search for the class. RestoredStore.AProcessThatStartsAfterTheReturnTakesThePeersNewerConfiguration failed before (a dropped route was served on the new host) and passes. Cause: a process that starts after the store's return finds the copy's older configuration, and on sites without followers asked peers only while the store does not answer. Change: one peer is asked once after the first listing of the hosts. One small message a start.

--- a/packages/pooler/src/PeerService.cpp
+++ b/packages/pooler/src/PeerService.cpp
@@ -165,9 +165,14 @@
 
 Task<void> PeerService::pollPeers()
 {
+    // A store that has come back from an older copy gives a new process an older configuration than the others have, so
+    // that one peer is asked in any case.
+    bool hasAskedPeer = false;
     while (true) {
         co_await sleepFor(m_io, peerPollInterval);
-        if (std::max(m_sync.configSilence(), m_sync.endpointSilence()) < storeSilenceThreshold)
+        const bool isStoreSilent = std::max(m_sync.configSilence(), m_sync.endpointSilence()) >= storeSilenceThreshold;
+        const bool isFirst = !hasAskedPeer && !m_hosts.peers().empty();
+        if (!isStoreSilent && !isFirst)
             continue;
         const auto peersOrSeeds = m_hosts.peersOrSeeds();
         if (peersOrSeeds.empty())
@@ -175,6 +180,7 @@
         const auto peer = randomElement(peersOrSeeds);
         const auto target = fmt::format("/v1/known?{}&hosts={}", knownParameters(), m_hosts.peers().empty() ? 1 : 0);
         const auto reply = co_await call(peer.address, target, peerQueryTimeout);
+        hasAskedPeer = hasAskedPeer || reply.isSuccess();
         if (reply.isSuccess() && !applyState(reply.body, peer.name))
             EventLog::warn("peer_answer_unreadable", { { "peer", peer.name }, { "call", "known" } });
     }
--- a/packages/pooler/tests/RestoredStoreTest.cpp
+++ b/packages/pooler/tests/RestoredStoreTest.cpp
@@ -107,6 +107,25 @@
     }(fixture));
 }
 
+// Guards against a process that starts with the copy's older configuration and keeps it until the operator writes again.
+TEST(RestoredStore, AProcessThatStartsAfterTheReturnTakesThePeersNewerConfiguration)
+{
+    PoolerFixture fixture;
+    fixture.run([](PoolerFixture& f) -> Task<void> {
+        co_await f.sleep(milliseconds(500));
+        const auto copy = f.platform().store().copy();
+        f.platform().config().routes.erase(boundedDb);
+        f.platform().putConfig();
+        co_await f.sleep(milliseconds(500));
+        co_await returnFrom(f, copy);
+        f.startHost(1);
+        co_await f.waitUntilReady(1);
+        co_await f.sleep(configApplyTime);
+        const int changed = co_await hostsWithoutRoute(f, 2);
+        LONGS_EQUAL(2, changed);
+    }(fixture));
+}
+
 // Guards against a fencing token that is given out twice: the write that took it is lost with the copy.
 TEST(RestoredStore, ATokenThatTheStoreHasLostIsNotGivenOutAgain)
 {
