--- a/packages/pooler/src/StoreSync.cpp
+++ b/packages/pooler/src/StoreSync.cpp
@@ -151,7 +151,8 @@
     if (cursor.revision == since && isOutdated) {
         EventLog::info("store_history_gone", { { "kind", cursor.kind }, { "revision", since.number }, { "revision_era", since.era }, { "era", m_store->era() }, { "status", changes.detail } });
         requestListing(cursor);
-        co_return true;
+        // Not at once, so that a store whose watches always fail is not listed without a pause.
+        co_return false;
     }
     if (!isOk)
         co_return false;
