--- a/packages/pooler/tests/PoolerFixture.cpp
+++ b/packages/pooler/tests/PoolerFixture.cpp
@@ -160,6 +160,17 @@
     co_return nlohmann::json::parse(reply.body);
 }
 
+Task<int> PoolerFixture::hostsWithoutRoute(std::string database, int hosts)
+{
+    int found = 0;
+    for (int n = 0; n < hosts; ++n) {
+        TestClient client(*m_io);
+        const auto answer = co_await client.start(clientAddress(n), database);
+        found += answer.code() == "NODB" ? 1 : 0;
+    }
+    co_return found;
+}
+
 Task<void> PoolerFixture::waitUntilReady(int host)
 {
     while (true) {
--- a/packages/pooler/tests/PoolerFixture.h
+++ b/packages/pooler/tests/PoolerFixture.h
@@ -68,6 +68,8 @@
     Task<void> waitUntilReady(int host);
     /// State of a host, read from its metrics address.
     Task<nlohmann::json> state(int host);
+    /// The number of hosts, of the first @p hosts, that refuse a new session of the database because no route has it.
+    Task<int> hostsWithoutRoute(std::string database, int hosts);
     Task<void> sleep(std::chrono::milliseconds duration) { return sleepFor(*m_io, duration); }
     /// Repeats a write until it succeeds; returns the number of attempts.
     Task<int> writeUntilSuccess(std::string database, std::string text, int host = 0);
--- a/packages/pooler/tests/RestoredStoreTest.cpp
+++ b/packages/pooler/tests/RestoredStoreTest.cpp
@@ -41,17 +41,6 @@
     store.behaviour().isDown = false;
 }
 
-Task<int> hostsWithoutRoute(PoolerFixture& fixture, int hosts)
-{
-    int found = 0;
-    for (int n = 0; n < hosts; ++n) {
-        TestClient client(fixture.io());
-        const auto answer = co_await client.start(fixture.clientAddress(n), boundedDb);
-        found += answer.code() == "NODB" ? 1 : 0;
-    }
-    co_return found;
-}
-
 /// Crashes the primary and waits until a host has had another one promoted.
 Task<void> replacePrimary(PoolerFixture& fixture)
 {
@@ -62,6 +51,21 @@
     co_await fixture.sleep(milliseconds(300));
 }
 
+/// Has the primary replaced, and again after each of so many returns of the store from a copy before the first token.
+Task<void> replacePrimaryAfterReturns(PoolerFixture& fixture, int returns)
+{
+    co_await fixture.sleep(milliseconds(1700));
+    co_await fixture.writeUntilSuccess(primaryDb, "WRITE item before");
+    const auto copy = fixture.platform().store().copy();
+    co_await replacePrimary(fixture);
+    for (int n = 0; n < returns; ++n) {
+        co_await returnFrom(fixture, copy);
+        fixture.platform().announceEntries();
+        co_await fixture.sleep(milliseconds(2500));
+        co_await replacePrimary(fixture);
+    }
+}
+
 /// Fails the test unless each accepted promotion has a greater token than the one before.
 void checkTokensIncrease(const EmulatedPlatform& platform, std::size_t expected)
 {
@@ -102,7 +106,7 @@
         takeRevisions(store, 2 * lostChanges);
         store.behaviour().isDown = false;
         co_await f.sleep(configApplyTime);
-        const int changed = co_await hostsWithoutRoute(f, 1);
+        const int changed = co_await f.hostsWithoutRoute(boundedDb, 1);
         LONGS_EQUAL(1, changed);
     }(fixture));
 }
@@ -121,7 +125,7 @@
         f.startHost(1);
         co_await f.waitUntilReady(1);
         co_await f.sleep(configApplyTime);
-        const int changed = co_await hostsWithoutRoute(f, 2);
+        const int changed = co_await f.hostsWithoutRoute(boundedDb, 2);
         LONGS_EQUAL(2, changed);
     }(fixture));
 }
@@ -130,17 +134,7 @@
 TEST(RestoredStore, ATokenThatTheStoreHasLostIsNotGivenOutAgain)
 {
     PoolerFixture fixture({}, 3);
-    fixture.run([](PoolerFixture& f) -> Task<void> {
-        co_await f.sleep(milliseconds(1700));
-        co_await f.writeUntilSuccess(primaryDb, "WRITE item before");
-        const auto copy = f.platform().store().copy();
-        co_await replacePrimary(f);
-        co_await returnFrom(f, copy);
-        f.platform().announceEntries();
-        co_await f.sleep(milliseconds(3000));
-        co_await replacePrimary(f);
-    }(fixture),
-        std::chrono::seconds(30));
+    fixture.run(replacePrimaryAfterReturns(fixture, 1), std::chrono::seconds(30));
     checkTokensIncrease(fixture.platform(), 2);
 }
 
@@ -148,19 +142,7 @@
 TEST(RestoredStore, ATokenIsNotGivenOutAgainAfterASecondReturn)
 {
     PoolerFixture fixture({}, 3);
-    fixture.run([](PoolerFixture& f) -> Task<void> {
-        co_await f.sleep(milliseconds(1700));
-        co_await f.writeUntilSuccess(primaryDb, "WRITE item before");
-        const auto copy = f.platform().store().copy();
-        co_await replacePrimary(f);
-        for (int n = 0; n < 2; ++n) {
-            co_await returnFrom(f, copy);
-            f.platform().announceEntries();
-            co_await f.sleep(milliseconds(2500));
-            co_await replacePrimary(f);
-        }
-    }(fixture),
-        std::chrono::seconds(40));
+    fixture.run(replacePrimaryAfterReturns(fixture, 2), std::chrono::seconds(40));
     checkTokensIncrease(fixture.platform(), 3);
 }
 
--- a/packages/pooler/tests/StoreFollowingTest.cpp
+++ b/packages/pooler/tests/StoreFollowingTest.cpp
@@ -17,18 +17,6 @@
 /// After the third listing of the hosts, well before the fourth.
 constexpr milliseconds betweenListings { 6500 };
 
-/// Hosts on which a new session of the database is refused because its route is gone.
-Task<int> hostsWithoutRoute(PoolerFixture& fixture)
-{
-    int found = 0;
-    for (int n = 0; n < hosts; ++n) {
-        TestClient client(fixture.io());
-        const auto answer = co_await client.start(fixture.clientAddress(n), boundedDb);
-        found += answer.code() == "NODB" ? 1 : 0;
-    }
-    co_return found;
-}
-
 } // namespace
 
 /// Ten hosts in one region, of which two watch the store and send changes to the others.
@@ -81,7 +69,7 @@
         f.platform().config().routes.erase(boundedDb);
         f.platform().putConfig();
         co_await f.sleep(milliseconds(800));
-        const int changed = co_await hostsWithoutRoute(f);
+        const int changed = co_await f.hostsWithoutRoute(boundedDb, hosts);
         LONGS_EQUAL(hosts, changed);
     }(fixture));
 }
@@ -105,7 +93,7 @@
         f.platform().config().routes.erase(boundedDb);
         f.platform().putConfig();
         co_await f.sleep(milliseconds(800));
-        const int changed = co_await hostsWithoutRoute(f);
+        const int changed = co_await f.hostsWithoutRoute(boundedDb, hosts);
         LONGS_EQUAL(hosts, changed);
     }(fixture, address));
     CHECK_TRUE(queries > 0);
