--- a/scripts/pooler_fleet.sh
+++ b/scripts/pooler_fleet.sh
@@ -10,7 +10,8 @@
 # Added to the ports of clients, store, promote call and databases; with fault_proxy_start, a proxy that injects faults
 # listens there.
 fault_offset=0
-fault_port_offset=500
+# Above the ports of 390 hosts.
+fault_port_offset=5000
 pooler_pids=()
 emulator_pid=
 fault_pid=
