--- a/review/standins/standins.py
+++ b/review/standins/standins.py
@@ -176,6 +176,7 @@
         self.connections = {}
         self.work = service.work
         self.hold = None  # an event while commits do not arrive here
+        self.cut_hosts = set()  # hosts that are cut off from this database, by the name that they connect with
 
     async def start(self):
         self.server = await asyncio.start_server(self.serve, self.ip, 0)
@@ -233,11 +234,14 @@
                 writer.write(b"ERR TOOMANY connections\r\n")
                 return
             connection.tag = line[2]
+            await self.stay_cut(connection)
             await asyncio.sleep(0.005)
             writer.write(f"READY I {self.position()}\r\n".encode())
             while True:
                 word, query, text = (await reader.readuntil(b"\r\n")).decode()[:-2].split(" ", 2)
+                await self.stay_cut(connection)
                 body = await self.run(connection, query, text)
+                await self.stay_cut(connection)
                 if body is None:
                     return
                 state = "I" if connection.kind is None else "E" if connection.failed else "T"
@@ -251,6 +255,12 @@
             self.connections.pop(writer, None)
             writer.close()
 
+    async def stay_cut(self, connection):
+        """Nothing passes between a host and a database that are partitioned; after 3 s the connection is dropped."""
+        if connection.tag in self.cut_hosts:
+            await asyncio.sleep(3.0)
+            raise ConnectionError
+
     def error(self, connection, code, text="-"):
         if connection.kind is not None and code not in ("BUSY", "LAGGING"):
             connection.failed = True
@@ -360,6 +370,7 @@
         self.primary = None
         self.history = set()
         self.waiting = {}
+        self.cut_commits = []  # Commits that promotions have cut off, by the client's id.
         self.reached = {}  # When a request of a client last reached a database, and which.
 
     def network_delay(self, database, commit):
@@ -399,6 +410,7 @@
         for database in self.databases:
             database.term = term
         self.primary = chosen
+        self.cut_commits += [it[2] for it in lost]
         self.record.write("promoted", db=name, term=term, log=len(chosen.log), cut=",".join(it[2] for it in lost) or "-")
 
 
