--- a/review/standins/standins.py
+++ b/review/standins/standins.py
@@ -176,16 +176,25 @@
         self.connections = {}
         self.work = service.work
         self.hold = None  # an event while commits do not arrive here
+        self.has_crashed = False
         self.cut_hosts = set()  # hosts that are cut off from this database, by the name that they connect with
 
     async def start(self):
-        self.server = await asyncio.start_server(self.serve, self.ip, 0)
+        self.server = await asyncio.start_server(self.serve, self.ip, 0, limit=2 << 20)
         self.address = "%s:%d" % self.server.sockets[0].getsockname()[:2]
         self.born = int(time.time() * 1000)
 
     def is_primary(self):
         return self.service.primary is self
 
+    async def crash(self):
+        """Ends at once: connections break, and its entry lapses after three heartbeats."""
+        self.record.write("crashed", db=self.id)
+        self.has_crashed = True
+        self.server.close()
+        for writer in list(self.connections):
+            writer.transport.abort()
+
     def position(self, applied=True):
         entries = self.log[: self.applied] if applied else self.log
         return "%d.%d" % (max(self.term if self.is_primary() else 1, entries[-1][0] if entries else 1), len(entries))
@@ -198,13 +207,15 @@
     async def beat(self, store):
         """Writes its entry every 1.2 s, and at once when something changes."""
         shown = None
-        while True:
+        while not self.has_crashed:
             present = (self.state, self.is_primary())
             if shown != present or time.monotonic() >= due:
                 shown, due = present, time.monotonic() + 1.2
                 self.sequence += 1
                 await store.write("servers", self.id, self.entry())
             await asyncio.sleep(0.02)
+        await asyncio.sleep(3 * 1.2)
+        await store.remove("servers", self.id)
 
     async def receive(self, commit, index):
         await asyncio.sleep(self.service.network_delay(self, commit))
