--- a/review/standins/standins.py
+++ b/review/standins/standins.py
@@ -489,6 +489,23 @@
     return "%016x" % random.getrandbits(64)
 
 
+PROXY_PORTS = (8784, 8785, 8782, 7440, 9464)  # Clients, ready, peers, loans, metrics.
+
+
+def free_net(hosts):
+    """A loopback network on which the ports of all proxies are free."""
+    while True:
+        net = "127.%d.%d" % (random.randint(20, 250), random.randint(1, 250))
+        try:
+            for host in range(hosts):
+                for port in PROXY_PORTS:
+                    with socket.socket() as probe:
+                        probe.bind((f"{net}.{host + 1}", port))
+            return net
+        except OSError:
+            continue
+
+
 class Fleet:
     """The platform of one service and the proxies in front of it."""
 
@@ -499,7 +516,7 @@
         self.hosts = hosts
         self.processes = {}
         self.temporary = subprocess.run(["mktemp", "-d"], capture_output=True, text=True, check=True).stdout.strip()
-        self.net = "127.%d.%d" % (random.randint(20, 250), random.randint(1, 250))
+        self.net = free_net(hosts)
         self.store = Store()
         self.service = Service("huvo11a", self.record, **service_options)
         self.promote = PromoteCall({self.service.name: self.service}, self.record)
