--- a/packages/pooler/include/kumquatbank/pooler/PoolerSettings.h
+++ b/packages/pooler/include/kumquatbank/pooler/PoolerSettings.h
@@ -25,6 +25,10 @@
     HostAddress promotionAddress; ///< The platform's promotion service.
     std::vector<HostAddress> seeds {}; ///< Peers to query while the store does not answer; may be empty or stale.
     std::chrono::seconds grace { 6 }; ///< Time from SIGTERM to the end of the process.
+    std::chrono::milliseconds databaseDrainTime { 7000 }; ///< For which a database serves clients after it has reported that it is leaving.
+    /// An endpoint that disappeared counts as one that may hold acknowledged commits for this time. Covers the time after
+    /// which crashed databases are usually back with their logs.
+    std::chrono::milliseconds memberRetention { 10'000 };
     unsigned logLinesPerSecond = 100; ///< For served requests; failures have a separate limit.
     unsigned failureLinesPerSecond = 500;
 
--- a/packages/pooler/src/DatabaseService.cpp
+++ b/packages/pooler/src/DatabaseService.cpp
@@ -3,6 +3,7 @@
 #include "ConnectionBorrower.h"
 #include "kumquatbank/engine/EventLog.h"
 #include "kumquatbank/engine/Random.h"
+#include "kumquatbank/routing/PromotionPolicy.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -57,6 +58,9 @@
     constexpr int connectTimeSmoothing = 8;
     /// Minimum interval between two searches for the primary, which probe all endpoints.
     constexpr milliseconds primarySearchInterval { 150 };
+    /// Commits count as stalled if so many in a row were not answered, the first of them sent this long ago.
+    constexpr int stalledCommitThreshold = 2;
+    constexpr milliseconds stalledCommitAge { 2000 };
 
 } // namespace
 
@@ -81,6 +85,12 @@
     }
 }
 
+void DatabaseService::setEndpointTimes(milliseconds drainTime, milliseconds memberRetention)
+{
+    m_drainTime = drainTime;
+    m_memberRetention = memberRetention;
+}
+
 void DatabaseService::stopHolding()
 {
     m_hasStoppedHolding = true;
@@ -99,8 +109,9 @@
     const auto now = BootClock::now();
     const bool isPrimary = endpoint.entry.id == m_primary;
     const bool isFull = now < endpoint.fullUntil;
-    // A draining primary serves until its successor is known; a draining replica receives no further requests.
-    const bool isServing = !endpoint.entry.isDraining || isPrimary;
+    // A draining primary serves until its successor is known or its time ends; a draining replica receives no further
+    // requests.
+    const bool isServing = !endpoint.entry.isDraining || (isPrimary && now < endpoint.servesUntil);
     const bool isUsable = isServing && now >= endpoint.unusableUntil && (!isFull || endpoint.open > 0) && !(isPrimary && isSuspect(endpoint, now));
     const int share = sharing().share();
     m_scheduler.setEndpoint(endpoint.entry.id, isUsable, isPrimary, isFull ? std::min(share, endpoint.open) : share);
@@ -114,10 +125,12 @@
     m_scheduler.setOpeningCost(endpoint.entry.id, isOpeningCostly ? endpoint.connectTime : std::chrono::microseconds(0));
 }
 
-void DatabaseService::setEntries(const std::vector<EndpointEntry>& entries, bool isComplete)
+void DatabaseService::setEntries(const std::vector<EndpointEntry>& entries, bool isComplete, BootTime previousAnswerAt)
 {
     const auto now = BootClock::now();
     m_isStoreComplete = isComplete;
+    if (!m_followedSince)
+        m_followedSince = now;
     std::set<std::string> presentIds;
     std::string primaryHint;
     for (const auto& entry : entries) {
@@ -137,8 +150,11 @@
         }
         endpoint->entry = entry;
         endpoint->missingSince.reset();
-        if (entry.isDraining && (isNew || !previousEntry.isDraining))
+        if (entry.isDraining && (isNew || !previousEntry.isDraining)) {
             endpoint->drainingSince = now;
+            endpoint->servesUntil = drainingServiceEnd(isNew ? std::nullopt : std::optional(std::min(previousAnswerAt, now)), m_drainTime, now);
+            EventLog::info("endpoint_draining", { { "service", m_name }, { "endpoint", entry.id }, { "serves_ms", toMs(endpoint->servesUntil - now) }, { "known_ready_ms", isNew ? -1 : toMs(now - previousAnswerAt) } });
+        }
         if (entry.isDraining && !previousEntry.isDraining && entry.id != m_primary)
             closeAllIdle(*endpoint);
         if (isNew || previousEntry != entry)
@@ -167,6 +183,7 @@
             continue;
         }
         EventLog::info("endpoint_gone", { { "service", m_name }, { "endpoint", it->first }, { "missing_ms", toMs(now - *endpoint.missingSince) } });
+        m_departed[it->first] = { endpoint.entry.address, endpoint.entry.isDraining, now };
         if (m_primary == it->first)
             setPrimary("", "entry removed");
         m_scheduler.removeEndpoint(it->first);
@@ -200,6 +217,40 @@
 
 std::shared_ptr<Endpoint> DatabaseService::primary() const { return find(m_primary); }
 
+std::size_t DatabaseService::memberCount() const
+{
+    const auto now = BootClock::now();
+    const auto mayHoldCommits = [&](const auto& item) {
+        const auto& id = item.first;
+        const DepartedEndpoint& departed = item.second;
+        const bool isReplaced = departed.wasDraining && std::ranges::any_of(m_endpoints, [&departed](const auto& known) { return known.second->entry.address == departed.address; });
+        return id != m_lastPrimary && !m_endpoints.contains(id) && !isReplaced && now - departed.at < m_memberRetention;
+    };
+    const auto departed = static_cast<std::size_t>(std::ranges::count_if(m_departed, mayHoldCommits));
+    const bool isLastPrimaryListed = m_lastPrimary.empty() || m_endpoints.contains(m_lastPrimary);
+    return m_endpoints.size() + departed + (isLastPrimaryListed ? 0 : 1);
+}
+
+bool DatabaseService::areMembersKnown() const { return m_followedSince && BootClock::now() - *m_followedSince >= m_memberRetention; }
+
+milliseconds DatabaseService::servingTime(const Endpoint& endpoint) const
+{
+    return std::chrono::duration_cast<milliseconds>(endpoint.servesUntil - BootClock::now());
+}
+
+void DatabaseService::recordCommitAnswer(bool wasAnswered, BootTime sentAt)
+{
+    if (wasAnswered)
+        m_unansweredCommits = 0;
+    else if (++m_unansweredCommits == 1)
+        m_firstUnansweredCommit = sentAt;
+}
+
+bool DatabaseService::hasStalledCommits() const
+{
+    return m_limits.syncReplicas > 0 && m_unansweredCommits >= stalledCommitThreshold && BootClock::now() - m_firstUnansweredCommit >= stalledCommitAge;
+}
+
 void DatabaseService::recordPrimary(Endpoint& endpoint, std::optional<LogPosition> position, BootTime sentAt)
 {
     setPrimary(endpoint.entry.id, "accepted as primary");
@@ -457,6 +508,8 @@
             const auto wait = m_scheduler.expectedWait(permitRequest);
             const auto now = BootClock::now();
             const bool hasNoEndpoint = wait == milliseconds::max();
+            if (hasNoEndpoint && permitRequest.eligibility == Eligibility::PrimaryOnly && now < m_writesRefusedUntil)
+                co_return tl::unexpected(AcquireFailure { ErrorCode::Busy, "no endpoint can become primary yet", std::chrono::ceil<milliseconds>(m_writesRefusedUntil - now) });
             if (!hasNoEndpoint && now + wait >= permitRequest.queueDeadline)
                 co_return tl::unexpected(AcquireFailure { ErrorCode::Busy, "queue is too long", wait });
             auto waiter = std::make_shared<AutoResetEvent>(m_io);
@@ -575,6 +628,7 @@
 {
     const auto now = BootClock::now();
     removeMissingEndpoints(now);
+    std::erase_if(m_departed, [this, now](const auto& item) { return now - item.second.at >= m_memberRetention; });
     for (const auto& [id, endpoint] : m_endpoints) {
         closeExpiredIdle(*endpoint, now);
         refreshScheduler(*endpoint);
--- a/packages/pooler/src/DatabaseService.h
+++ b/packages/pooler/src/DatabaseService.h
@@ -38,9 +38,13 @@
     /// @p lenderCount: hosts that hold the connections where these are scarce; 0 if each host has its own.
     void setLimits(const ServiceLimits& limits, int hostCount, int lenderCount);
     void setBorrower(ConnectionBorrower& borrower) { m_borrower = &borrower; }
+    /// @p drainTime: for which an endpoint serves clients after it has reported that it is draining. @p memberRetention:
+    /// for which an endpoint that disappeared counts as one that may hold acknowledged commits.
+    void setEndpointTimes(std::chrono::milliseconds drainTime, std::chrono::milliseconds memberRetention);
     /// Applies the store's current entries of this service. @p isComplete: the store was reachable, so a missing entry
-    /// counts as removed after a grace period.
-    void setEntries(const std::vector<EndpointEntry>& entries, bool isComplete);
+    /// counts as removed after a grace period. @p previousAnswerAt: time of the answer that showed the entries before
+    /// this change.
+    void setEntries(const std::vector<EndpointEntry>& entries, bool isComplete, BootTime previousAnswerAt);
 
     /// Acquires a connection for a session, either borrowed or of this host.
     Task<tl::expected<ConnectionLease, AcquireFailure>> acquire(ConnectionRequest request, const SessionState& session);
@@ -97,6 +101,22 @@
     /// Last recorded primary; kept while no current primary is known.
     const std::string& lastPrimary() const { return m_lastPrimary; }
     BootTime primarySince() const { return m_primarySince; }
+    int syncReplicas() const { return m_limits.syncReplicas; }
+    /// Number of endpoints that may hold acknowledged commits: the known ones, those that disappeared recently, and the
+    /// last primary.
+    std::size_t memberCount() const;
+    /// Returns true once this host has followed the service for long enough to know which endpoints disappeared recently.
+    bool areMembersKnown() const;
+    /// Returns how much longer clients' requests may be sent to a draining endpoint; not positive after the end of that
+    /// time.
+    std::chrono::milliseconds servingTime(const Endpoint& endpoint) const;
+
+    /// Records whether the primary answered a write or a COMMIT with writes. @p sentAt: when it was sent.
+    void recordCommitAnswer(bool wasAnswered, BootTime sentAt);
+    /// Returns true if the primary leaves commits unanswered, as it does while no replica receives them.
+    bool hasStalledCommits() const;
+    /// Refuses requests for the primary at once until then, because no endpoint can become primary before.
+    void refuseWritesUntil(BootTime until) { m_writesRefusedUntil = until; }
     ServiceScheduler& scheduler() { return m_scheduler; }
     const Floor& floorSamples() const { return m_floor; }
 
@@ -109,6 +129,13 @@
     void returnConnection(const std::string& endpoint, std::unique_ptr<DatabaseConnection> connection, BootTime since);
 
 private:
+    /// An endpoint whose entry has been removed.
+    struct DepartedEndpoint {
+        HostAddress address;
+        bool wasDraining = false; ///< It has left as planned, and its log goes to the next endpoint at its address.
+        BootTime at {};
+    };
+
     Task<tl::expected<std::unique_ptr<DatabaseConnection>, ErrorCode>> open(std::shared_ptr<Endpoint> endpoint, std::chrono::milliseconds timeout);
     Task<void> rollBack(std::shared_ptr<Endpoint> endpoint, std::unique_ptr<DatabaseConnection> connection, BootTime since);
     std::unique_ptr<DatabaseConnection> takeIdle(Endpoint& endpoint, const SessionState* session);
@@ -152,6 +179,13 @@
     BootTime m_lastPeerSample {}; ///< When a peer last reported a newer position.
     std::vector<std::shared_ptr<AutoResetEvent>> m_floorWaiters;
     bool m_isStoreComplete = false;
+    std::chrono::milliseconds m_drainTime { 0 };
+    std::chrono::milliseconds m_memberRetention { 0 };
+    std::map<std::string, DepartedEndpoint> m_departed; ///< Endpoints that disappeared recently, by id.
+    std::optional<BootTime> m_followedSince; ///< When the entries of this service were first received.
+    int m_unansweredCommits = 0; ///< Since the last one that was answered.
+    BootTime m_firstUnansweredCommit {};
+    BootTime m_writesRefusedUntil {};
     std::set<std::string> m_probesInProgress;
 };
 
--- a/packages/pooler/src/Endpoint.h
+++ b/packages/pooler/src/Endpoint.h
@@ -26,6 +26,7 @@
     BootTime lastOwnAnswer {}; ///< Send time of the newest answered request of this host.
     int failures = 0; ///< Failures since the last answer.
     BootTime drainingSince {}; ///< When its entry was first marked as draining.
+    BootTime servesUntil {}; ///< While draining: no requests of clients after that.
     BootTime unusableUntil {}; ///< No requests until then, after a failed connect.
     BootTime fullUntil {}; ///< No new connections until then, after its connection limit was hit.
     BootTime laggingUntil {}; ///< No reads with a minimum position until then, after it lagged.
--- a/packages/pooler/src/PoolerSettings.cpp
+++ b/packages/pooler/src/PoolerSettings.cpp
@@ -34,17 +34,24 @@
   "seeds": ["127.0.0.1:7440"],
   // Seconds from SIGTERM to the end of the process.
   "graceSeconds": 6,
+  // Milliseconds for which a database serves clients after it has reported that it is leaving. Optional.
+  "databaseDrainMs": 7000,
+  // Milliseconds for which a database that disappeared counts as one that may hold the newest commits, where commits are
+  // confirmed by replicas. No primary is replaced in this time without the proof that none is lost. Optional.
+  "memberRetentionMs": 10000,
   // Log lines a second: of served statements, and of everything else.
   "logLinesPerSecond": 100,
   "failureLinesPerSecond": 500
 }
 )";
 
-    constexpr std::array<std::string_view, 16> knownKeys { "host", "dataCentre", "region", "processorShare", "processorSpeed", "clientAddress", "readyAddress",
-        "peerAddress", "loanAddress", "metricsAddress", "storeAddress", "promotionAddress", "seeds", "graceSeconds",
+    constexpr std::array<std::string_view, 18> knownKeys { "host", "dataCentre", "region", "processorShare", "processorSpeed", "clientAddress", "readyAddress",
+        "peerAddress", "loanAddress", "metricsAddress", "storeAddress", "promotionAddress", "seeds", "graceSeconds", "databaseDrainMs", "memberRetentionMs",
         "logLinesPerSecond", "failureLinesPerSecond" };
 
     constexpr int maxGraceSeconds = 3600;
+    constexpr int maxDatabaseDrainMs = 3'600'000;
+    constexpr int maxMemberRetentionMs = 3'600'000;
     constexpr int maxLogLines = 1'000'000;
     constexpr double maxProcessorShare = 1024;
     constexpr int maxProcessorSpeed = 1024;
@@ -165,6 +172,8 @@
     settings.promotionAddress = reader.address("promotionAddress");
     settings.seeds = reader.addresses("seeds");
     settings.grace = std::chrono::seconds(reader.number("graceSeconds", 1, maxGraceSeconds, static_cast<int>(settings.grace.count())));
+    settings.databaseDrainTime = std::chrono::milliseconds(reader.number("databaseDrainMs", 0, maxDatabaseDrainMs, static_cast<int>(settings.databaseDrainTime.count())));
+    settings.memberRetention = std::chrono::milliseconds(reader.number("memberRetentionMs", 0, maxMemberRetentionMs, static_cast<int>(settings.memberRetention.count())));
     settings.logLinesPerSecond = static_cast<unsigned>(reader.number("logLinesPerSecond", 0, maxLogLines, static_cast<int>(settings.logLinesPerSecond)));
     settings.failureLinesPerSecond = static_cast<unsigned>(reader.number("failureLinesPerSecond", 0, maxLogLines, static_cast<int>(settings.failureLinesPerSecond)));
     if (!reader.error().empty())
--- a/packages/pooler/src/PromotionController.cpp
+++ b/packages/pooler/src/PromotionController.cpp
@@ -22,7 +22,6 @@
     constexpr int primaryFailureThreshold = 2;
     /// A replacement starts when no endpoint has been primary for this time.
     constexpr milliseconds noPrimaryThreshold { 1200 };
-    constexpr milliseconds statusTimeout { 400 };
     constexpr milliseconds storeTimeout { 700 };
     constexpr milliseconds promoteTimeout { 1500 };
     /// An older decision is dropped before the call, because the process may have been paused in between.
@@ -44,6 +43,10 @@
     /// For a planned change: time for the successor to receive the rest of the log.
     constexpr milliseconds catchUpTimeout { 600 };
     constexpr milliseconds catchUpPollInterval { 20 };
+    /// Suggested retry delay for requests to the primary while no endpoint can be promoted.
+    constexpr milliseconds blockedRetryAfter { 1000 };
+    /// Between two attempts to let endpoints resume after a promotion that was not carried out.
+    constexpr milliseconds resumeInterval { 3000 };
     /// For a planned change, in log positions. Writes are not stopped while the successor is further behind.
     constexpr std::uint64_t maxHandOverLag = 50;
 
@@ -56,6 +59,7 @@
     , m_registry(registry)
     , m_peers(peers)
     , m_metrics(metrics)
+    , m_survey(io)
     , m_call(std::make_shared<PromotionClient>(io, settings.promotionAddress))
     , m_pausedUntil(BootClock::now())
 {
@@ -69,6 +73,9 @@
         co_await sleepFor(m_io, checkInterval);
         for (const auto& [name, service] : m_registry.services()) {
             auto& progress = m_progress[name];
+            // A promotion lets all endpoints go on.
+            if (progress.stoppedFor != service->lastPrimary())
+                progress.stoppedMembers.clear();
             if (progress.isBusy || BootClock::now() < progress.notBefore)
                 continue;
             const auto reason = replacementReason(*service);
@@ -89,69 +96,31 @@
     if (!service.monitorsPrimary()) {
         const auto rank = service.holderRank();
         const bool isNext = rank && *rank < leavingRankCount && primary && primary->entry.isDraining;
-        return isNext && now - primary->drainingSince >= leavingRankDelay * *rank ? ReplacementReason::Leaving : ReplacementReason::None;
+        if (isNext && now - primary->drainingSince >= leavingRankDelay * *rank)
+            return ReplacementReason::Leaving;
+        return primary && hasStoppedMembers(service) ? ReplacementReason::Stopped : ReplacementReason::None;
     }
     if (!primary)
         return now - std::max(service.primarySince(), m_pausedUntil) >= noPrimaryThreshold ? ReplacementReason::Lost : ReplacementReason::None;
     if (primary->failures >= primaryFailureThreshold && now - std::max(primary->lastAnswer, m_pausedUntil) >= primarySilenceThreshold)
         return ReplacementReason::Lost;
-    return primary->entry.isDraining ? ReplacementReason::Leaving : ReplacementReason::None;
+    if (primary->entry.isDraining)
+        return ReplacementReason::Leaving;
+    return hasStoppedMembers(service) ? ReplacementReason::Stopped : ReplacementReason::None;
 }
 
-Task<void> PromotionController::runReplacement(std::shared_ptr<DatabaseService> service, ReplacementReason reason)
-{
-    co_await replace(service, reason);
-    m_progress[service->name()].isBusy = false;
-}
-
-Task<std::optional<EndpointStatus>> PromotionController::queryStatus(std::shared_ptr<DatabaseService> service, std::shared_ptr<Endpoint> endpoint, std::string command)
+bool PromotionController::hasStoppedMembers(const DatabaseService& service) const
 {
-    auto lease = co_await service->acquireProbe(endpoint, statusTimeout);
-    if (!lease)
-        co_return std::nullopt;
-    const auto sentAt = BootClock::now();
-    std::vector<DatabaseReply> replies;
-    const auto exchanged = co_await lease->connection().exchange(std::move(command), replies, 1, sentAt + statusTimeout);
-    if (exchanged != ExchangeStatus::Ok) {
-        service->recordFailure(*endpoint, "status");
-        co_return std::nullopt;
-    }
-    service->recordAnswer(*endpoint, sentAt);
-    auto parsed = WireDialect::parseStatusRow(replies[0].firstRow);
-    if (!parsed) {
-        EventLog::warn("status_refused", { { "service", service->name() }, { "endpoint", endpoint->entry.id }, { "code", replies[0].code ? errorCodeName(*replies[0].code) : "unreadable" } });
-        co_return std::nullopt;
-    }
-    parsed->id = endpoint->entry.id;
-    parsed->isDraining = endpoint->entry.isDraining;
-    co_return parsed;
+    if (service.hasStalledCommits())
+        return true;
+    const auto it = m_progress.find(service.name());
+    return it != m_progress.end() && !it->second.stoppedMembers.empty();
 }
 
-Task<std::vector<EndpointStatus>> PromotionController::queryStatuses(std::shared_ptr<DatabaseService> service, std::string except)
+Task<void> PromotionController::runReplacement(std::shared_ptr<DatabaseService> service, ReplacementReason reason)
 {
-    std::vector<std::shared_ptr<Endpoint>> queried;
-    for (const auto& [id, endpoint] : service->endpoints()) {
-        if (id != except && !endpoint->missingSince)
-            queried.push_back(endpoint);
-    }
-    // Concurrently, because an endpoint that does not answer takes the whole timeout.
-    std::vector<EndpointStatus> found;
-    std::size_t missing = queried.size();
-    const auto waiter = std::make_shared<AutoResetEvent>(m_io);
-    const auto queryOne = [&, waiter](std::shared_ptr<Endpoint> endpoint) -> Task<void> {
-        const auto command = WireDialect::status();
-        auto answered = co_await queryStatus(service, endpoint, command);
-        if (answered)
-            found.push_back(std::move(*answered));
-        if (--missing == 0)
-            waiter->wake();
-    };
-    for (const auto& endpoint : queried)
-        asio::co_spawn(m_io, queryOne(endpoint), asio::detached);
-    // The lambda queryOne is part of this coroutine's frame, so all calls must end before the coroutine does.
-    while (missing > 0)
-        co_await waiter->wait(BootClock::now() + statusTimeout);
-    co_return found;
+    co_await replace(service, reason);
+    m_progress[service->name()].isBusy = false;
 }
 
 bool PromotionController::leavesToPeer(const std::string& service, const PromotionDecision& decision, StoreRevision revision, const std::string& lost)
@@ -238,31 +207,83 @@
     co_return std::nullopt;
 }
 
-Task<bool> PromotionController::handOver(std::shared_ptr<DatabaseService> service, EndpointStatus candidate)
+Task<std::optional<EndpointStatus>> PromotionController::handOver(std::shared_ptr<DatabaseService> service, EndpointStatus successor)
 {
     const auto primary = service->primary();
-    const auto successor = service->find(candidate.id);
-    if (!primary || !successor)
-        co_return false;
+    const auto endpoint = service->find(successor.id);
+    if (!primary || !endpoint)
+        co_return std::nullopt;
     const auto statusCommand = WireDialect::status();
-    const auto before = co_await queryStatus(service, primary, statusCommand);
-    if (!before || !before->isPrimary || candidate.received.position + maxHandOverLag < before->received.position) {
-        EventLog::info("hand_over_waits", { { "service", service->name() }, { "candidate", candidate.id }, { "reason", before ? "successor is behind" : "primary has no status" } });
-        co_return false;
+    const auto before = co_await m_survey.ask(service, primary, statusCommand);
+    if (!before.status || !before.status->isPrimary || successor.received.position + maxHandOverLag < before.status->received.position) {
+        EventLog::info("hand_over_waits", { { "service", service->name() }, { "candidate", successor.id }, { "reason", before.status ? "successor is behind" : "primary has no status" } });
+        co_return std::nullopt;
     }
-    const auto demoteCommand = WireDialect::demote(before->term + 1);
-    const auto demoted = co_await queryStatus(service, primary, demoteCommand);
-    EventLog::info("primary_demoted", { { "service", service->name() }, { "endpoint", primary->entry.id }, { "term", before->term + 1 }, { "accepted", demoted && !demoted->isPrimary } });
-    const auto target = demoted ? demoted->received : before->received;
+    const auto demoteCommand = WireDialect::demote(before.status->term + 1);
+    auto demoted = co_await m_survey.ask(service, primary, demoteCommand);
+    // Its answer may have been lost after it took effect.
+    if (!demoted.status)
+        demoted = co_await m_survey.ask(service, primary, statusCommand);
+    const bool isDemoted = demoted.status && !demoted.status->isPrimary;
+    EventLog::info("primary_demoted", { { "service", service->name() }, { "endpoint", primary->entry.id }, { "term", before.status->term + 1 }, { "accepted", isDemoted } });
+    if (!isDemoted)
+        co_return std::nullopt;
     const auto until = BootClock::now() + catchUpTimeout;
     while (BootClock::now() < until) {
-        const auto now = co_await queryStatus(service, successor, statusCommand);
-        if (now && now->received >= target)
-            co_return true;
+        const auto now = co_await m_survey.ask(service, endpoint, statusCommand);
+        if (now.status && hasWholeLog(*now.status, demoted.status->received))
+            co_return now.status;
         co_await sleepFor(m_io, catchUpPollInterval);
     }
-    EventLog::warn("hand_over_incomplete", { { "service", service->name() }, { "candidate", candidate.id }, { "waited_ms", toMs(catchUpTimeout) } });
-    co_return true;
+    // The former primary has every commit and can hand over again later.
+    EventLog::warn("hand_over_incomplete", { { "service", service->name() }, { "candidate", successor.id }, { "waited_ms", toMs(catchUpTimeout) }, { "reinstated", primary->entry.id } });
+    co_return demoted.status;
+}
+
+PromotionSituation PromotionController::situationOf(const DatabaseService& service, std::vector<EndpointStatus> answered)
+{
+    PromotionSituation situation;
+    situation.answered = std::move(answered);
+    situation.listedEndpoints = static_cast<std::size_t>(std::ranges::count_if(service.endpoints(), [](const auto& item) { return !item.second->missingSince; }));
+    situation.members = service.memberCount();
+    situation.areMembersKnown = service.areMembersKnown();
+    situation.syncReplicas = service.syncReplicas();
+    return situation;
+}
+
+void PromotionController::recordBlock(DatabaseService& service, const PromotionSituation& situation, PromotionBlock block)
+{
+    service.refuseWritesUntil(BootClock::now() + blockedRetryAfter);
+    EventLog::warn("promotion_blocked", { { "service", service.name() }, { "reason", promotionBlockName(block) }, { "answered", situation.answered.size() }, { "listed", situation.listedEndpoints }, { "members", situation.members }, { "synchronous", situation.syncReplicas } });
+}
+
+Task<bool> PromotionController::order(std::shared_ptr<DatabaseService> service, std::string endpoint, std::uint64_t token)
+{
+    PromotionRequest request;
+    request.service = service->name();
+    request.endpoint = endpoint;
+    request.holder = m_settings.host;
+    request.token = token;
+    auto& progress = m_progress[service->name()];
+    progress.notBefore = BootClock::now() + attemptInterval;
+    const auto outcome = co_await m_call->promote(request, promoteTimeout);
+    m_metrics.promotionCompleted(promotionOutcomeName(outcome));
+    EventLog::info("promotion", { { "service", service->name() }, { "endpoint", endpoint }, { "token", token }, { "outcome", promotionOutcomeName(outcome) } });
+    if (outcome == PromotionOutcome::NotDone || outcome == PromotionOutcome::Refused)
+        progress.notBefore = BootClock::now() + retryDelay;
+    co_return outcome == PromotionOutcome::Accepted;
+}
+
+Task<bool> PromotionController::isLostForPeers(std::shared_ptr<DatabaseService> service, std::string lost, PeerOpinion& opinion)
+{
+    const auto peerReports = co_await m_peers.queryPeersAboutPrimary(service->name(), lost);
+    const auto answered = std::ranges::count_if(peerReports, &PeerReport::answered);
+    const auto seeing = std::ranges::count_if(peerReports, &PeerReport::reachesPrimary);
+    const bool isLost = isPrimaryLost(peerReports, true);
+    opinion.mayReuseToken = answered > 0 || peerReports.empty();
+    opinion.isSeenByNone = seeing == 0;
+    EventLog::info("primary_suspected", { { "service", service->name() }, { "endpoint", lost }, { "silence_ms", service->primary() ? toMs(BootClock::now() - service->primary()->lastAnswer) : -1 }, { "peers_asked", peerReports.size() }, { "peers_answered", answered }, { "peers_seeing_it", seeing }, { "lost", isLost } });
+    co_return isLost;
 }
 
 Task<void> PromotionController::replace(std::shared_ptr<DatabaseService> service, ReplacementReason reason)
@@ -273,56 +294,127 @@
     co_await sleepFor(m_io, randomDelay(milliseconds(0), maxStartJitter));
     if (replacementReason(*service) != reason || service->lastPrimary() != lost)
         co_return;
-    // A host that reaches neither the store nor a peer may be partitioned itself, so it must not reuse its token.
-    bool mayReuseToken = true;
-    if (reason == ReplacementReason::Lost) {
-        const auto peerReports = co_await m_peers.queryPeersAboutPrimary(service->name(), lost);
-        const auto answered = std::ranges::count_if(peerReports, &PeerReport::answered);
-        const auto seeing = std::ranges::count_if(peerReports, &PeerReport::reachesPrimary);
-        const bool isLost = isPrimaryLost(peerReports, true);
-        mayReuseToken = answered > 0 || peerReports.empty();
-        EventLog::info("primary_suspected", { { "service", service->name() }, { "endpoint", lost }, { "silence_ms", service->primary() ? toMs(BootClock::now() - service->primary()->lastAnswer) : -1 }, { "peers_asked", peerReports.size() }, { "peers_answered", answered }, { "peers_seeing_it", seeing }, { "lost", isLost } });
-        if (!isLost)
-            co_return;
+    if (reason == ReplacementReason::Leaving)
+        co_await replaceLeaving(service, lost);
+    else if (reason == ReplacementReason::Lost)
+        co_await replaceLost(service, lost);
+    else
+        co_await resumeMembers(service);
+}
+
+Task<void> PromotionController::replaceLeaving(std::shared_ptr<DatabaseService> service, std::string lost)
+{
+    const auto answered = co_await m_survey.askAll(service, lost);
+    if (co_await findOtherPrimary(service, answered))
+        co_return;
+    const auto successor = chooseSuccessor(answered);
+    if (!successor || replacementReason(*service) != ReplacementReason::Leaving) {
+        EventLog::info("promotion_dropped", { { "service", service->name() }, { "reason", successor ? "no longer needed" : "no endpoint that stays answers" }, { "answered", answered.size() } });
+        co_return;
     }
+    const auto decidedAt = BootClock::now();
+    const auto token = co_await takeToken(service->name(), lost, successor->id, true);
+    if (!token)
+        co_return;
+    const auto chosen = co_await handOver(service, *successor);
+    if (!chosen || isTooOld(*service, decidedAt, decisionLifetime + catchUpTimeout))
+        co_return;
+    EventLog::info("promotion_chosen", { { "service", service->name() }, { "lost", lost }, { "endpoint", chosen->id }, { "received", fmt::format("{}.{}", chosen->received.term, chosen->received.position) }, { "planned", true }, { "draining", chosen->isDraining } });
+    co_await order(service, chosen->id, *token);
+}
+
+Task<void> PromotionController::replaceLost(std::shared_ptr<DatabaseService> service, std::string lost)
+{
+    auto& progress = m_progress[service->name()];
+    PeerOpinion opinion;
+    const bool isLost = co_await isLostForPeers(service, lost, opinion);
+    if (!isLost)
+        co_return;
     const std::string except = service->primary() ? lost : "";
-    const auto found = co_await queryStatuses(service, except);
-    for (const auto& status : found) {
-        if (status.isPrimary && !status.isDraining) {
-            co_await service->probe(service->find(status.id));
-            co_return;
-        }
+    auto answered = co_await m_survey.askAll(service, except);
+    if (co_await findOtherPrimary(service, answered))
+        co_return;
+    const auto situation = situationOf(*service, answered);
+    auto choice = previewPromotionCandidate(situation);
+    if (!choice.candidate) {
+        recordBlock(*service, situation, choice.block);
+        co_return;
     }
-    const auto known = std::ranges::count_if(service->endpoints(), [](const auto& item) { return !item.second->missingSince; });
-    const auto candidate = choosePromotionCandidate(found, static_cast<std::size_t>(known));
-    if (!candidate || replacementReason(*service) != reason) {
-        EventLog::info("promotion_dropped", { { "service", service->name() }, { "reason", candidate ? "no longer needed" : "too few endpoints answer" }, { "answered", found.size() }, { "known", known } });
+    if (replacementReason(*service) != ReplacementReason::Lost) {
+        EventLog::info("promotion_dropped", { { "service", service->name() }, { "reason", "no longer needed" } });
         co_return;
     }
-    const auto decidedAt = BootClock::now();
-    const auto token = co_await takeToken(service->name(), lost, candidate->id, mayReuseToken);
+    auto decidedAt = BootClock::now();
+    const auto token = co_await takeToken(service->name(), lost, choice.candidate->id, opinion.mayReuseToken);
     if (!token)
         co_return;
-    if (reason == ReplacementReason::Leaving) {
-        const bool isReady = co_await handOver(service, *candidate);
-        if (!isReady)
+    if (service->syncReplicas() > 0) {
+        progress.stoppedFor = lost;
+        for (const auto& status : answered)
+            progress.stoppedMembers.insert(status.id);
+        decidedAt = BootClock::now();
+        answered = co_await m_survey.stopAll(service, std::move(answered), opinion.isSeenByNone);
+        if (co_await findOtherPrimary(service, answered))
             co_return;
+        const auto stopped = situationOf(*service, answered);
+        choice = choosePromotionCandidate(stopped);
+        if (!choice.candidate) {
+            recordBlock(*service, stopped, choice.block);
+            co_return;
+        }
     }
-    if (BootClock::now() - decidedAt > decisionLifetime + (reason == ReplacementReason::Leaving ? catchUpTimeout : milliseconds(0))) {
-        EventLog::warn("promotion_dropped", { { "service", service->name() }, { "reason", "the decision is too old" }, { "age_ms", toMs(BootClock::now() - decidedAt) } });
+    if (isTooOld(*service, decidedAt, decisionLifetime))
+        co_return;
+    const auto& chosen = *choice.candidate;
+    EventLog::info("promotion_chosen", { { "service", service->name() }, { "lost", lost }, { "endpoint", chosen.id }, { "received", fmt::format("{}.{}", chosen.received.term, chosen.received.position) }, { "planned", false }, { "draining", chosen.isDraining }, { "answered", answered.size() }, { "members", situation.members }, { "synchronous", situation.syncReplicas } });
+    co_await order(service, chosen.id, *token);
+}
+
+bool PromotionController::isTooOld(const DatabaseService& service, BootTime decidedAt, milliseconds lifetime)
+{
+    const auto age = BootClock::now() - decidedAt;
+    if (age <= lifetime)
+        return false;
+    EventLog::warn("promotion_dropped", { { "service", service.name() }, { "reason", "the decision is too old" }, { "age_ms", toMs(age) } });
+    return true;
+}
+
+Task<bool> PromotionController::findOtherPrimary(std::shared_ptr<DatabaseService> service, std::vector<EndpointStatus> answered)
+{
+    const auto it = std::ranges::find_if(answered, [](const EndpointStatus& status) { return status.isPrimary; });
+    if (it == answered.end())
+        co_return false;
+    EventLog::info("promotion_dropped", { { "service", service->name() }, { "reason", "another endpoint is primary" }, { "endpoint", it->id }, { "term", it->term } });
+    if (const auto endpoint = service->find(it->id))
+        co_await service->probe(endpoint);
+    co_return true;
+}
+
+Task<void> PromotionController::resumeMembers(std::shared_ptr<DatabaseService> service)
+{
+    auto& progress = m_progress[service->name()];
+    progress.notBefore = BootClock::now() + resumeInterval;
+    const auto primary = service->primary();
+    const auto command = WireDialect::status();
+    const auto leading = co_await m_survey.ask(service, primary, command);
+    if (!leading.status || !leading.status->isPrimary)
+        co_return;
+    const auto token = co_await takeToken(service->name(), "", primary->entry.id, false);
+    if (!token)
+        co_return;
+    // Promoting the present primary changes nothing, but a call with an older token is refused from then on. Without it, a
+    // promotion that was decided while the endpoints were stopped could still be carried out after they have resumed.
+    const bool isFenced = co_await order(service, primary->entry.id, *token);
+    progress.notBefore = BootClock::now() + resumeInterval;
+    if (!isFenced)
         co_return;
+    std::set<std::string> ids;
+    for (const auto& [id, endpoint] : service->endpoints()) {
+        if (id != primary->entry.id)
+            ids.insert(id);
     }
-    PromotionRequest order;
-    order.service = service->name();
-    order.endpoint = candidate->id;
-    order.holder = m_settings.host;
-    order.token = *token;
-    progress.notBefore = BootClock::now() + attemptInterval;
-    const auto outcome = co_await m_call->promote(order, promoteTimeout);
-    m_metrics.promotionCompleted(promotionOutcomeName(outcome));
-    EventLog::info("promotion", { { "service", service->name() }, { "lost", lost }, { "endpoint", candidate->id }, { "received", fmt::format("{}.{}", candidate->received.term, candidate->received.position) }, { "token", *token }, { "planned", reason == ReplacementReason::Leaving }, { "outcome", promotionOutcomeName(outcome) } });
-    if (outcome == PromotionOutcome::NotDone || outcome == PromotionOutcome::Refused)
-        progress.notBefore = BootClock::now() + retryDelay;
+    if (co_await m_survey.resumeAll(service, std::move(ids)))
+        progress.stoppedMembers.clear();
 }
 
 } // namespace kumquatbank
--- a/packages/pooler/src/PromotionController.h
+++ b/packages/pooler/src/PromotionController.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "HostDirectory.h"
+#include "MemberSurvey.h"
 #include "PeerService.h"
 #include "PromotionDecision.h"
 #include "kumquatbank/adapter/PromotionClient.h"
@@ -29,6 +30,8 @@
         std::uint64_t newestToken = 0; ///< Newest token read or obtained by this run; 0 if none.
         StoreRevision peerDecisionRevision; ///< Store revision of the last decision read from the store.
         BootTime peerDecisionSeenAt {};
+        std::set<std::string> stoppedMembers; ///< Endpoints that this run has stopped and that no promotion has let go on since.
+        std::string stoppedFor; ///< The lost primary for whose replacement they were stopped.
     };
 
     /// Why a primary has to be replaced.
@@ -36,15 +39,40 @@
         None,
         Lost, ///< It does not answer, or no endpoint is primary.
         Leaving,
+        Stopped, ///< It stays, but endpoints were stopped for a promotion that has not been carried out.
+    };
+
+    /// What the peers' reports about a lost primary allow.
+    struct PeerOpinion {
+        /// A host that reaches neither the store nor a peer may be partitioned itself, so it must not reuse its token.
+        bool mayReuseToken = true;
+        bool isSeenByNone = true; ///< No peer that answered reaches the primary.
     };
 
     Task<void> supervise();
     ReplacementReason replacementReason(const DatabaseService& service) const;
     Task<void> replace(std::shared_ptr<DatabaseService> service, ReplacementReason reason);
     Task<void> runReplacement(std::shared_ptr<DatabaseService> service, ReplacementReason reason);
-    Task<std::vector<EndpointStatus>> queryStatuses(std::shared_ptr<DatabaseService> service, std::string except);
-    Task<std::optional<EndpointStatus>> queryStatus(std::shared_ptr<DatabaseService> service, std::shared_ptr<Endpoint> endpoint, std::string command);
-    Task<bool> handOver(std::shared_ptr<DatabaseService> service, EndpointStatus candidate);
+    /// Chooses a successor of a leaving primary and hands over to it.
+    Task<void> replaceLeaving(std::shared_ptr<DatabaseService> service, std::string lost);
+    /// Chooses an endpoint that has every acknowledged commit of a lost primary, and promotes it.
+    Task<void> replaceLost(std::shared_ptr<DatabaseService> service, std::string lost);
+    /// Rules out a promotion that has not been carried out yet, and lets the endpoints that were stopped for it resume.
+    Task<void> resumeMembers(std::shared_ptr<DatabaseService> service);
+    bool hasStoppedMembers(const DatabaseService& service) const;
+    /// Demotes the primary and waits until the successor has its whole log. Returns the endpoint to be promoted: the
+    /// successor, or the former primary if the successor does not catch up; empty if the primary goes on.
+    Task<std::optional<EndpointStatus>> handOver(std::shared_ptr<DatabaseService> service, EndpointStatus successor);
+    /// Returns false if too many peers reach the primary.
+    Task<bool> isLostForPeers(std::shared_ptr<DatabaseService> service, std::string lost, PeerOpinion& opinion);
+    /// Returns true if one of the endpoints is primary already; it is then recorded.
+    Task<bool> findOtherPrimary(std::shared_ptr<DatabaseService> service, std::vector<EndpointStatus> answered);
+    static PromotionSituation situationOf(const DatabaseService& service, std::vector<EndpointStatus> answered);
+    static void recordBlock(DatabaseService& service, const PromotionSituation& situation, PromotionBlock block);
+    /// True if this process was paused for so long since the decision that it may no longer hold.
+    static bool isTooOld(const DatabaseService& service, BootTime decidedAt, std::chrono::milliseconds lifetime);
+    /// Calls the platform. Returns true if the call was accepted.
+    Task<bool> order(std::shared_ptr<DatabaseService> service, std::string endpoint, std::uint64_t token);
     /// True if another host's decision has to be waited for, because it may not have taken effect yet.
     bool leavesToPeer(const std::string& service, const PromotionDecision& decision, StoreRevision revision, const std::string& lost);
     /// The token that this run holds, for use while the store does not answer.
@@ -57,6 +85,7 @@
     ServiceRegistry& m_registry;
     PeerService& m_peers;
     PoolerMetrics& m_metrics;
+    MemberSurvey m_survey;
     std::shared_ptr<PromotionClient> m_call;
     std::map<std::string, ServiceProgress> m_progress;
     BootTime m_pausedUntil {};
--- a/packages/pooler/src/ServiceRegistry.cpp
+++ b/packages/pooler/src/ServiceRegistry.cpp
@@ -14,8 +14,10 @@
 std::shared_ptr<DatabaseService> ServiceRegistry::findOrCreate(const std::string& service)
 {
     auto& databaseService = m_services[service];
-    if (!databaseService)
-        databaseService = std::make_shared<DatabaseService>(m_io, service, m_hostName, m_metrics, m_borrower);
+    if (databaseService)
+        return databaseService;
+    databaseService = std::make_shared<DatabaseService>(m_io, service, m_hostName, m_metrics, m_borrower);
+    databaseService->setEndpointTimes(m_drainTime, m_memberRetention);
     return databaseService;
 }
 
@@ -41,7 +43,7 @@
         findOrCreate(name)->setLimits(limits, m_hosts, m_lenders);
 }
 
-void ServiceRegistry::setEndpoints(std::map<std::string, EndpointEntry> entries, bool isComplete)
+void ServiceRegistry::setEndpoints(std::map<std::string, EndpointEntry> entries, bool isComplete, BootTime previousAnswerAt)
 {
     m_hasEndpoints = true;
     m_entries = std::move(entries);
@@ -51,10 +53,18 @@
     for (const auto& [name, list] : byService)
         findOrCreate(name);
     for (const auto& [name, service] : m_services)
-        service->setEntries(byService[name], isComplete);
+        service->setEntries(byService[name], isComplete, previousAnswerAt);
     refreshLimits();
 }
 
+void ServiceRegistry::setEndpointTimes(std::chrono::milliseconds drainTime, std::chrono::milliseconds memberRetention)
+{
+    m_drainTime = drainTime;
+    m_memberRetention = memberRetention;
+    for (const auto& [name, service] : m_services)
+        service->setEndpointTimes(drainTime, memberRetention);
+}
+
 void ServiceRegistry::setBorrower(ConnectionBorrower& borrower)
 {
     m_borrower = &borrower;
--- a/packages/pooler/src/ServiceRegistry.h
+++ b/packages/pooler/src/ServiceRegistry.h
@@ -14,7 +14,10 @@
     std::shared_ptr<const RoutingConfig> config() const { return m_config; }
     BootTime configActiveSince() const { return m_configActiveSince; }
 
-    void setEndpoints(std::map<std::string, EndpointEntry> entries, bool isComplete);
+    /// @p previousAnswerAt: time of the answer that showed the entries before this change.
+    void setEndpoints(std::map<std::string, EndpointEntry> entries, bool isComplete, BootTime previousAnswerAt);
+    /// Passes the times on to all services, also to those that become known later.
+    void setEndpointTimes(std::chrono::milliseconds drainTime, std::chrono::milliseconds memberRetention);
     const std::map<std::string, EndpointEntry>& endpoints() const { return m_entries; }
     bool hasEndpoints() const { return m_hasEndpoints; }
 
@@ -44,6 +47,8 @@
     int m_hosts = ConnectionSharing::unknownHostCount;
     int m_lenders = 0;
     ConnectionBorrower* m_borrower = nullptr;
+    std::chrono::milliseconds m_drainTime { 0 };
+    std::chrono::milliseconds m_memberRetention { 0 };
     std::map<std::string, std::shared_ptr<DatabaseService>> m_services;
     std::vector<std::shared_ptr<AutoResetEvent>> m_configWaiters;
 };
--- a/packages/pooler/src/StatementRunner.cpp
+++ b/packages/pooler/src/StatementRunner.cpp
@@ -152,6 +152,8 @@
     auto exchange = co_await exchangeStatement(lease, m_context.state(), id, statement, answer.floor, isPrimaryRead, attemptUntil);
     if (!exchange.wasSent())
         co_return refuseAttempt(lease, excluded, answer);
+    if (writes)
+        service.recordCommitAnswer(exchange.status != ExchangeStatus::TimedOut, exchange.sentAt);
     if (exchange.status != ExchangeStatus::Ok) {
         if (writes) {
             answer.setError(exchange.status == ExchangeStatus::TimedOut ? ErrorCode::Timeout : ErrorCode::InDoubt, "the write was sent and its answer was lost");
--- a/packages/pooler/src/StoreSync.cpp
+++ b/packages/pooler/src/StoreSync.cpp
@@ -65,6 +65,7 @@
         return;
     }
     m_peerUpdateRequestedAt = requestedAt;
+    m_entriesKnownAt = std::max(m_entriesKnownAt, requestedAt - peerSilence);
     for (auto* cursor : { &m_config, &m_endpoints }) {
         cursor->lastAnswer = std::max(cursor->lastAnswer, requestedAt - peerSilence);
         cursor->failures = 0;
@@ -138,6 +139,8 @@
     cursor.isPopulated = true;
     applyListing(cursor, listing.objects, listing.revision);
     publishEndpoints(cursor);
+    if (&cursor == &m_endpoints)
+        m_entriesKnownAt = cursor.lastAnswer;
     co_return true;
 }
 
@@ -172,6 +175,8 @@
         applyChange(cursor, change);
     if (!changes.changes.empty() || &cursor == &m_endpoints)
         publishEndpoints(cursor);
+    if (&cursor == &m_endpoints)
+        m_entriesKnownAt = now;
     if (isBurst)
         co_await sleepFor(m_io, batchInterval);
     co_return true;
@@ -291,7 +296,7 @@
 void StoreSync::publishEndpoints(const Cursor& cursor)
 {
     if (&cursor == &m_endpoints && cursor.isPopulated)
-        m_registry.setEndpoints(m_table.entries(), !cursor.isLost);
+        m_registry.setEndpoints(m_table.entries(), !cursor.isLost, m_entriesKnownAt);
 }
 
 } // namespace kumquatbank
--- a/packages/pooler/src/StoreSync.h
+++ b/packages/pooler/src/StoreSync.h
@@ -84,6 +84,7 @@
     Role m_role = Role::Unknown;
     BootTime m_peerUpdateRequestedAt {}; ///< When the last valid update was requested from a follower.
     EndpointTable m_table;
+    BootTime m_entriesKnownAt {}; ///< The entries were those of the store at this time.
     StoreRevision m_entriesRevision; ///< Revision at which the entries last changed.
     nlohmann::json m_configContent;
 };
--- a/packages/pooler/src/TransactionRunner.cpp
+++ b/packages/pooler/src/TransactionRunner.cpp
@@ -195,6 +195,8 @@
     StatementExchange exchange;
     if (co_await replaySession(lease, m_context.state(), until) == ExchangeStatus::Ok)
         exchange = co_await exchangeStatement(lease, m_context.state(), id, statement, std::nullopt, false, until);
+    if (exchange.wasSent() && hasWritten)
+        lease.service().recordCommitAnswer(exchange.status != ExchangeStatus::TimedOut, exchange.sentAt);
     if (exchange.status != ExchangeStatus::Ok) {
         if (exchange.wasSent() && hasWritten)
             answer.setError(exchange.status == ExchangeStatus::TimedOut ? ErrorCode::Timeout : ErrorCode::InDoubt, "COMMIT was sent and its answer was lost");
--- a/packages/pooler/tests/DatabaseServiceTest.cpp
+++ b/packages/pooler/tests/DatabaseServiceTest.cpp
@@ -49,8 +49,8 @@
     entry.id = "i-1";
     entry.service = "service";
     entry.address = address;
-    service->setEntries({ entry }, true);
-    service->setEntries({}, true);
+    service->setEntries({ entry }, true, BootClock::now());
+    service->setEntries({}, true, BootClock::now());
     asio::co_spawn(
         io, [&]() -> Task<void> {
             co_await sleepFor(io, beforeRemoval);
--- a/packages/pooler/tests/PoolerFixture.cpp
+++ b/packages/pooler/tests/PoolerFixture.cpp
@@ -70,12 +70,13 @@
     co_return co_await receive();
 }
 
-PoolerFixture::PoolerFixture(EmulatedPlatform::Shape shape, int hosts, int dataCentres, bool lends, int regions)
+PoolerFixture::PoolerFixture(EmulatedPlatform::Shape shape, int hosts, int dataCentres, bool lends, int regions, std::function<void(PoolerSettings&)> adjust)
     : m_io(new asio::io_context(1))
     , m_ip(nextIp())
     , m_dataCentres(dataCentres)
     , m_lends(lends)
     , m_regions(regions)
+    , m_adjust(std::move(adjust))
 {
     shape.ip = m_ip;
     shape.basePort = platformPort;
@@ -122,6 +123,8 @@
     settings.grace = std::chrono::seconds(3);
     settings.logLinesPerSecond = 0;
     settings.failureLinesPerSecond = 0;
+    if (m_adjust)
+        m_adjust(settings);
     m_processes.push_back(new PoolerProcess(*m_io, settings, ""));
     m_processes.back()->start();
 }
--- a/packages/pooler/tests/PoolerFixture.h
+++ b/packages/pooler/tests/PoolerFixture.h
@@ -45,8 +45,8 @@
 class PoolerFixture {
 public:
     /// Host n is in data centre n modulo @p dataCentres, and in region n modulo @p regions. @p lends: whether hosts
-    /// lend each other connections.
-    explicit PoolerFixture(EmulatedPlatform::Shape shape = {}, int hosts = 1, int dataCentres = 3, bool lends = true, int regions = 1);
+    /// lend each other connections. @p adjust: changes the settings of each host before its start.
+    explicit PoolerFixture(EmulatedPlatform::Shape shape = {}, int hosts = 1, int dataCentres = 3, bool lends = true, int regions = 1, std::function<void(PoolerSettings&)> adjust = {});
 
     /// Region of a host.
     std::string region(int host) const;
@@ -86,6 +86,7 @@
     int m_dataCentres;
     bool m_lends;
     int m_regions;
+    std::function<void(PoolerSettings&)> m_adjust;
     EmulatedPlatform* m_platform;
     std::vector<PoolerProcess*> m_processes;
 };
--- a/packages/pooler/tests/PromotionTest.cpp
+++ b/packages/pooler/tests/PromotionTest.cpp
@@ -23,6 +23,102 @@
     }
 }
 
+/// A service whose commits are acknowledged once a replica has received them.
+EmulatedPlatform::Shape synchronousShape()
+{
+    EmulatedPlatform::Shape shape;
+    shape.syncReplicas = 1;
+    return shape;
+}
+
+/// Lets a test wait a second instead of ten until a host knows the members of a service.
+void shortenRetention(PoolerSettings& settings) { settings.memberRetention = milliseconds(1000); }
+
+/// Clients that write through hosts until stop(), and the statements that were acknowledged to them.
+class Writers {
+public:
+    Writers(PoolerFixture& fixture, std::vector<int> hosts)
+        : m_fixture(fixture)
+    {
+        for (const int host : hosts)
+            asio::co_spawn(fixture.io(), write(host), asio::detached);
+        m_running = static_cast<int>(hosts.size());
+    }
+
+    Task<void> stop()
+    {
+        m_isStopping = true;
+        while (m_running > 0)
+            co_await m_fixture.sleep(milliseconds(10));
+    }
+
+    std::size_t acknowledged() const { return m_acknowledged.size(); }
+
+    /// Fails the test if the log of the present primary lacks an acknowledged write.
+    void checkNoneLost() const
+    {
+        const auto& kept = m_fixture.platform().service(0).survivingCommits();
+        for (const auto& id : m_acknowledged)
+            CHECK_TRUE_TEXT(std::ranges::find(kept, id, &LoggedCommit::statementId) != kept.end(), ("acknowledged write " + id + " was lost").c_str());
+    }
+
+private:
+    Task<void> write(int host)
+    {
+        for (int n = 0; n < maxWrites && !m_isStopping; ++n) {
+            TestClient client(m_fixture.io());
+            const auto started = co_await client.start(m_fixture.clientAddress(host), primaryDb);
+            while (!m_isStopping && !started.ready.empty()) {
+                const auto text = fmt::format("WRITE item-{} x", host);
+                const auto answer = co_await client.query(text);
+                if (answer.isSuccess())
+                    m_acknowledged.push_back(client.lastId());
+                if (answer.ready.empty())
+                    break;
+                co_await m_fixture.sleep(milliseconds(5));
+            }
+            co_await m_fixture.sleep(milliseconds(20));
+        }
+        --m_running;
+    }
+
+    PoolerFixture& m_fixture;
+    std::vector<std::string> m_acknowledged;
+    bool m_isStopping = false;
+    int m_running = 0;
+};
+
+/// The primary crashes while one replica receives nothing and the other one is about to leave.
+void crashBesideDeafAndLeavingReplica(bool refusesPause)
+{
+    PoolerFixture fixture(synchronousShape(), 3, 3, true, 1, shortenRetention);
+    for (int n = 0; n < 3; ++n)
+        fixture.platform().database(0, n).behaviour().refusesPause = refusesPause;
+    fixture.run([](PoolerFixture& f) -> Task<void> {
+        co_await f.sleep(milliseconds(1700));
+        Writers writers(f, { 0, 1, 2 });
+        f.platform().announce(f.platform().database(0, 2), true);
+        co_await f.sleep(milliseconds(300));
+        f.platform().service(0).log("i-0-1").isDeaf = true;
+        co_await f.sleep(milliseconds(500));
+        CHECK_TRUE(writers.acknowledged() > 20);
+        f.platform().primary(0).crash();
+        while (f.platform().service(0).primary().empty())
+            co_await f.sleep(milliseconds(20));
+        STRCMP_EQUAL("i-0-2", f.platform().service(0).primary().c_str());
+        // Once the other replica has caught up, the leaving one hands over to it.
+        f.platform().service(0).log("i-0-1").isDeaf = false;
+        f.platform().service(0).catchUp("i-0-1");
+        while (f.platform().service(0).primary() != "i-0-1")
+            co_await f.sleep(milliseconds(20));
+        co_await f.writeUntilSuccess(primaryDb, "WRITE other after");
+        co_await writers.stop();
+        writers.checkNoneLost();
+    }(fixture));
+    LONGS_EQUAL(0, fixture.platform().violations().size());
+    checkTokens(fixture.platform());
+}
+
 } // namespace
 
 TEST_GROUP(Promotion) {};
@@ -202,3 +298,135 @@
         STRCMP_EQUAL("i-0-2", f.platform().service(0).primary().c_str());
     }(fixture));
 }
+
+// Guards against the promotion of a replica that stays but lacks acknowledged commits, in place of a leaving one that has
+// them.
+TEST(Promotion, ALeavingReplicaThatHasTheAcknowledgedCommitsIsPromoted) { crashBesideDeafAndLeavingReplica(false); }
+
+TEST(Promotion, ALeavingReplicaIsPromotedWhereReplicasCannotBeStopped) { crashBesideDeafAndLeavingReplica(true); }
+
+// Guards against the promotion of the replica that answers, while the silent one holds the newest acknowledged commits.
+TEST(Promotion, NoReplicaIsPromotedWhileAnotherMayHaveNewerCommits)
+{
+    PoolerFixture fixture(synchronousShape(), 3, 3, true, 1, shortenRetention);
+    fixture.run([](PoolerFixture& f) -> Task<void> {
+        co_await f.sleep(milliseconds(1700));
+        Writers writers(f, { 0, 1, 2 });
+        f.platform().service(0).log("i-0-1").isDeaf = true;
+        co_await f.sleep(milliseconds(500));
+        f.platform().database(0, 2).behaviour().isSilent = true;
+        f.platform().primary(0).crash();
+        co_await f.sleep(milliseconds(4000));
+        LONGS_EQUAL(0, f.platform().promotions().size());
+        // Requests that cannot be served are refused at once, with the time to come back.
+        TestClient client(f.io());
+        co_await client.start(f.clientAddress(0), primaryDb);
+        const auto from = BootClock::now();
+        const auto refused = co_await client.query("WRITE item x");
+        STRCMP_EQUAL("BUSY", refused.code().c_str());
+        CHECK_TRUE(refused.result.find("retry after") != std::string::npos);
+        CHECK_TRUE(BootClock::now() - from < milliseconds(100));
+        f.platform().database(0, 2).behaviour().isSilent = false;
+        while (f.platform().service(0).primary().empty())
+            co_await f.sleep(milliseconds(20));
+        f.platform().service(0).log("i-0-1").isDeaf = false;
+        co_await f.writeUntilSuccess(primaryDb, "WRITE other after");
+        co_await writers.stop();
+        writers.checkNoneLost();
+    }(fixture));
+    STRCMP_EQUAL("i-0-2", fixture.platform().service(0).primary().c_str());
+    LONGS_EQUAL(0, fixture.platform().violations().size());
+}
+
+// Guards against commits that a primary, which is cut off from most hosts, acknowledges to the others until it is replaced.
+TEST(Promotion, APrimaryThatAFewHostsReachLosesNoAcknowledgedCommit)
+{
+    for (const bool refusesPause : { false, true }) {
+        PoolerFixture fixture(synchronousShape(), 5, 3, false, 3, shortenRetention);
+        for (int n = 0; n < 3; ++n)
+            fixture.platform().database(0, n).behaviour().refusesPause = refusesPause;
+        fixture.run([](PoolerFixture& f, bool isReplaced) -> Task<void> {
+            co_await f.sleep(milliseconds(1700));
+            Writers writers(f, { 0, 3, 4 });
+            co_await f.sleep(milliseconds(300));
+            f.platform().primary(0).behaviour().unheardHosts = { "host-0", "host-1", "host-2" };
+            co_await f.sleep(milliseconds(4000));
+            // Where replicas cannot be stopped, nothing stops the primary either.
+            CHECK_EQUAL(isReplaced, f.platform().service(0).primary() != "i-0-0");
+            f.platform().database(0, 0).behaviour().unheardHosts.clear();
+            co_await f.writeUntilSuccess(primaryDb, "WRITE other after");
+            co_await writers.stop();
+            writers.checkNoneLost();
+        }(fixture, !refusesPause));
+        LONGS_EQUAL(0, fixture.platform().violations().size());
+    }
+}
+
+// Guards against a service whose writes wait forever: the host that stopped its replicas ended before the promotion, and
+// the primary is back.
+TEST(Promotion, StoppedReplicasResumeIfThePrimaryStays)
+{
+    PoolerFixture fixture(synchronousShape(), 2, 3, true, 1, shortenRetention);
+    fixture.run([](PoolerFixture& f) -> Task<void> {
+        co_await f.writeUntilSuccess(primaryDb, "WRITE item before");
+        f.platform().service(0).log("i-0-1").isPaused = true;
+        f.platform().service(0).log("i-0-2").isPaused = true;
+        co_await f.writeUntilSuccess(primaryDb, "WRITE item after");
+    }(fixture),
+        std::chrono::seconds(30));
+    STRCMP_EQUAL("i-0-0", fixture.platform().service(0).primary().c_str());
+    CHECK_FALSE(fixture.platform().service(0).log("i-0-1").isPaused);
+    // The call that rules out older promotions names the present primary.
+    CHECK_TRUE(fixture.platform().promotions().size() >= 1);
+    CHECK_TRUE(std::ranges::all_of(fixture.platform().promotions(), [](const OrderedPromotion& order) { return order.endpoint == "i-0-0"; }));
+    checkTokens(fixture.platform());
+}
+
+// Guards against a planned change that promotes a successor without the last commits: it stops receiving just before.
+TEST(Promotion, AHandOverToASuccessorThatDoesNotCatchUpIsTakenBack)
+{
+    PoolerFixture fixture({}, 2);
+    fixture.run([](PoolerFixture& f) -> Task<void> {
+        co_await f.sleep(milliseconds(1700));
+        Writers writers(f, { 0 });
+        co_await f.sleep(milliseconds(300));
+        for (const auto* id : { "i-0-1", "i-0-2" })
+            f.platform().service(0).log(id).isDeaf = true;
+        f.platform().announce(f.platform().primary(0), true);
+        co_await f.sleep(milliseconds(2500));
+        for (const auto* id : { "i-0-1", "i-0-2" }) {
+            f.platform().service(0).log(id).isDeaf = false;
+            f.platform().service(0).catchUp(id);
+        }
+        while (f.platform().service(0).primary() == "i-0-0" || f.platform().service(0).primary().empty())
+            co_await f.sleep(milliseconds(20));
+        co_await f.writeUntilSuccess(primaryDb, "WRITE other after");
+        co_await writers.stop();
+        writers.checkNoneLost();
+    }(fixture));
+    checkTokens(fixture.platform());
+}
+
+// Guards against requests at a leaving database after its time to serve, when it is the only one that answers.
+TEST(Promotion, ALeavingDatabaseServesNoLongerThanItsTime)
+{
+    PoolerFixture fixture({}, 2, 3, true, 1, [](PoolerSettings& settings) { settings.databaseDrainTime = milliseconds(4000); });
+    fixture.run([](PoolerFixture& f) -> Task<void> {
+        co_await f.sleep(milliseconds(1700));
+        f.platform().database(0, 1).crash();
+        f.platform().database(0, 2).crash();
+        f.platform().announce(f.platform().primary(0), true);
+        const auto from = BootClock::now();
+        co_await f.writeUntilSuccess(primaryDb, "WRITE item in-time");
+        while (BootClock::now() - from < milliseconds(4000))
+            co_await f.sleep(milliseconds(50));
+        const auto clientStatements = [&] { return std::ranges::count_if(f.platform().ran(), [](const RanStatement& ran) { return ran.id != "-"; }); };
+        const auto before = clientStatements();
+        TestClient client(f.io());
+        co_await client.start(f.clientAddress(0), primaryDb);
+        const auto refused = co_await client.query("WRITE item late");
+        STRCMP_EQUAL("BUSY", refused.code().c_str());
+        co_await f.sleep(milliseconds(1500));
+        LONGS_EQUAL(before, clientStatements());
+    }(fixture));
+}
--- a/scripts/pooler_fleet.sh
+++ b/scripts/pooler_fleet.sh
@@ -2,6 +2,7 @@
 # Sourced by demo.sh, pooler_soak.sh and measure_pooler.sh. Every process is ended by its id.
 
 bin=${KUMQUATBANK_BIN:-$PWD/build}
+# KUMQUATBANK_PROXY: another build of the proxy, for comparisons.
 pooler_dir=$(mktemp -d)
 # An address of its own, so that fleets can run beside each other.
 pooler_ip=127.77.$(($$ / 250 % 250)).$(($$ % 250 + 1))
@@ -29,7 +30,7 @@
   "promotionAddress": "$pooler_ip:$((emulator_port + 1 + fault_offset))",
   "graceSeconds": 4 }
 SETTINGS
-    "$bin/apps/kumquatbank-pooler" --settings "$pooler_dir/host-$1.json" >>"$pooler_dir/host-$1.log" 2>&1 &
+    "${KUMQUATBANK_PROXY:-$bin/apps/kumquatbank-pooler}" --settings "$pooler_dir/host-$1.json" >>"$pooler_dir/host-$1.log" 2>&1 &
     pooler_pids[$1]=$!
     # Before it handles signals, the child is still the shell with its exit trap, or a program that a SIGHUP ends.
     until ! kill -0 $! 2>/dev/null || handles_hangup $!; do sleep 0.01; done
--- a/tools/emulator/EmulatedDatabase.cpp
+++ b/tools/emulator/EmulatedDatabase.cpp
@@ -7,6 +7,7 @@
 namespace {
 
     constexpr std::chrono::seconds slotWait { 5 };
+    constexpr std::chrono::milliseconds confirmationCheckInterval { 1 };
 
     std::string_view takeWord(std::string_view& rest)
     {
@@ -66,7 +67,9 @@
 {
     listen();
     m_service->log(m_entry.id).isDeaf = false;
+    m_service->log(m_entry.id).isPaused = false;
     m_service->catchUp(m_entry.id);
+    m_service->regainLead(m_entry.id);
 }
 
 void EmulatedDatabase::crash()
@@ -76,7 +79,7 @@
     for (const auto& session : m_sessions)
         session->channel.close();
     if (m_service->isPrimary(m_entry.id))
-        m_service->demote();
+        m_service->loseLead();
     m_service->log(m_entry.id).isDeaf = true;
 }
 
@@ -160,9 +163,39 @@
             m_service->demote();
         return statusRow();
     }
+    if ((word == "PAUSE" || word == "RESUME") && m_behaviour.refusesPause)
+        return refuse(session, "READONLY");
+    if (word == "PAUSE") {
+        const auto term = std::stoull(std::string(takeWord(rest)));
+        if (m_service->isPrimary(m_entry.id) || term <= m_service->term())
+            return refuse(session, "MALFORMED");
+        m_service->log(m_entry.id).isPaused = true;
+        return statusRow();
+    }
+    if (word == "RESUME") {
+        auto& log = m_service->log(m_entry.id);
+        log.isPaused = false;
+        if (!log.isDeaf)
+            m_service->catchUp(m_entry.id);
+        return statusRow();
+    }
     return refuse(session, "MALFORMED");
 }
 
+Task<bool> EmulatedDatabase::commit(std::map<std::string, std::string> changes, std::string id)
+{
+    const auto at = m_service->commit(std::move(changes), id);
+    while (!m_service->isConfirmed(at)) {
+        if (m_service->isRolledBack(at, id) || !m_listener)
+            co_return false;
+        co_await sleepFor(m_io, confirmationCheckInterval);
+    }
+    if (m_service->isRolledBack(at, id))
+        co_return false;
+    m_service->acknowledge(id);
+    co_return true;
+}
+
 Task<std::string> EmulatedDatabase::run(Session& session, const std::string& id, std::string text)
 {
     auto rest = std::string_view(text);
@@ -247,14 +280,22 @@
         auto changes = std::exchange(session.changes, {});
         if (wasFailed)
             co_return refuse(session, "ABORTED");
-        if (!changes.empty())
-            m_service->commit(std::move(changes), id);
+        if (!changes.empty()) {
+            const bool isKept = co_await commit(std::move(changes), id);
+            if (!isKept)
+                co_return std::string();
+        }
     } else if (writes) {
         const std::string value(rest.substr(std::min<std::size_t>(rest.size(), 1)));
-        if (session.state == TransactionState::Open)
+        if (session.state == TransactionState::Open) {
             session.changes[item] = value;
-        else
-            m_service->commit({ { item, value } }, id);
+        } else {
+            std::map<std::string, std::string> changes;
+            changes[item] = value;
+            const bool isKept = co_await commit(std::move(changes), id);
+            if (!isKept)
+                co_return std::string();
+        }
     }
     auto& log = m_service->log(m_entry.id);
     log.apply(BootClock::now());
@@ -300,6 +341,10 @@
     const std::string text(rest.substr(std::min<std::size_t>(rest.size(), 1)));
     const auto before = m_ran.size();
     const auto result = co_await run(session, id, text);
+    if (result.empty()) {
+        session.channel.close();
+        co_return;
+    }
     if (m_ran.size() > before && m_behaviour.answersToLose > 0) {
         --m_behaviour.answersToLose;
         session.channel.close();
--- a/tools/emulator/EmulatedDatabase.h
+++ b/tools/emulator/EmulatedDatabase.h
@@ -21,6 +21,7 @@
     int queue = 24; ///< Statements that wait for a slot; more are refused.
     bool isSilent = false; ///< Accepts connections and answers nothing.
     std::set<std::string> unheardHosts {}; ///< What they send gets no answer, as over a link that is cut.
+    bool refusesPause = false; ///< Does not know how to stop receiving.
     int answersToLose = 0; ///< So many answers to reads, writes and commits are lost after they ran.
 };
 
@@ -64,6 +65,8 @@
     Task<void> answer(Session& session, std::string line);
     Task<std::string> run(Session& session, const std::string& id, std::string text);
     std::string runOwnCommand(Session& session, std::string_view word, std::string_view rest);
+    /// Commits and waits until enough replicas have received it; false if it was rolled back or the database crashed meanwhile.
+    Task<bool> commit(std::map<std::string, std::string> changes, std::string id);
     Task<bool> takeSlot();
     void freeSlot();
     std::string position();
--- a/tools/emulator/EmulatedPlatform.cpp
+++ b/tools/emulator/EmulatedPlatform.cpp
@@ -24,6 +24,7 @@
     auto port = static_cast<std::uint16_t>(m_shape.basePort + 2);
     for (int s = 0; s < m_shape.services; ++s) {
         const auto service = std::make_shared<EmulatedService>(serviceName(s));
+        service->syncReplicas = m_shape.syncReplicas;
         m_services.push_back(service);
         for (int n = 0; n < m_shape.databasesPerService; ++n) {
             EndpointEntry entry;
@@ -41,7 +42,7 @@
         }
         service->promote(database(s, 0).entry().id);
         announceAll(*service);
-        m_config.services[service->name()] = { service->name(), m_shape.maxConnections, 0 };
+        m_config.services[service->name()] = { service->name(), m_shape.maxConnections, m_shape.syncReplicas };
         for (const auto policy : policies) {
             Route route;
             route.name = "route-" + databaseName(s, policy);
@@ -85,6 +86,8 @@
             found.push_back(fmt::format("token {} of {} used by {} and {}", order.token, order.service, it->second, order.holder));
     }
     for (const auto& service : m_services) {
+        for (const auto& id : service->lostCommits())
+            found.push_back(fmt::format("the acknowledged commit of statement {} is lost in {}", id, service->name()));
         std::map<std::string, int> commits;
         for (const auto& commit : service->survivingCommits()) {
             if (++commits[commit.statementId] == 2)
--- a/tools/emulator/EmulatedPlatform.h
+++ b/tools/emulator/EmulatedPlatform.h
@@ -28,6 +28,7 @@
         int databasesPerService = 3;
         int slots = 3;
         int maxConnections = 21;
+        int syncReplicas = 0; ///< That receive a commit before it is acknowledged.
         std::chrono::milliseconds lag { 5 };
         std::chrono::milliseconds work { 1 };
         std::chrono::milliseconds promote { 200 }; ///< Until a promotion takes effect.
--- a/tools/emulator/EmulatedService.cpp
+++ b/tools/emulator/EmulatedService.cpp
@@ -1,5 +1,8 @@
 #include "EmulatedService.h"
 
+#include <algorithm>
+#include <span>
+
 namespace kumquatbank {
 
 void ReplicaLog::apply(BootTime now)
@@ -26,7 +29,7 @@
     const LogPosition position { m_term, m_commits.size() + 1 };
     m_commits.push_back({ position, std::move(changes), statementId });
     for (const auto& [id, log] : m_logs) {
-        if (!log.isDeaf || id == m_primary)
+        if ((!log.isDeaf && !log.isPaused) || id == m_primary)
             catchUp(id);
     }
     return position;
@@ -42,13 +45,36 @@
     }
 }
 
+bool EmulatedService::isConfirmed(LogPosition position) const
+{
+    const auto received = std::ranges::count_if(m_logs, [&](const auto& item) { return item.first != m_primary && item.second.received.size() >= position.position; });
+    return received >= syncReplicas;
+}
+
+bool EmulatedService::isRolledBack(LogPosition position, const std::string& statementId) const
+{
+    return m_commits.size() < position.position || m_commits[position.position - 1].statementId != statementId;
+}
+
+void EmulatedService::regainLead(const std::string& id)
+{
+    if (m_primary.empty() && m_crashedPrimary == id)
+        m_primary = std::exchange(m_crashedPrimary, {});
+}
+
 void EmulatedService::promote(const std::string& id)
 {
     auto& winner = m_logs.at(id);
     ++m_term;
     m_primary = id;
+    m_crashedPrimary.clear();
+    for (const auto& commit : std::span(m_commits).subspan(std::min(winner.received.size(), m_commits.size()))) {
+        if (syncReplicas > 0 && m_acknowledged.contains(commit.statementId))
+            m_lostCommits.push_back(commit.statementId);
+    }
     m_commits = winner.received;
     for (auto& [member, log] : m_logs) {
+        log.isPaused = false;
         if (log.received.size() > m_commits.size()) {
             log.received = m_commits;
             log.receivedAt.resize(m_commits.size());
--- a/tools/emulator/EmulatedService.h
+++ b/tools/emulator/EmulatedService.h
@@ -5,7 +5,9 @@
 
 #include <chrono>
 #include <map>
+#include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace kumquatbank {
@@ -25,6 +27,7 @@
     std::map<std::string, std::string> items;
     std::chrono::milliseconds lag { 5 };
     bool isDeaf = false; ///< Receives nothing, as behind a partition.
+    bool isPaused = false; ///< Receives nothing until it is resumed or a primary is promoted.
 
     void apply(BootTime now);
     LogPosition appliedPosition(Term heldTerm) const;
@@ -55,13 +58,34 @@
     /// Makes a member the primary of the next term; commits that it has not received are rolled back everywhere.
     void promote(const std::string& id);
     /// Takes the lead away without giving it to another member.
-    void demote() { m_primary.clear(); }
+    void demote()
+    {
+        m_primary.clear();
+        m_crashedPrimary.clear();
+    }
+    /// Takes the lead away from a primary that crashes; regainLead() gives it back unless another one leads meanwhile.
+    void loseLead() { m_crashedPrimary = std::exchange(m_primary, {}); }
+    void regainLead(const std::string& id);
+
+    /// Replicas that have to receive a commit before it is acknowledged.
+    int syncReplicas = 0;
+    /// True if enough replicas have received the commit.
+    bool isConfirmed(LogPosition position) const;
+    /// True if a promotion has rolled the commit back.
+    bool isRolledBack(LogPosition position, const std::string& statementId) const;
+    /// Records that a client gets to know that its commit is kept.
+    void acknowledge(const std::string& statementId) { m_acknowledged.insert(statementId); }
+    /// Statements whose commits were acknowledged after replicas had confirmed them, and rolled back by a promotion.
+    const std::vector<std::string>& lostCommits() const { return m_lostCommits; }
 
     /// All commits that were acknowledged and not rolled back by a promotion.
     const std::vector<LoggedCommit>& survivingCommits() const { return m_commits; }
 
 private:
     std::string m_name;
+    std::string m_crashedPrimary; ///< Leads again when it restarts.
+    std::set<std::string> m_acknowledged; ///< Statements.
+    std::vector<std::string> m_lostCommits;
     std::map<std::string, ReplicaLog> m_logs;
     std::string m_primary;
     Term m_term = 0;
--- a/tools/emulator/LoadClient.cpp
+++ b/tools/emulator/LoadClient.cpp
@@ -84,6 +84,7 @@
 {
     if (answer.code.empty()) {
         m_acknowledged.emplace_back(BootClock::now(), value);
+        m_report.acknowledged(m_database, BootClock::now());
         m_ownSession = value;
     } else if (promisesNothingKept(answer.code)) {
         m_refused.insert(value);
--- a/tools/emulator/LoadReport.cpp
+++ b/tools/emulator/LoadReport.cpp
@@ -28,6 +28,14 @@
         ++known.refused[code];
 }
 
+void LoadReport::acknowledged(const std::string& database, BootTime at)
+{
+    auto& known = m_classes[database];
+    if (known.lastAcknowledged)
+        known.longestGap = std::max(known.longestGap, std::chrono::duration_cast<std::chrono::milliseconds>(at - *known.lastAcknowledged));
+    known.lastAcknowledged = at;
+}
+
 std::size_t LoadReport::served() const
 {
     return std::accumulate(m_classes.begin(), m_classes.end(), std::size_t(0), [](std::size_t sum, const auto& item) { return sum + item.second.served.size(); });
@@ -35,12 +43,12 @@
 
 void LoadReport::print(std::ostream& out, std::chrono::seconds duration) const
 {
-    out << fmt::format("{:<22} {:>8} {:>8} {:>8} {:>8}  {}\n", "database", "served", "per s", "p50 ms", "p99 ms", "not served");
+    out << fmt::format("{:<22} {:>8} {:>8} {:>8} {:>8} {:>8}  {}\n", "database", "served", "per s", "p50 ms", "p99 ms", "gap ms", "not served");
     for (const auto& [name, known] : m_classes) {
         std::string refused;
         for (const auto& [code, count] : known.refused)
             refused += fmt::format("{} {} ", code, count);
-        out << fmt::format("{:<22} {:>8} {:>8.0f} {:>8.1f} {:>8.1f}  {}\n", name, known.served.size(), static_cast<double>(known.served.size()) / static_cast<double>(duration.count()), percentileMs(known.served, 0.5), percentileMs(known.served, 0.99), refused);
+        out << fmt::format("{:<22} {:>8} {:>8.0f} {:>8.1f} {:>8.1f} {:>8}  {}\n", name, known.served.size(), static_cast<double>(known.served.size()) / static_cast<double>(duration.count()), percentileMs(known.served, 0.5), percentileMs(known.served, 0.99), known.longestGap.count(), refused);
     }
     out << "sessions that broke: " << m_closed << "\nviolations: " << m_violations.size() << '\n';
     for (const auto& what : m_violations)
--- a/tools/emulator/LoadReport.h
+++ b/tools/emulator/LoadReport.h
@@ -1,7 +1,9 @@
 #pragma once
 
-#include <chrono>
+#include "kumquatbank/core/BootClock.h"
+
 #include <map>
+#include <optional>
 #include <ostream>
 #include <string>
 #include <vector>
@@ -12,6 +14,8 @@
 class LoadReport {
 public:
     void answered(const std::string& database, std::chrono::microseconds took, const std::string& code);
+    /// Records that a write was acknowledged, for the longest time between two.
+    void acknowledged(const std::string& database, BootTime at);
     void closed() { ++m_closed; }
     void violation(std::string what) { m_violations.push_back(std::move(what)); }
 
@@ -23,6 +27,8 @@
     struct Class {
         std::vector<std::chrono::microseconds> served;
         std::map<std::string, int> refused; ///< By code.
+        std::optional<BootTime> lastAcknowledged;
+        std::chrono::milliseconds longestGap { 0 }; ///< Between two acknowledged writes.
     };
 
     std::map<std::string, Class> m_classes;
--- a/tools/emulator/platform_emulator.cpp
+++ b/tools/emulator/platform_emulator.cpp
@@ -29,7 +29,7 @@
     {
         while (BootClock::now() < until) {
             co_await sleepFor(m_io, interval);
-            switch (m_random() % 10) {
+            switch (m_random() % troubleKinds()) {
             case 0:
                 asio::co_spawn(m_io, storeDown(), asio::detached);
                 break;
@@ -59,6 +59,12 @@
             case 8:
                 asio::co_spawn(m_io, returnFromCopy(), asio::detached);
                 break;
+            case 10:
+                asio::co_spawn(m_io, keepDeaf(), asio::detached);
+                break;
+            case 11:
+                leaveReplica();
+                break;
             default:
                 m_platform.putConfig();
                 report(fmt::format("a new configuration, version {}", m_platform.config().version));
@@ -79,6 +85,8 @@
     }
 
 private:
+    /// Where commits are confirmed by replicas, also troubles of replicas that concern what they have received.
+    unsigned troubleKinds() const { return m_shape.syncReplicas > 0 ? 12 : 10; }
     int anyService() { return static_cast<int>(m_random() % static_cast<unsigned>(m_shape.services)); }
     int anyDatabase() { return static_cast<int>(m_random() % static_cast<unsigned>(m_shape.databasesPerService)); }
 
@@ -152,6 +160,32 @@
         database.behaviour().isSilent = false;
     }
 
+    /// The database receives no commits for a while.
+    Task<void> keepDeaf()
+    {
+        const int service = anyService();
+        auto& database = m_platform.database(service, anyDatabase());
+        const auto& id = database.entry().id;
+        report("the database " + id + " receives nothing for 3 s");
+        m_platform.service(service).log(id).isDeaf = true;
+        co_await sleepFor(m_io, seconds(3));
+        if (!database.isRunning())
+            co_return;
+        m_platform.service(service).log(id).isDeaf = false;
+        m_platform.service(service).catchUp(id);
+    }
+
+    /// Announces that a database will leave, which may be a replica.
+    void leaveReplica()
+    {
+        auto& database = m_platform.database(anyService(), anyDatabase());
+        if (!database.isRunning())
+            return;
+        m_platform.announce(database, true);
+        report("the database " + database.entry().id + " is about to leave");
+        asio::co_spawn(m_io, stay(database), asio::detached);
+    }
+
     /// The database is replaced by one with its log at its address.
     Task<void> stay(EmulatedDatabase& database)
     {
@@ -202,6 +236,7 @@
         "crash-primary-ms", "Crash the primary of the first service after this time", cxxopts::value<int>())(
         "leave-primary-ms", "Announce that a primary leaves after this time", cxxopts::value<int>())(
         "seed", "Seed of the troubles", cxxopts::value<unsigned>()->default_value("1"))(
+        "sync-replicas", "Replicas that receive a commit before it is acknowledged", cxxopts::value<int>()->default_value("0"))(
         "announce-offset", "Added to the ports of databases in the store", cxxopts::value<std::uint16_t>()->default_value("0"))(
         "trouble-ms", "A random trouble each this often", cxxopts::value<int>())(
         "trouble-s", "No new trouble after this time", cxxopts::value<int>()->default_value("3600"))("h,help", "Print this text and stop");
@@ -217,6 +252,7 @@
     shape.services = arguments["services"].as<int>();
     shape.maxConnections = arguments["max-connections"].as<int>();
     shape.work = milliseconds(arguments["work-ms"].as<int>());
+    shape.syncReplicas = arguments["sync-replicas"].as<int>();
     shape.lag = milliseconds(arguments["lag-ms"].as<int>());
     asio::io_context io(1);
     EmulatedPlatform platform(io, shape);
