Answer every request that a stopping process has read

Cause: draining was a flag that only sessions outside a transaction looked at, after an answer. Nothing related a request to the time that was left; the end of the event loop cut whatever was under way, COMMIT with writes and lent connections as well.

Ruled out: closing idle sessions earlier. It moves the moment, and a client that has begun a transaction just before is cut all the same. Waiting longer: the process is killed at the end of the grace period.

Change: StopSchedule (routing, without network) decides by the kind of request and the time left. No transaction begins; statements, single or of an open transaction, run in the first half of the grace period, and later only if their timeout ends before the answers do. What is refused has not run and says so (BUSY, or ABORTED for an open transaction), with the time to come back. Idle transactions and idle loans end once none of their statements could run. Deadlines end with answersEnd(), and a request that has no result at finalAnswers() is told what is known: INDOUBT for writes and COMMIT with writes, ABORTED in a transaction, TIMEOUT for reads. A session with a request in its socket is not closed as idle.

Conclusion: the time left is part of the decision about each request, so that no kind of request can be cut.

--- a/packages/engine/include/kumquatbank/engine/LineChannel.h
+++ b/packages/engine/include/kumquatbank/engine/LineChannel.h
@@ -37,6 +37,8 @@
     /// Returns whether the remote end has closed the connection. Does not block and consumes no received data.
     bool isClosedByPeer();
     bool hasBufferedInput() const { return m_begin < m_end; }
+    /// Returns whether there is received data, buffered here or still in the socket.
+    bool hasInput() const;
 
     /// Shuts down the sending direction, so that the remote end receives all written data before the close.
     void shutdownSend();
--- a/packages/engine/src/LineChannel.cpp
+++ b/packages/engine/src/LineChannel.cpp
@@ -133,6 +133,12 @@
     return n == 0 || (n < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
 }
 
+bool LineChannel::hasInput() const
+{
+    boost::system::error_code ec; // A closed socket has no input.
+    return hasBufferedInput() || (m_socket.is_open() && m_socket.available(ec) > 0);
+}
+
 void LineChannel::shutdownSend()
 {
     boost::system::error_code ec; // Ignored: the remote end may have closed the connection already.
--- a/packages/pooler/src/ClientSession.cpp
+++ b/packages/pooler/src/ClientSession.cpp
@@ -26,7 +26,7 @@
     , m_registry(registry)
     , m_metrics(metrics)
     , m_tracker(tracker)
-    , m_runner(io, registry, metrics)
+    , m_runner(io, registry, metrics, tracker)
     , m_number(++tracker.opened)
 {
     ++m_tracker.open;
@@ -41,10 +41,31 @@
 
 void ClientSession::closeIfIdle()
 {
-    if (m_isIdle && !m_runner.isInTransaction() && !m_channel.hasBufferedInput())
+    // A request that has arrived meanwhile is answered first.
+    if (m_isIdle && !m_runner.isInTransaction() && !m_channel.hasInput())
         m_channel.close();
 }
 
+void ClientSession::abortIdleTransaction()
+{
+    if (!m_isIdle || !m_runner.isInTransaction() || m_channel.hasInput() || m_runner.admits(RequestKind::InTransaction))
+        return;
+    if (m_runner.abortTransaction("the host is stopping"))
+        EventLog::info("transaction_ended_by_stop", { { "session", m_number }, { "database", m_database } });
+}
+
+Task<void> ClientSession::answerUnfinished()
+{
+    const auto keepAlive = shared_from_this();
+    if (m_request == nullptr || m_isSending)
+        co_return;
+    m_isSending = true;
+    const auto answer = m_runner.describeUnfinished(*m_request);
+    EventLog::warn("statement_unfinished", { { "request", m_request->id }, { "session", m_number }, { "database", m_database }, { "outcome", errorCodeName(*answer.code) } });
+    const auto text = answer.body + WireDialect::ready(answer.state);
+    co_await send(text);
+}
+
 Task<bool> ClientSession::send(const std::string& text)
 {
     co_return co_await m_channel.write(text, BootClock::now() + writeTimeout) == ChannelStatus::Ok;
@@ -71,7 +92,7 @@
             co_return true;
         if (status == ChannelStatus::TimedOut) {
             EventLog::warn("transaction_idle", { { "session", m_number }, { "database", m_database }, { "limit_ms", idleLimit->count() } });
-            m_runner.abortIdleTransaction();
+            m_runner.abortTransaction("the transaction exceeded the idle limit");
             continue;
         }
         if (status == ChannelStatus::TooLong) {
@@ -97,7 +118,7 @@
         co_return false;
     }
     m_database = message->database;
-    if (!co_await m_registry.waitForConfig(BootClock::now() + configWait)) {
+    if (!co_await m_registry.waitForConfig(std::min<BootTime>(BootClock::now() + configWait, m_tracker.answersEnd()))) {
         EventLog::warn("session_refused", { { "session", m_number }, { "database", m_database }, { "reason", "no configuration received yet" } });
         co_await send(WireDialect::error(ErrorCode::Busy, "no configuration received yet; retry after 500 ms"));
         co_return false;
@@ -127,7 +148,7 @@
             if (!co_await answerQuery(*message))
                 break;
             const bool canClose = !m_runner.isInTransaction() && !m_channel.hasBufferedInput();
-            if (m_tracker.isDraining && canClose)
+            if (m_tracker.isStopping() && canClose)
                 break;
         }
     }
@@ -139,6 +160,7 @@
 {
     const auto since = BootClock::now();
     StatementAnswer answer;
+    m_request = &message;
     if (message.statement) {
         answer = co_await m_runner.run(m_database, message.id, *message.statement);
     } else {
@@ -148,7 +170,13 @@
         answer.state = m_runner.transactionState();
     }
     logAnswer(message, answer, since);
-    co_return co_await send(answer.body + WireDialect::ready(answer.state));
+    if (std::exchange(m_isSending, true))
+        co_return false; // The process ends, and the request has been answered.
+    const auto text = answer.body + WireDialect::ready(answer.state);
+    const bool isSent = co_await send(text);
+    m_isSending = false;
+    m_request = nullptr;
+    co_return isSent;
 }
 
 void ClientSession::logAnswer(const ClientMessage& message, const StatementAnswer& answer, BootTime since) const
--- a/packages/pooler/src/ClientSession.h
+++ b/packages/pooler/src/ClientSession.h
@@ -1,17 +1,11 @@
 #pragma once
 
+#include "SessionTracker.h"
 #include "StatementRunner.h"
 #include "kumquatbank/engine/LineChannel.h"
 
 namespace kumquatbank {
 
-/// Counts the sessions and signals when they have to end.
-struct SessionTracker {
-    int open = 0;
-    std::uint64_t opened = 0;
-    bool isDraining = false; ///< If set, sessions end after their next answer outside a transaction.
-};
-
 /// One client connection, from its first line until it is closed.
 class ClientSession : public std::enable_shared_from_this<ClientSession> {
 public:
@@ -24,6 +18,13 @@
     Task<void> run();
     /// Closes the session if it is waiting for a line of its client outside a transaction.
     void closeIfIdle();
+    /// Aborts the transaction if it is waiting for a statement that could no longer be run. The next one is told so.
+    void abortIdleTransaction();
+    /// Answers a request that has no result yet by what is known of its outcome. The process must end after that.
+    Task<void> answerUnfinished();
+    void close() { m_channel.close(); }
+    /// True while a request has no complete answer.
+    bool hasUnfinishedRequest() const { return m_request != nullptr; }
 
 private:
     Task<bool> startSession();
@@ -41,6 +42,8 @@
     std::uint64_t m_number;
     std::string m_database;
     bool m_isIdle = false; ///< Waiting for the client's next line.
+    const ClientMessage* m_request = nullptr; ///< The request that is being answered.
+    bool m_isSending = false; ///< Its answer is being sent.
 };
 
 } // namespace kumquatbank
--- a/packages/pooler/src/ConnectionLender.cpp
+++ b/packages/pooler/src/ConnectionLender.cpp
@@ -36,6 +36,12 @@
 {
 }
 
+void ConnectionLender::closeUnusableLoans()
+{
+    for (auto* const loan : m_loans)
+        loan->closeIfUnusable();
+}
+
 Task<void> ConnectionLender::serve(LineChannel channel)
 {
     std::string_view line;
@@ -54,7 +60,7 @@
 Task<bool> ConnectionLender::lend(LineChannel& channel, LoanRequest loanRequest)
 {
     // Each line is built in a local variable, because g++ 12 destroys temporaries of an awaited call twice.
-    if (m_isStopping) {
+    if (m_stop) {
         const auto leaving = LoanMessage::formatReply({ LoanReply::Kind::Leaving, {}, {}, milliseconds(0), {} });
         co_return co_await send(channel, leaving);
     }
@@ -98,10 +104,10 @@
     const auto granted = LoanMessage::formatReply({ LoanReply::Kind::Granted, lease->endpointId(), service->newestSample(now), milliseconds(0), {} });
     if (!co_await send(channel, granted))
         co_return false;
-    ++m_openLoans;
-    Loan loan(std::move(*lease), channel, std::clamp(loanRequest.answerTimeout, milliseconds(0), maxAnswerTimeout));
+    Loan loan(std::move(*lease), channel, std::clamp(loanRequest.answerTimeout, milliseconds(0), maxAnswerTimeout), m_stop);
+    m_loans.insert(&loan);
     const auto end = co_await loan.run();
-    --m_openLoans;
+    m_loans.erase(&loan);
     co_return end == Loan::End::Returned;
 }
 
--- a/packages/pooler/src/ConnectionLender.h
+++ b/packages/pooler/src/ConnectionLender.h
@@ -2,9 +2,12 @@
 
 #include "LoanMessage.h"
 #include "ServiceRegistry.h"
+#include "kumquatbank/routing/StopSchedule.h"
 
 namespace kumquatbank {
 
+class Loan;
+
 /// Lends database connections of this host to other hosts. A line channel carries one loan at a time. Requests of other
 /// hosts wait in the same queue as requests of this host's own clients.
 class ConnectionLender {
@@ -15,8 +18,10 @@
     Task<void> serve(LineChannel channel);
 
     /// Refuses new loans from now on; open loans continue.
-    void stopLending() { m_isStopping = true; }
-    int openLoans() const { return m_openLoans; }
+    void stopLending(const StopSchedule& schedule) { m_stop = schedule; }
+    /// Ends the idle loans whose next statement could no longer be run before this host stops.
+    void closeUnusableLoans();
+    std::size_t openLoans() const { return m_loans.size(); }
 
 private:
     /// Handles one request. Returns false if the channel can no longer be used.
@@ -24,8 +29,8 @@
 
     ServiceRegistry& m_registry;
     PoolerMetrics& m_metrics;
-    bool m_isStopping = false;
-    int m_openLoans = 0;
+    std::optional<StopSchedule> m_stop;
+    std::set<Loan*> m_loans;
 };
 
 } // namespace kumquatbank
--- a/packages/pooler/src/Loan.cpp
+++ b/packages/pooler/src/Loan.cpp
@@ -5,10 +5,11 @@
 
 namespace kumquatbank {
 
-Loan::Loan(ConnectionLease lease, LineChannel& channel, std::chrono::milliseconds answerTimeout)
+Loan::Loan(ConnectionLease lease, LineChannel& channel, std::chrono::milliseconds answerTimeout, const std::optional<StopSchedule>& stop)
     : m_lease(std::move(lease))
     , m_channel(channel)
     , m_answerTimeout(answerTimeout)
+    , m_stop(stop)
     , m_needsReset(m_lease.connection().state().hasValues())
 {
 }
@@ -29,6 +30,12 @@
     co_return End::Broken;
 }
 
+void Loan::closeIfUnusable()
+{
+    if (m_isIdle && !m_channel.hasInput() && m_stop && !m_stop->admits(RequestKind::InTransaction, BootClock::now(), m_answerTimeout))
+        m_channel.close();
+}
+
 Task<bool> Loan::readBatch()
 {
     m_batch.clear();
@@ -37,7 +44,9 @@
         std::string_view line;
         // There is no time limit: a borrower may be idle inside a transaction. It enforces the idle limit itself, and
         // the channel closes if it fails.
+        m_isIdle = true;
         const auto status = co_await m_channel.readLine(line, BootTime::max());
+        m_isIdle = false;
         if (status != ChannelStatus::Ok)
             co_return false;
         if (line == LoanMessage::loanReturn) {
@@ -83,7 +92,7 @@
 {
     auto& connection = m_lease.connection();
     const auto sentAt = BootClock::now();
-    const auto until = sentAt + m_answerTimeout;
+    const auto until = std::min<BootTime>(sentAt + m_answerTimeout, m_stop ? m_stop->answersEnd() : BootTime::max());
     const bool sendsReset = std::exchange(m_needsReset, false);
     const auto forwarded = std::ranges::count(m_batch, false, &Command::isAnsweredLocally);
     DatabaseReply reply;
--- a/packages/pooler/src/Loan.h
+++ b/packages/pooler/src/Loan.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "ConnectionLease.h"
+#include "kumquatbank/routing/StopSchedule.h"
 
 #include <chrono>
 #include <vector>
@@ -15,9 +16,13 @@
         Broken,
     };
 
-    Loan(ConnectionLease lease, LineChannel& channel, std::chrono::milliseconds answerTimeout);
+    /// @p stop: set once this host is to stop; must outlive this object.
+    Loan(ConnectionLease lease, LineChannel& channel, std::chrono::milliseconds answerTimeout, const std::optional<StopSchedule>& stop);
 
     Task<End> run();
+    /// Ends the loan if it is waiting for a statement that could no longer be run before this host stops. The borrower then
+    /// sends none.
+    void closeIfUnusable();
 
 private:
     /// A line of the borrower, and the session state that a successful answer changes.
@@ -39,6 +44,8 @@
     ConnectionLease m_lease;
     LineChannel& m_channel;
     const std::chrono::milliseconds m_answerTimeout;
+    const std::optional<StopSchedule>& m_stop;
+    bool m_isIdle = false; ///< Waiting for a line of the borrower.
     bool m_needsReset; ///< The connection holds values of another session.
     bool m_isReturned = false;
     std::vector<Command> m_batch;
--- a/packages/pooler/src/PoolerProcess.cpp
+++ b/packages/pooler/src/PoolerProcess.cpp
@@ -23,8 +23,8 @@
     constexpr milliseconds settingsCheckInterval { 1000 };
     /// A maintenance round that is later than this means that the process was paused.
     constexpr milliseconds pauseThreshold { 700 };
-    /// Part of the grace period reserved for closing.
-    constexpr milliseconds closeMargin { 500 };
+    /// Interval of the checks while the process stops.
+    constexpr milliseconds stopCheckInterval { 20 };
     constexpr int logFlushTimeoutMs = 100;
 
     std::int64_t modificationTime(const std::string& file)
@@ -85,33 +85,53 @@
         EventLog::flushAll(logFlushTimeoutMs);
     }
 
-    /// Reports not ready at once. Sessions end after an answer, idle ones after a third of the grace period, and open
-    /// transactions may run until shortly before its end.
+    /// Reports not ready at once. Sessions end after an answer, idle ones after a third of the grace period. What is still
+    /// run is decided by StopSchedule; every request that was read gets a complete answer.
     Task<void> drain()
     {
         const auto since = BootClock::now();
         EventLog::info("drain", { { "sessions", m_gate.open }, { "grace_s", m_settings.grace.count() } });
-        m_gate.isDraining = true;
-        m_lender.stopLending();
+        const auto& stop = m_gate.stop.emplace(since, m_settings.grace);
+        m_lender.stopLending(stop);
         for (const auto& [name, service] : m_registry.services())
             service->stopHolding();
-        const auto idleClose = since + m_settings.grace / 3;
-        const auto end = since + m_settings.grace - closeMargin;
-        while (BootClock::now() < end) {
-            if (BootClock::now() >= idleClose) {
-                for (const auto& weakSession : m_sessions) {
-                    if (const auto session = weakSession.lock())
-                        session->closeIfIdle();
-                }
-                if (m_gate.open == 0 && m_lender.openLoans() == 0)
-                    break;
+        while (BootClock::now() < stop.answersEnd()) {
+            for (const auto& session : sessions()) {
+                session->abortIdleTransaction();
+                if (BootClock::now() >= stop.idleSessionsEnd())
+                    session->closeIfIdle();
             }
-            co_await sleepFor(m_io, maintenanceInterval / 2);
+            m_lender.closeUnusableLoans();
+            if (BootClock::now() >= stop.idleSessionsEnd() && m_gate.open == 0 && m_lender.openLoans() == 0)
+                break;
+            co_await sleepFor(m_io, stopCheckInterval);
         }
-        EventLog::info("drained", { { "sessions", m_gate.open }, { "loans", m_lender.openLoans() }, { "took_ms", toMs(BootClock::now() - since) } });
+        m_clients->close();
+        const auto countUnfinished = [this] { return std::ranges::count_if(sessions(), &ClientSession::hasUnfinishedRequest); };
+        while (BootClock::now() < stop.finalAnswers() && countUnfinished() > 0)
+            co_await sleepFor(m_io, stopCheckInterval);
+        const auto unfinished = countUnfinished();
+        for (const auto& session : sessions())
+            asio::co_spawn(m_io, session->answerUnfinished(), asio::detached);
+        // Lets the answers of this and the last iterations of the event loop be sent.
+        if (m_gate.open > 0)
+            co_await sleepFor(m_io, stopCheckInterval);
+        for (const auto& session : sessions())
+            session->close();
+        EventLog::info("drained", { { "sessions", m_gate.open }, { "unfinished", unfinished }, { "loans", m_lender.openLoans() }, { "took_ms", toMs(BootClock::now() - since) } });
     }
 
 private:
+    std::vector<std::shared_ptr<ClientSession>> sessions() const
+    {
+        std::vector<std::shared_ptr<ClientSession>> open;
+        for (const auto& weakSession : m_sessions) {
+            if (auto session = weakSession.lock())
+                open.push_back(std::move(session));
+        }
+        return open;
+    }
+
     void accept(asio::ip::tcp::socket socket)
     {
         LineChannel::enableDeadPeerDetection(socket, clientSilenceLimit);
@@ -127,7 +147,7 @@
         asio::co_spawn(m_io, m_lender.serve(LineChannel(std::move(socket), WireDialect::maxMessageBytes)), asio::detached);
     }
 
-    bool isReady() const { return !m_gate.isDraining && m_registry.config() && m_registry.hasEndpoints(); }
+    bool isReady() const { return !m_gate.isStopping() && m_registry.config() && m_registry.hasEndpoints(); }
 
     Task<HttpResponse> answerReady(HttpRequest request) const
     {
--- a/packages/pooler/src/SessionContext.cpp
+++ b/packages/pooler/src/SessionContext.cpp
@@ -9,10 +9,11 @@
 
 } // namespace
 
-SessionContext::SessionContext(asio::io_context& io, ServiceRegistry& registry, PoolerMetrics& metrics)
+SessionContext::SessionContext(asio::io_context& io, ServiceRegistry& registry, PoolerMetrics& metrics, const SessionTracker& tracker)
     : m_io(io)
     , m_registry(registry)
     , m_metrics(metrics)
+    , m_tracker(tracker)
 {
 }
 
--- a/packages/pooler/src/SessionContext.h
+++ b/packages/pooler/src/SessionContext.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "ServiceRegistry.h"
+#include "SessionTracker.h"
 #include "StatementAnswer.h"
 
 namespace kumquatbank {
@@ -28,13 +29,19 @@
 /// connections that may serve the statements.
 class SessionContext {
 public:
-    SessionContext(asio::io_context& io, ServiceRegistry& registry, PoolerMetrics& metrics);
+    /// @p tracker must outlive this object.
+    SessionContext(asio::io_context& io, ServiceRegistry& registry, PoolerMetrics& metrics, const SessionTracker& tracker);
 
     asio::io_context& io() { return m_io; }
     ServiceRegistry& registry() { return m_registry; }
     PoolerMetrics& metrics() { return m_metrics; }
     const SessionState& state() const { return m_state; }
 
+    /// Returns whether a request is run; false only while the process stops.
+    bool admits(RequestKind kind, std::chrono::milliseconds statementTimeout) const { return !m_tracker.stop || m_tracker.stop->admits(kind, BootClock::now(), statementTimeout); }
+    /// Returns the time by which a statement that begins now must have its result.
+    BootTime deadline(const Route& route) const { return std::min<BootTime>(BootClock::now() + route.statementTimeout - RetryPolicy::answerMargin, m_tracker.answersEnd()); }
+
     /// Applies a statement that changes only the session state: a value or a prepared statement.
     void applyLocally(const Statement& statement);
     /// Returns whether the statement writes; empty if it names a prepared statement that the session does not have.
@@ -54,6 +61,7 @@
     asio::io_context& m_io;
     ServiceRegistry& m_registry;
     PoolerMetrics& m_metrics;
+    const SessionTracker& m_tracker;
     SessionState m_state;
     BootTime m_lastCommitAt {};
 };
--- a/packages/pooler/src/StatementRunner.cpp
+++ b/packages/pooler/src/StatementRunner.cpp
@@ -11,6 +11,9 @@
     /// An attempt of a read may use the remaining time divided by this; the rest is left for another endpoint.
     constexpr int attemptTimeDivisor = 2;
     constexpr milliseconds minAttemptTimeout { 350 };
+    constexpr std::string_view stoppingReason = "the host is stopping";
+    /// Other hosts serve the request at once.
+    constexpr milliseconds stoppingRetryAfter { 0 };
 
     AttemptResult refuseAttempt(const ConnectionLease& lease, std::set<std::string>& excluded, StatementAnswer& answer)
     {
@@ -21,9 +24,9 @@
 
 } // namespace
 
-StatementRunner::StatementRunner(asio::io_context& io, ServiceRegistry& registry, PoolerMetrics& metrics)
+StatementRunner::StatementRunner(asio::io_context& io, ServiceRegistry& registry, PoolerMetrics& metrics, const SessionTracker& tracker)
     : m_registry(registry)
-    , m_context(io, registry, metrics)
+    , m_context(io, registry, metrics, tracker)
     , m_transaction(m_context)
 {
 }
@@ -50,14 +53,19 @@
         answer.state = transactionState();
         co_return answer;
     case StatementKind::Commit:
+        if (m_transaction.isOpen() && !admits(RequestKind::InTransaction))
+            m_transaction.abort(stoppingReason);
         co_return co_await m_transaction.commit(id, statement);
     case StatementKind::Rollback:
         co_return m_transaction.rollBack();
     default:
         break;
     }
-    if (m_transaction.isOpen() && !begins)
+    if (m_transaction.isOpen() && !begins) {
+        if (!admits(RequestKind::InTransaction) && m_transaction.abort(stoppingReason))
+            co_return m_transaction.refuseAfterFailure();
         co_return co_await m_transaction.run(id, statement);
+    }
 
     const auto config = m_registry.config();
     const auto* route = config ? config->findRoute(database) : nullptr;
@@ -65,6 +73,8 @@
         answer.setError(ErrorCode::UnknownDatabase, "no route for this database");
     else if (begins && m_transaction.isOpen())
         answer.setError(ErrorCode::Malformed, "a transaction is already open");
+    else if (!m_context.admits(begins ? RequestKind::Begin : RequestKind::Single, route->statementTimeout))
+        answer.setError(ErrorCode::Busy, stoppingReason, stoppingRetryAfter);
     else if (begins) {
         m_transaction.begin(*route, statement.kind == StatementKind::BeginReadOnly);
         answer.body = WireDialect::done();
@@ -75,6 +85,23 @@
     co_return answer;
 }
 
+StatementAnswer StatementRunner::describeUnfinished(const ClientMessage& message) const
+{
+    StatementAnswer answer;
+    const bool isCommit = message.statement && message.statement->kind == StatementKind::Commit;
+    const bool writes = message.statement && m_context.writes(*message.statement).value_or(false);
+    if (isCommit && m_transaction.isCommittingWrites())
+        answer.setError(ErrorCode::InDoubt, "the host stopped before the answer to COMMIT");
+    else if (isCommit || m_transaction.isOpen())
+        answer.setError(ErrorCode::Aborted, stoppingReason); // The database rolls back with the end of the connection.
+    else if (writes)
+        answer.setError(ErrorCode::InDoubt, "the host stopped before the answer to the write");
+    else
+        answer.setError(ErrorCode::Timeout, "the host stopped before the answer");
+    answer.state = m_transaction.isOpen() && !isCommit ? TransactionState::Failed : TransactionState::None;
+    return answer;
+}
+
 Task<StatementAnswer> StatementRunner::runSingle(const Route& route, const std::string& id, const Statement& statement)
 {
     StatementAnswer answer;
@@ -83,7 +110,7 @@
         answer.setError(ErrorCode::UnknownStatement, "no such prepared statement");
         co_return answer;
     }
-    const auto until = BootClock::now() + route.statementTimeout - RetryPolicy::answerMargin;
+    const auto until = m_context.deadline(route);
     std::set<std::string> excluded;
     while (true) {
         ++answer.attempts;
--- a/packages/pooler/src/StatementRunner.h
+++ b/packages/pooler/src/StatementRunner.h
@@ -9,7 +9,8 @@
 /// a time.
 class StatementRunner {
 public:
-    StatementRunner(asio::io_context& io, ServiceRegistry& registry, PoolerMetrics& metrics);
+    /// @p tracker must outlive this object.
+    StatementRunner(asio::io_context& io, ServiceRegistry& registry, PoolerMetrics& metrics, const SessionTracker& tracker);
 
     StatementRunner(const StatementRunner&) = delete;
     StatementRunner& operator=(const StatementRunner&) = delete;
@@ -18,8 +19,12 @@
 
     TransactionState transactionState() const { return m_transaction.state(); }
     bool isInTransaction() const { return m_transaction.isOpen(); }
-    /// Aborts an open transaction whose client exceeded the idle limit; the next statement reports it.
-    void abortIdleTransaction() { m_transaction.abortIdle(); }
+    /// Aborts an open transaction between two statements; the next one reports the reason. Returns false if there is none.
+    bool abortTransaction(std::string_view reason) { return m_transaction.abort(reason); }
+    /// Returns whether a statement of the open transaction is still run while the process stops.
+    bool admits(RequestKind kind) const { return m_context.admits(kind, m_transaction.statementTimeout()); }
+    /// Returns the answer to a statement that has no result at the end of the process: what is known of its outcome.
+    StatementAnswer describeUnfinished(const ClientMessage& message) const;
     /// Returns the idle limit inside a transaction; empty if there is none.
     std::optional<std::chrono::milliseconds> idleLimit() const;
 
--- a/packages/pooler/src/TransactionRunner.cpp
+++ b/packages/pooler/src/TransactionRunner.cpp
@@ -18,13 +18,14 @@
     m_transaction->isReadOnly = isReadOnly;
 }
 
-void TransactionRunner::abortIdle()
+bool TransactionRunner::abort(std::string_view reason)
 {
     if (!m_transaction || m_transaction->hasFailed)
-        return;
+        return false;
     m_transaction->lease.reset();
     m_transaction->hasFailed = true;
-    m_transaction->abortReason = "the transaction exceeded the idle limit";
+    m_transaction->abortReason = reason;
+    return true;
 }
 
 StatementAnswer TransactionRunner::refuseAfterFailure()
@@ -62,7 +63,7 @@
 
 BootTime TransactionRunner::deadline() const
 {
-    return BootClock::now() + m_transaction->route.statementTimeout - RetryPolicy::answerMargin;
+    return m_context.deadline(m_transaction->route);
 }
 
 Task<AttemptResult> TransactionRunner::openOnEndpoint(std::set<std::string>& excluded, BootTime until, StatementAnswer& answer)
@@ -182,19 +183,22 @@
     if (!m_transaction->hasFailed)
         isPinned = co_await pinConnection(until, answer);
     if (!isPinned) {
+        const auto abortReason = m_transaction->abortReason;
         m_transaction.reset();
         answer.state = TransactionState::None;
         if (!answer.code)
-            answer.setError(ErrorCode::Aborted, "the transaction had already failed");
+            answer.setError(ErrorCode::Aborted, abortReason.empty() ? "the transaction had already failed" : abortReason);
         co_return answer;
     }
     auto lease = std::move(*m_transaction->lease);
     const bool hasWritten = m_transaction->hasWritten;
     m_transaction.reset();
+    m_isCommittingWrites = hasWritten;
     answer.endpoint = lease.endpointId();
     StatementExchange exchange;
     if (co_await replaySession(lease, m_context.state(), until) == ExchangeStatus::Ok)
         exchange = co_await exchangeStatement(lease, m_context.state(), id, statement, std::nullopt, false, until);
+    m_isCommittingWrites = false;
     if (exchange.wasSent() && hasWritten)
         lease.service().recordCommitAnswer(exchange.status != ExchangeStatus::TimedOut, exchange.sentAt);
     if (exchange.status != ExchangeStatus::Ok) {
--- a/packages/pooler/src/TransactionRunner.h
+++ b/packages/pooler/src/TransactionRunner.h
@@ -32,8 +32,13 @@
     Task<StatementAnswer> commit(const std::string& id, const Statement& statement);
     StatementAnswer rollBack();
 
-    /// Aborts a transaction whose client exceeded the idle limit; the next statement reports it.
-    void abortIdle();
+    /// Aborts the transaction between two statements; the next one reports the reason. Returns false if none is open, or if
+    /// it has failed before.
+    bool abort(std::string_view reason);
+    /// Time limit of a statement of the open transaction; 0 if none is open.
+    std::chrono::milliseconds statementTimeout() const { return m_transaction ? m_transaction->route.statementTimeout : std::chrono::milliseconds(0); }
+    /// True while the commit of a transaction that has written is under way.
+    bool isCommittingWrites() const { return m_isCommittingWrites; }
     /// Returns the error for a statement that follows the failure of its transaction.
     StatementAnswer refuseAfterFailure();
 
@@ -45,6 +50,7 @@
 
     SessionContext& m_context;
     std::optional<Transaction> m_transaction;
+    bool m_isCommittingWrites = false;
 };
 
 } // namespace kumquatbank
--- a/packages/routing/include/kumquatbank/routing/routing.h
+++ b/packages/routing/include/kumquatbank/routing/routing.h
@@ -15,3 +15,4 @@
 #include "kumquatbank/routing/SessionState.h"
 #include "kumquatbank/routing/Statement.h"
 #include "kumquatbank/routing/StatementError.h"
+#include "kumquatbank/routing/StopSchedule.h"
--- /dev/null
+++ b/packages/routing/tests/StopScheduleTest.cpp
@@ -0,0 +1,50 @@
+#include "kumquatbank/routing/StopSchedule.h"
+
+#include <CppUTest/TestHarness.h>
+#include <algorithm>
+#include <array>
+
+using namespace kumquatbank;
+using std::chrono::milliseconds;
+
+namespace {
+
+const BootTime signalledAt(std::chrono::hours(1));
+constexpr milliseconds grace { 6000 };
+
+bool admits(RequestKind kind, milliseconds after, milliseconds timeout) { return StopSchedule(signalledAt, grace).admits(kind, signalledAt + after, timeout); }
+
+} // namespace
+
+TEST_GROUP(StopSchedule) {};
+
+// Guards against transactions that begin while the process stops and are cut at its end.
+TEST(StopSchedule, NoTransactionBegins)
+{
+    for (const milliseconds after : { milliseconds(0), milliseconds(1500), milliseconds(5000) })
+        CHECK_FALSE(admits(RequestKind::Begin, after, milliseconds(100)));
+}
+
+// Guards against statements in flight at the end of the process.
+TEST(StopSchedule, StatementsRunIfTheirAnswerComesInTime)
+{
+    for (const auto kind : { RequestKind::Single, RequestKind::InTransaction }) {
+        CHECK_TRUE(admits(kind, milliseconds(0), milliseconds(800)));
+        CHECK_TRUE(admits(kind, milliseconds(2999), milliseconds(8000)));
+        CHECK_FALSE(admits(kind, milliseconds(3001), milliseconds(8000)));
+        CHECK_TRUE(admits(kind, milliseconds(4000), milliseconds(800)));
+        CHECK_FALSE(admits(kind, milliseconds(5000), milliseconds(800)));
+    }
+}
+
+// Guards against a final answer after the end of the process, also for short grace periods.
+TEST(StopSchedule, StepsComeInOrder)
+{
+    for (const milliseconds period : { milliseconds(1000), milliseconds(3000), milliseconds(6000), milliseconds(60'000) }) {
+        const StopSchedule schedule(signalledAt, period);
+        const std::array<BootTime, 5> steps { signalledAt, schedule.idleSessionsEnd(), schedule.answersEnd(), schedule.finalAnswers(), signalledAt + period };
+        CHECK_TRUE(std::ranges::is_sorted(steps));
+        CHECK_TRUE(schedule.answersEnd() < schedule.finalAnswers());
+        CHECK_TRUE(schedule.finalAnswers() < signalledAt + period);
+    }
+}
