One odd entry in the store costs only itself

Cause: an answer of the store was parsed as a whole, so that one part decided about all; and values of any depth were copied and written, which takes stack for each level. Of the same class: numbers narrowed to int without a check, names written into lines of the databases' protocol and into request targets, an unreadable decision that prevented every further promotion, and a line feed inside a client's text that ended its message.

Change: JsonText (core) splits a text by strings and brackets, without recursion, and parses each part with a bounded depth. ObjectStore reads metadata and content apart, so that an unreadable content still has a name; StoreSync skips it and logs it once for each error. Peers' answers, loans, settings and the HTTP interface parse with the same bound. Entries of services that the configuration does not name are not used. Targets are encoded. Lines end with CR LF only, and a bare one inside a client's line is refused. Endless tasks log an exception and begin anew (keepRunning).

The emulator sends entries as text and draws 32 odd ones (--odd-entries).

--- a/packages/core/include/kumquatbank/core/BootClock.h
+++ b/packages/core/include/kumquatbank/core/BootClock.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include <algorithm>
 #include <chrono>
+#include <cstdint>
 #include <ctime>
 
 namespace kumquatbank {
@@ -32,4 +34,13 @@
     return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
 }
 
+/// Longest duration that is taken from a message. Adding it to a time does not overflow.
+constexpr std::chrono::milliseconds maxMessageDuration = std::chrono::hours(24 * 365);
+
+/// Duration of a message, limited to maxMessageDuration in both directions.
+constexpr std::chrono::milliseconds durationOfMessage(std::int64_t ms)
+{
+    return std::chrono::milliseconds(std::clamp<std::int64_t>(ms, -maxMessageDuration.count(), maxMessageDuration.count()));
+}
+
 } // namespace kumquatbank
--- a/packages/core/include/kumquatbank/core/core.h
+++ b/packages/core/include/kumquatbank/core/core.h
@@ -9,6 +9,7 @@
 #include "kumquatbank/core/Failure.h"
 #include "kumquatbank/core/HostAddress.h"
 #include "kumquatbank/core/HostIdentity.h"
+#include "kumquatbank/core/JsonText.h"
 #include "kumquatbank/core/LogPosition.h"
 #include "kumquatbank/core/Logging.h"
 #include "kumquatbank/core/Rank.h"
--- a/packages/core/src/SessionToken.cpp
+++ b/packages/core/src/SessionToken.cpp
@@ -1,6 +1,7 @@
 #include "kumquatbank/core/SessionToken.h"
 
 #include "kumquatbank/core/CxxtoolsCompat.h"
+#include "kumquatbank/core/JsonText.h"
 
 #include <algorithm>
 #include <cxxtools/base64codec.h>
@@ -29,7 +30,7 @@
     if (text.size() > maxTokenBytes)
         return notRun(FailureCode::BadRequest, "session token is longer than 16 KiB", Cause::BadRequest);
     try {
-        const auto json = nlohmann::json::parse(cxxtools::Base64Codec::decode(text));
+        const auto json = JsonText::parseOrDiscard(cxxtools::Base64Codec::decode(text));
         const auto origin = json.at("d").get<std::string>();
         if (origin != deployment)
             return notRun(FailureCode::ForeignToken,
--- a/packages/engine/include/kumquatbank/engine/engine.h
+++ b/packages/engine/include/kumquatbank/engine/engine.h
@@ -9,6 +9,7 @@
 #include "kumquatbank/engine/EventLog.h"
 #include "kumquatbank/engine/HttpClient.h"
 #include "kumquatbank/engine/HttpListener.h"
+#include "kumquatbank/engine/KeepRunning.h"
 #include "kumquatbank/engine/LineChannel.h"
 #include "kumquatbank/engine/Random.h"
 #include "kumquatbank/engine/TcpListener.h"
--- a/packages/engine/src/LineChannel.cpp
+++ b/packages/engine/src/LineChannel.cpp
@@ -14,6 +14,7 @@
 
     constexpr std::size_t initialInputBytes = 2048;
     constexpr int keepAliveProbes = 2;
+    constexpr std::string_view lineTerminator = "\r\n";
 
 } // namespace
 
@@ -53,17 +54,15 @@
 
 bool LineChannel::extractLine(std::string_view& line)
 {
-    const auto* const newline
-        = static_cast<const char*>(std::memchr(m_readBuffer.data() + m_scanEnd, '\n', m_end - m_scanEnd));
-    if (newline == nullptr) {
-        m_scanEnd = m_end;
+    const auto received = std::string_view(m_readBuffer).substr(0, m_end);
+    const auto lineEnd = received.find(lineTerminator, m_scanEnd);
+    if (lineEnd == std::string_view::npos) {
+        // The first byte of the terminator may be the last one received.
+        m_scanEnd = std::max(m_begin, m_end - std::min(m_end, lineTerminator.size() - 1));
         return false;
     }
-    const auto lineEnd = static_cast<std::size_t>(newline - m_readBuffer.data());
-    line = std::string_view(m_readBuffer).substr(m_begin, lineEnd - m_begin);
-    if (line.ends_with('\r'))
-        line.remove_suffix(1);
-    m_begin = m_scanEnd = lineEnd + 1;
+    line = received.substr(m_begin, lineEnd - m_begin);
+    m_begin = m_scanEnd = lineEnd + lineTerminator.size();
     return true;
 }
 
--- a/packages/platform/src/PlatformClient.cpp
+++ b/packages/platform/src/PlatformClient.cpp
@@ -3,6 +3,7 @@
 #include "Backoff.h"
 #include "CallBudget.h"
 #include "HttpClientPool.h"
+#include "kumquatbank/core/JsonText.h"
 
 #include <atomic>
 #include <mutex>
@@ -138,7 +139,7 @@
         return notRun(FailureCode::Conflict, request.path + " has another version: " + response->body);
     if (response->status != 200)
         return notRun(FailureCode::BadRequest, status + ": " + response->body);
-    auto json = nlohmann::json::parse(response->body, nullptr, false);
+    auto json = JsonText::parseOrDiscard(response->body);
     if (!json.is_object())
         return lost(effect, FailureCode::ConnectionLost, "the platform's response is not a JSON object");
     return json;
--- a/packages/pooler/src/HostDirectory.cpp
+++ b/packages/pooler/src/HostDirectory.cpp
@@ -1,6 +1,7 @@
 #include "HostDirectory.h"
 
 #include "kumquatbank/engine/EventLog.h"
+#include "kumquatbank/engine/KeepRunning.h"
 #include "kumquatbank/engine/Random.h"
 
 #include <array>
@@ -40,6 +41,8 @@
     constexpr std::size_t followersPerRegion = 2;
     /// With fewer hosts in a region, polling followers costs more calls than it saves.
     constexpr std::ptrdiff_t minHostsForFollowers = 5;
+    /// Greatest weight that is taken from the entry of a host, in standard cores.
+    constexpr double maxWeight = 1024.0 * 1024.0;
 
     nlohmann::json describeHost(const HostAddress& peerAddress, const std::string& dataCentre, const std::string& region, double weight, const std::optional<HostAddress>& loanAddress)
     {
@@ -70,7 +73,10 @@
 {
 }
 
-void HostDirectory::start() { asio::co_spawn(m_io, maintain(), asio::detached); }
+void HostDirectory::start()
+{
+    keepRunning(m_io, "maintain_hosts", [this] { return maintain(); });
+}
 
 Task<void> HostDirectory::maintain()
 {
@@ -202,9 +208,9 @@
     const auto loanAddress = HostAddress::parse(text("loanAddress"));
     const auto weight = content.is_object() ? content.value("weight", nlohmann::json()) : nlohmann::json();
     if (address)
-        m_peers.push_back({ name, *address, text("dataCentre"), text("region"), loanAddress ? std::optional(*loanAddress) : std::nullopt, weight.is_number() ? weight.get<double>() : 1.0 });
+        m_peers.push_back({ name, *address, text("dataCentre"), text("region"), loanAddress ? std::optional(*loanAddress) : std::nullopt, weight.is_number() ? std::clamp(weight.get<double>(), 0.0, maxWeight) : 1.0 });
     else
-        EventLog::warn("host_entry_skipped", { { "peer", name } });
+        EventLog::warn("host_entry_skipped", { { "peer", name }, { "readable", !content.is_discarded() } });
 }
 
 nlohmann::json HostDirectory::ownContent() const
--- a/packages/pooler/src/LoanMessage.cpp
+++ b/packages/pooler/src/LoanMessage.cpp
@@ -1,5 +1,7 @@
 #include "LoanMessage.h"
 
+#include "kumquatbank/core/JsonText.h"
+
 #include <algorithm>
 #include <array>
 #include <nlohmann/json.hpp>
@@ -20,7 +22,7 @@
     /// Returns a discarded value if the line does not start with @p prefix or is not valid JSON.
     Json parse(std::string_view prefix, std::string_view line)
     {
-        return line.starts_with(prefix) ? Json::parse(line.substr(prefix.size()), nullptr, false) : Json(Json::value_t::discarded);
+        return line.starts_with(prefix) ? JsonText::parseOrDiscard(line.substr(prefix.size())) : Json(Json::value_t::discarded);
     }
 
 } // namespace
@@ -43,12 +45,12 @@
         request.service = json.at("service").get<std::string>();
         request.eligibility = json.at("primary").get<bool>() ? Eligibility::PrimaryOnly : Eligibility::Any;
         request.priority = json.at("priority").get<int>();
-        request.maxWait = milliseconds(json.at("maxWaitMs").get<std::int64_t>());
-        request.answerTimeout = milliseconds(json.at("answerTimeoutMs").get<std::int64_t>());
+        request.maxWait = durationOfMessage(json.at("maxWaitMs").get<std::int64_t>());
+        request.answerTimeout = durationOfMessage(json.at("answerTimeoutMs").get<std::int64_t>());
         request.excluded = json.at("excluded").get<std::set<std::string>>();
         request.waitsForEndpoint = json.at("waitsForEndpoint").get<bool>();
         if (json.contains("maxStalenessMs"))
-            request.maxStaleness = milliseconds(json["maxStalenessMs"].get<std::int64_t>());
+            request.maxStaleness = durationOfMessage(json["maxStalenessMs"].get<std::int64_t>());
         return request;
     } catch (const Json::exception&) {
         return std::nullopt; // Sent by another version of the program; the caller logs it.
@@ -84,10 +86,10 @@
             reply.endpoint = json.at("endpoint").get<std::string>();
         if (json.contains("sample")) {
             const auto& sample = json["sample"];
-            reply.sample = { sample.at("primary").get<std::string>(), { sample.at("term").get<Term>(), sample.at("position").get<std::uint64_t>() }, milliseconds(sample.at("ageMs").get<std::int64_t>()) };
+            reply.sample = { sample.at("primary").get<std::string>(), { sample.at("term").get<Term>(), sample.at("position").get<std::uint64_t>() }, durationOfMessage(sample.at("ageMs").get<std::int64_t>()) };
         }
         if (kind == LoanReply::Kind::Refused) {
-            reply.retryAfter = milliseconds(json.at("retryAfterMs").get<std::int64_t>());
+            reply.retryAfter = durationOfMessage(json.at("retryAfterMs").get<std::int64_t>());
             reply.reason = json.at("reason").get<std::string>();
         }
         reply.kind = kind;
--- a/packages/pooler/src/PeerService.cpp
+++ b/packages/pooler/src/PeerService.cpp
@@ -1,11 +1,15 @@
 #include "PeerService.h"
 
+#include "kumquatbank/core/JsonText.h"
 #include "kumquatbank/engine/EventLog.h"
+#include "kumquatbank/engine/KeepRunning.h"
 #include "kumquatbank/engine/Random.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/url/encode.hpp>
 #include <boost/url/parse.hpp>
+#include <boost/url/rfc/unreserved_chars.hpp>
 #include <charconv>
 #include <fmt/format.h>
 
@@ -57,8 +61,8 @@
 
 void PeerService::start()
 {
-    asio::co_spawn(m_io, pollPeers(), asio::detached);
-    asio::co_spawn(m_io, pollFollowers(), asio::detached);
+    keepRunning(m_io, "poll_peers", [this] { return pollPeers(); });
+    keepRunning(m_io, "poll_followers", [this] { return pollFollowers(); });
 }
 
 Task<HttpResult> PeerService::call(HostAddress peer, std::string target, milliseconds timeout)
@@ -141,10 +145,10 @@
     auto reports = std::make_shared<std::vector<PeerReport>>(selected.size());
     auto missing = std::make_shared<std::size_t>(selected.size());
     auto waiter = std::make_shared<AutoResetEvent>(m_io);
-    const auto target = fmt::format("/v1/primary?service={}&endpoint={}", service, endpoint);
+    const auto target = fmt::format("/v1/primary?service={}&endpoint={}", boost::urls::encode(service, boost::urls::unreserved_chars), boost::urls::encode(endpoint, boost::urls::unreserved_chars));
     const auto queryOne = [this, reports, missing, waiter, target](std::size_t n, HostAddress peer) -> Task<void> {
         const auto reply = co_await call(peer, target, peerQueryTimeout);
-        const auto body = reply.isSuccess() ? Json::parse(reply.body, nullptr, false) : Json();
+        const auto body = reply.isSuccess() ? JsonText::parseOrDiscard(reply.body) : Json();
         auto& report = (*reports)[n];
         const auto flag = [&body](const char* key) { return body.is_object() && body.contains(key) && body[key].is_boolean() && body[key].get<bool>(); };
         // A host that does not monitor the primary has no information about it.
@@ -272,9 +276,9 @@
 bool PeerService::applyUpdates(const std::string& body, BootTime requestedAt, const std::string& peer)
 {
     try {
-        const auto updates = Json::parse(body);
+        const auto updates = JsonText::parseOrDiscard(body);
         if (m_sync.applyFromPeer(updates.at("known"), peer))
-            m_sync.recordPeerUpdate(requestedAt, milliseconds(updates.at("storeSilenceMs").get<std::int64_t>()));
+            m_sync.recordPeerUpdate(requestedAt, durationOfMessage(updates.at("storeSilenceMs").get<std::int64_t>()));
         else
             m_sync.clearPeerUpdate();
         applySamples(updates.at("samples"), requestedAt);
@@ -288,7 +292,7 @@
 void PeerService::applySamples(const Json& samples, BootTime requestedAt)
 {
     for (const auto& [name, json] : samples.items()) {
-        const PositionSample sample { json.at("endpoint").get<std::string>(), { json.at("term").get<Term>(), json.at("position").get<std::uint64_t>() }, milliseconds(json.at("ageMs").get<std::int64_t>()) };
+        const PositionSample sample { json.at("endpoint").get<std::string>(), { json.at("term").get<Term>(), json.at("position").get<std::uint64_t>() }, durationOfMessage(json.at("ageMs").get<std::int64_t>()) };
         if (const auto service = m_registry.find(name))
             service->recordPeerSample(sample, requestedAt);
     }
@@ -297,7 +301,7 @@
 bool PeerService::applyState(const std::string& body, const std::string& peer)
 {
     try {
-        const auto known = Json::parse(body);
+        const auto known = JsonText::parseOrDiscard(body);
         m_sync.applyFromPeer(known, peer);
         if (known.contains("hosts"))
             m_hosts.applyFromPeer(known["hosts"]);
--- a/packages/pooler/src/PoolerProcess.cpp
+++ b/packages/pooler/src/PoolerProcess.cpp
@@ -72,8 +72,8 @@
         m_hosts.start();
         m_peers.start();
         m_promotions.start();
-        asio::co_spawn(m_io, runMaintenance(), asio::detached);
-        asio::co_spawn(m_io, watchSettings(), asio::detached);
+        keepRunning(m_io, "maintenance", [this] { return runMaintenance(); });
+        keepRunning(m_io, "watch_settings", [this] { return watchSettings(); });
     }
 
     void run()
--- a/packages/pooler/src/PoolerSettings.cpp
+++ b/packages/pooler/src/PoolerSettings.cpp
@@ -1,5 +1,6 @@
 #include "kumquatbank/pooler/PoolerSettings.h"
 
+#include "kumquatbank/core/JsonText.h"
 #include "kumquatbank/core/TextFile.h"
 
 #include <array>
@@ -148,9 +149,10 @@
 
 Result<PoolerSettings> PoolerSettings::parse(const std::string& text, const std::string& source)
 {
-    const auto json = Json::parse(text, nullptr, false, true);
-    if (!json.is_object())
-        return notRun(FailureCode::BadRequest, source + ": not a JSON object", Cause::BadRequest);
+    const auto parsed = JsonText::parse(text, JsonText::Comments::Ignored);
+    if (!parsed || !parsed->is_object())
+        return notRun(FailureCode::BadRequest, source + ": not a JSON object" + (parsed ? "" : ": " + parsed.error()), Cause::BadRequest);
+    const auto& json = *parsed;
     KeyReader reader(json, source);
     for (const auto& [key, value] : json.items()) {
         if (std::ranges::find(knownKeys, key) == knownKeys.end())
--- a/packages/pooler/src/PromotionController.cpp
+++ b/packages/pooler/src/PromotionController.cpp
@@ -1,6 +1,7 @@
 #include "PromotionController.h"
 
 #include "kumquatbank/engine/EventLog.h"
+#include "kumquatbank/engine/KeepRunning.h"
 #include "kumquatbank/engine/Random.h"
 #include "kumquatbank/routing/FencingToken.h"
 
@@ -65,7 +66,10 @@
 {
 }
 
-void PromotionController::start() { asio::co_spawn(m_io, supervise(), asio::detached); }
+void PromotionController::start()
+{
+    keepRunning(m_io, "supervise_primaries", [this] { return supervise(); });
+}
 
 Task<void> PromotionController::supervise()
 {
@@ -162,27 +166,29 @@
         const auto current = co_await m_store->get(promotionKind, service, storeTimeout);
         m_metrics.storeCall("get_promotion", storeStatusName(current.status));
         const auto era = current.revision.era;
-        if (current.status == StoreStatus::Ok && !current.objects.empty()) {
-            const auto decision = PromotionDecision::parse(current.objects.front().content, era);
-            if (!decision) {
-                EventLog::error("promotion_object_unreadable", { { "service", service }, { "revision", current.revision.number } });
-                co_return std::nullopt;
-            }
-            EventLog::info("promotion_object_read", { { "service", service }, { "token", decision->token }, { "token_era", decision->era }, { "revision", current.revision.number }, { "era", era }, { "by", decision->holder } });
-            if (leavesToPeer(service, *decision, current.revision, lost))
+        const bool isPresent = current.status == StoreStatus::Ok && !current.objects.empty();
+        if (!isPresent && current.status != StoreStatus::NotFound)
+            co_return reuseToken(service, current.detail, mayReuse);
+        const auto known = isPresent ? PromotionDecision::parse(current.objects.front().content, era) : std::nullopt;
+        // Written by another writer. It is replaced, because no primary could be promoted otherwise.
+        const bool isUnreadable = isPresent && !known;
+        if (known) {
+            EventLog::info("promotion_object_read", { { "service", service }, { "token", known->token }, { "token_era", known->era }, { "revision", current.revision.number }, { "era", era }, { "by", known->holder } });
+            if (leavesToPeer(service, *known, current.revision, lost))
                 co_return std::nullopt;
-            progress.newestToken = std::max(progress.newestToken, decision->token);
-            if (decision->run == m_runId && decision->era == era && decision->token == unconfirmedToken) {
+            progress.newestToken = std::max(progress.newestToken, known->token);
+            if (known->run == m_runId && known->era == era && known->token == unconfirmedToken) {
                 progress.heldToken = unconfirmedToken;
                 co_return unconfirmedToken;
             }
-        } else if (current.status == StoreStatus::NotFound) {
-            EventLog::info("promotion_object_absent", { { "service", service }, { "era", era }, { "newest_token", progress.newestToken } });
+        } else if (isUnreadable) {
+            EventLog::error("promotion_object_unreadable", { { "service", service }, { "revision", current.revision.number }, { "newest_token", progress.newestToken } });
         } else {
-            co_return reuseToken(service, current.detail, mayReuse);
+            EventLog::info("promotion_object_absent", { { "service", service }, { "era", era }, { "newest_token", progress.newestToken } });
         }
+        const auto step = stepDistribution(randomEngine());
         PromotionDecision decision;
-        decision.token = FencingToken::next(progress.newestToken, era, stepDistribution(randomEngine()));
+        decision.token = isUnreadable ? FencingToken::afterUnknown(progress.newestToken, era, step) : FencingToken::next(progress.newestToken, era, step);
         decision.era = era;
         decision.run = m_runId;
         decision.holder = m_settings.host;
--- a/packages/pooler/src/PromotionDecision.cpp
+++ b/packages/pooler/src/PromotionDecision.cpp
@@ -1,5 +1,7 @@
 #include "PromotionDecision.h"
 
+#include "kumquatbank/routing/FencingToken.h"
+
 namespace kumquatbank {
 
 nlohmann::json PromotionDecision::toJson() const
@@ -14,6 +16,8 @@
     try {
         PromotionDecision decision;
         decision.token = content.at("token").get<std::uint64_t>();
+        if (decision.token > FencingToken::maxToken)
+            return std::nullopt;
         decision.era = content.value("era", era);
         decision.run = content.value("run", std::uint64_t(0));
         decision.holder = content.value("holder", "");
--- a/packages/pooler/src/ServiceRegistry.cpp
+++ b/packages/pooler/src/ServiceRegistry.cpp
@@ -30,6 +30,8 @@
     m_configActiveSince = BootClock::now();
     m_metrics.setConfigVersion(m_config->version);
     refreshLimits();
+    if (m_hasEndpoints)
+        distributeEntries();
     for (const auto& waiter : std::exchange(m_configWaiters, {}))
         waiter->wake();
     return true;
@@ -47,13 +49,23 @@
 {
     m_hasEndpoints = true;
     m_entries = std::move(entries);
+    m_areEntriesComplete = isComplete;
+    m_previousAnswerAt = previousAnswerAt;
+    distributeEntries();
+}
+
+void ServiceRegistry::distributeEntries()
+{
     std::map<std::string, std::vector<EndpointEntry>> byService;
     for (const auto& [id, entry] : m_entries)
         byService[entry.service].push_back(entry);
-    for (const auto& [name, list] : byService)
-        findOrCreate(name);
+    for (const auto& [name, list] : byService) {
+        if (m_config && !m_services.contains(name) && m_unknownServices.insert(name).second)
+            EventLog::warn("service_unknown", { { "service", name }, { "endpoint", list.front().id }, { "endpoints", list.size() }, { "config_version", m_config->version } });
+    }
+    std::erase_if(m_unknownServices, [&](const std::string& name) { return !byService.contains(name); });
     for (const auto& [name, service] : m_services)
-        service->setEntries(byService[name], isComplete, previousAnswerAt);
+        service->setEntries(byService[name], m_areEntriesComplete, m_previousAnswerAt);
     refreshLimits();
 }
 
--- a/packages/pooler/src/ServiceRegistry.h
+++ b/packages/pooler/src/ServiceRegistry.h
@@ -36,6 +36,8 @@
 private:
     std::shared_ptr<DatabaseService> findOrCreate(const std::string& service);
     void refreshLimits();
+    /// Hands the entries to their services. An entry of a service that the configuration does not name is not used.
+    void distributeEntries();
 
     asio::io_context& m_io;
     std::string m_hostName;
@@ -44,6 +46,9 @@
     BootTime m_configActiveSince {};
     std::map<std::string, EndpointEntry> m_entries;
     bool m_hasEndpoints = false;
+    bool m_areEntriesComplete = false;
+    BootTime m_previousAnswerAt {};
+    std::set<std::string> m_unknownServices; ///< Named by entries only.
     int m_hosts = ConnectionSharing::unknownHostCount;
     int m_lenders = 0;
     ConnectionBorrower* m_borrower = nullptr;
--- a/packages/pooler/src/StoreSync.cpp
+++ b/packages/pooler/src/StoreSync.cpp
@@ -2,6 +2,7 @@
 
 #include "kumquatbank/adapter/StoreCodec.h"
 #include "kumquatbank/engine/EventLog.h"
+#include "kumquatbank/engine/KeepRunning.h"
 #include "kumquatbank/engine/Random.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -36,6 +37,8 @@
     constexpr milliseconds maxRetryDelay { 800 };
     /// The same for a subscriber, which receives from followers that the store is back.
     constexpr milliseconds maxSubscriberRetryDelay { 3200 };
+    /// Entries that cannot be read are told apart in the log up to this number; further ones are logged each time.
+    constexpr std::size_t maxSkippedEntries = 1024;
 
 } // namespace
 
@@ -51,8 +54,8 @@
 
 void StoreSync::start()
 {
-    asio::co_spawn(m_io, syncKind(m_config), asio::detached);
-    asio::co_spawn(m_io, syncKind(m_endpoints), asio::detached);
+    keepRunning(m_io, "sync_config", [this] { return syncKind(m_config); });
+    keepRunning(m_io, "sync_endpoints", [this] { return syncKind(m_endpoints); });
 }
 
 milliseconds StoreSync::endpointSilence() const { return std::chrono::duration_cast<milliseconds>(BootClock::now() - m_endpoints.lastAnswer); }
@@ -273,10 +276,16 @@
 {
     const auto& object = change.object;
     if (&cursor == &m_config) {
-        if (object.name == StoreCodec::configName && !change.isRemoved)
+        if (object.name != StoreCodec::configName || change.isRemoved)
+            return;
+        if (object.error.empty())
             applyConfig(object.content, "store");
+        else
+            EventLog::error("config_unreadable", { { "error", object.error }, { "source", "store" }, { "revision", object.revision.number } });
         return;
     }
+    if (change.isRemoved)
+        m_skippedEntries.erase(object.name);
     auto entry = change.isRemoved ? std::nullopt : parseEndpoint(object);
     if (entry)
         m_table.set(std::move(*entry));
@@ -287,8 +296,15 @@
 std::optional<EndpointEntry> StoreSync::parseEndpoint(const StoreObject& object)
 {
     auto entry = StoreCodec::parseEndpoint(object);
-    if (entry)
+    if (entry) {
+        m_skippedEntries.erase(object.name);
         return std::move(*entry);
+    }
+    const auto known = m_skippedEntries.find(object.name);
+    if (known != m_skippedEntries.end() && known->second == entry.error())
+        return std::nullopt;
+    if (known != m_skippedEntries.end() || m_skippedEntries.size() < maxSkippedEntries)
+        m_skippedEntries[object.name] = entry.error();
     EventLog::warn("endpoint_entry_skipped", { { "endpoint", object.name }, { "revision", object.revision.number }, { "error", entry.error() } });
     return std::nullopt;
 }
--- a/packages/pooler/src/StoreSync.h
+++ b/packages/pooler/src/StoreSync.h
@@ -72,7 +72,8 @@
     void applyChange(const Cursor& cursor, const StoreChange& change);
     /// Replaces everything that is known of the kind.
     void applyListing(const Cursor& cursor, const std::vector<StoreObject>& objects, StoreRevision revision);
-    static std::optional<EndpointEntry> parseEndpoint(const StoreObject& object);
+    /// Empty if the entry cannot be read, which is logged once for each error of an endpoint.
+    std::optional<EndpointEntry> parseEndpoint(const StoreObject& object);
     void publishEndpoints(const Cursor& cursor);
 
     asio::io_context& m_io;
@@ -87,6 +88,7 @@
     BootTime m_entriesKnownAt {}; ///< The entries were those of the store at this time.
     StoreRevision m_entriesRevision; ///< Revision at which the entries last changed.
     nlohmann::json m_configContent;
+    std::map<std::string, std::string> m_skippedEntries; ///< Entries that cannot be read, and why, by name.
 };
 
 } // namespace kumquatbank
--- a/packages/proxy/src/StatementService.cpp
+++ b/packages/proxy/src/StatementService.cpp
@@ -1,4 +1,5 @@
 #include "StatementService.h"
+#include "kumquatbank/core/JsonText.h"
 
 #include <exception>
 
@@ -88,7 +89,7 @@
 HttpResponse StatementService::serve(const std::string& body)
 {
     const Progress progress(*this);
-    const auto json = Json::parse(body, nullptr, false);
+    const auto json = JsonText::parseOrDiscard(body);
     const auto requestId = requestIdOf(json);
     try {
         const auto answer = run(json);
--- a/packages/routing/src/FencingToken.cpp
+++ b/packages/routing/src/FencingToken.cpp
@@ -9,4 +9,9 @@
     return std::max(newest, era * perEra) + step;
 }
 
+std::uint64_t FencingToken::afterUnknown(std::uint64_t newest, std::uint64_t era, std::uint64_t step)
+{
+    return std::max(newest, era * perEra + perEra / 2) + step;
+}
+
 } // namespace kumquatbank
--- a/packages/transport/src/EndpointConnection.cpp
+++ b/packages/transport/src/EndpointConnection.cpp
@@ -1,6 +1,7 @@
 #include "kumquatbank/transport/EndpointConnection.h"
 
 #include "TcpLineSocket.h"
+#include "kumquatbank/core/JsonText.h"
 
 #include <algorithm>
 #include <array>
@@ -92,7 +93,7 @@
         m_isUsable = false;
         return mayHaveRun(FailureCode::ConnectionLost, m_address + why);
     };
-    auto response = nlohmann::json::parse(line, nullptr, false);
+    auto response = JsonText::parseOrDiscard(line);
     if (!response.is_object())
         return broken(" sent a line that is not a JSON object");
     const auto id = response.find("id");
--- a/tools/emulator/EmulatedStore.cpp
+++ b/tools/emulator/EmulatedStore.cpp
@@ -8,6 +8,24 @@
 
 namespace {
 
+    /// Key of a spec that is sent as text; see putText().
+    constexpr const char* specText = "specText";
+
+    std::string objectText(const Json& object)
+    {
+        if (!object.contains(specText))
+            return object.dump();
+        return R"({"meta":)" + object["meta"].dump() + R"(,"spec":)" + object[specText].get_ref<const std::string&>() + R"(,"status":null})";
+    }
+
+    std::string joinTexts(const std::vector<std::string>& texts)
+    {
+        std::string joined;
+        for (const auto& text : texts)
+            joined += (joined.empty() ? "" : ",") + text;
+        return "[" + joined + "]";
+    }
+
     /// Answer that the listener replaces by closing the connection.
     HttpResponse lostAnswer() { return { HttpResponse::closeConnection, "" }; }
 
@@ -35,6 +53,11 @@
     store(kind, name, { { "meta", { { "Finalizers", Json::array() } } }, { "spec", spec }, { "status", nullptr } });
 }
 
+void EmulatedStore::putText(const std::string& kind, const std::string& name, std::string spec)
+{
+    store(kind, name, { { "meta", { { "Finalizers", Json::array() } } }, { specText, std::move(spec) } });
+}
+
 void EmulatedStore::remove(const std::string& kind, const std::string& name)
 {
     auto& objects = m_objects[kind];
@@ -76,13 +99,13 @@
             co_return lostAnswer();
         if (revision + 1 < m_firstRevision || revision > m_revision)
             co_return HttpResponse { 410, "{}" };
-        Json events = Json::array();
+        std::vector<std::string> events;
         for (const auto& event : m_events) {
             if (event.kind == kind && event.revision > revision)
-                events.push_back({ { "Object", event.object }, { "Deleted", event.isRemoved } });
+                events.push_back(std::string(R"({"Deleted":)") + (event.isRemoved ? "true" : "false") + R"(,"Object":)" + objectText(event.object) + "}");
         }
         if (!events.empty() || BootClock::now() >= until)
-            co_return HttpResponse { 200, Json { { "events", std::move(events) }, { "AsOf", m_revision } }.dump() };
+            co_return HttpResponse { 200, R"({"events":)" + joinTexts(events) + R"(,"AsOf":)" + std::to_string(m_revision) + "}" };
         const auto waiter = std::make_shared<AutoResetEvent>(m_io);
         m_waiters.push_back(waiter);
         co_await waiter->wait(until);
@@ -95,26 +118,26 @@
     const auto stored = get(kind, name);
     if (method == "DELETE") {
         remove(kind, name);
-        return stored.is_null() ? HttpResponse { 404, "{}" } : HttpResponse { 200, stored.dump() };
+        return stored.is_null() ? HttpResponse { 404, "{}" } : HttpResponse { 200, objectText(stored) };
     }
     if (!json.is_object() || !json.contains("meta"))
         return { 400, "{}" };
     const auto target = method == "POST" ? json["meta"].value("Name", "") : name;
     const auto current = get(kind, target);
     if (method == "POST" && !current.is_null())
-        return { 409, current.dump() };
+        return { 409, objectText(current) };
     if (method == "PUT" && current.is_null())
         return { 404, "{}" };
     const auto expected = json["meta"].find("Revision");
     if (method == "PUT" && expected != json["meta"].end() && *expected != current["meta"]["Revision"])
-        return { 409, current.dump() };
+        return { 409, objectText(current) };
     store(kind, target, { { "meta", { { "Finalizers", Json::array() } } }, { "spec", json.value("spec", Json()) }, { "status", nullptr } });
     if (m_behaviour.answersToLose > 0) {
         if (--m_behaviour.answersToLose == 0 && m_behaviour.goesDownAfterLostAnswers)
             m_behaviour.isDown = true;
         return lostAnswer();
     }
-    return { 200, get(kind, target).dump() };
+    return { 200, objectText(get(kind, target)) };
 }
 
 Task<HttpResponse> EmulatedStore::answer(HttpRequest request)
@@ -143,7 +166,7 @@
         co_return change(request.method, kind, name, request.body);
     if (!name.empty()) {
         const auto object = get(kind, name);
-        co_return object.is_null() ? HttpResponse { 404, "{}" } : HttpResponse { 200, object.dump() };
+        co_return object.is_null() ? HttpResponse { 404, "{}" } : HttpResponse { 200, objectText(object) };
     }
     const auto parameters = url->params();
     const auto since = parameters.find("Watch");
@@ -152,10 +175,10 @@
         const auto revision = std::stoull(std::string((*since).value));
         co_return co_await watch(kind, revision, wait);
     }
-    Json items = Json::array();
+    std::vector<std::string> items;
     for (const auto& [objectName, object] : m_objects[kind])
-        items.push_back(object);
-    co_return HttpResponse { 200, Json { { "items", std::move(items) }, { "More", false }, { "AsOf", m_revision } }.dump() };
+        items.push_back(objectText(object));
+    co_return HttpResponse { 200, R"({"items":)" + joinTexts(items) + R"(,"More":false,"AsOf":)" + std::to_string(m_revision) + "}" };
 }
 
 } // namespace kumquatbank
--- a/tools/emulator/EmulatedStore.h
+++ b/tools/emulator/EmulatedStore.h
@@ -29,6 +29,8 @@
 
     StoreBehaviour& behaviour() { return m_behaviour; }
     void put(const std::string& kind, const std::string& name, const nlohmann::json& spec);
+    /// Puts an object whose spec is sent exactly as @p spec says, also if that is no JSON value of ours.
+    void putText(const std::string& kind, const std::string& name, std::string spec);
     void remove(const std::string& kind, const std::string& name);
     /// Null if there is no such object.
     nlohmann::json get(const std::string& kind, const std::string& name) const;
--- a/tools/emulator/platform_emulator.cpp
+++ b/tools/emulator/platform_emulator.cpp
@@ -1,4 +1,6 @@
 #include "EmulatedPlatform.h"
+#include "OddEntries.h"
+#include "kumquatbank/adapter/StoreCodec.h"
 
 #include <boost/asio/signal_set.hpp>
 #include <csignal>
@@ -24,6 +26,9 @@
     {
     }
 
+    /// Also draws entries of another writer.
+    void writeOddEntries() { m_writesOddEntries = true; }
+
     /// One trouble each @p interval. They overlap, and the last one begins before @p until.
     Task<void> run(milliseconds interval, BootTime until)
     {
@@ -65,6 +70,9 @@
             case 11:
                 leaveReplica();
                 break;
+            case 12:
+                writeOddEntry();
+                break;
             default:
                 m_platform.putConfig();
                 report(fmt::format("a new configuration, version {}", m_platform.config().version));
@@ -86,7 +94,8 @@
 
 private:
     /// Where commits are confirmed by replicas, also troubles of replicas that concern what they have received.
-    unsigned troubleKinds() const { return m_shape.syncReplicas > 0 ? 12 : 10; }
+    unsigned troubleKinds() const { return m_writesOddEntries ? 13 : m_shape.syncReplicas > 0 ? 12
+                                                                                              : 10; }
     int anyService() { return static_cast<int>(m_random() % static_cast<unsigned>(m_shape.services)); }
     int anyDatabase() { return static_cast<int>(m_random() % static_cast<unsigned>(m_shape.databasesPerService)); }
 
@@ -175,6 +184,16 @@
         m_platform.service(service).catchUp(id);
     }
 
+    /// Another writer leaves an entry among those of the databases, or overwrites the one that it left before.
+    void writeOddEntry()
+    {
+        const auto entries = oddEntries(m_platform.service(anyService()).name());
+        const auto& odd = entries[m_random() % entries.size()];
+        const auto name = fmt::format("x-other-{}", m_random() % 4);
+        m_platform.store().putText(std::string(StoreCodec::endpointKind), name, odd.spec);
+        report("another writer leaves the entry " + name + ": " + odd.description);
+    }
+
     /// Announces that a database will leave, which may be a replica.
     void leaveReplica()
     {
@@ -207,6 +226,7 @@
     std::mt19937 m_random;
     EmulatedPlatform::Shape m_shape;
     std::set<int> m_crashedServices;
+    bool m_writesOddEntries = false;
     int m_outages = 0; ///< Outages of the store that have not ended.
 };
 
@@ -238,6 +258,7 @@
         "seed", "Seed of the troubles", cxxopts::value<unsigned>()->default_value("1"))(
         "sync-replicas", "Replicas that receive a commit before it is acknowledged", cxxopts::value<int>()->default_value("0"))(
         "announce-offset", "Added to the ports of databases in the store", cxxopts::value<std::uint16_t>()->default_value("0"))(
+        "odd-entries", "Draw entries of another writer among the troubles, and those of replicas")(
         "trouble-ms", "A random trouble each this often", cxxopts::value<int>())(
         "trouble-s", "No new trouble after this time", cxxopts::value<int>()->default_value("3600"))("h,help", "Print this text and stop");
     const auto arguments = options.parse(argc, argv);
@@ -257,6 +278,8 @@
     asio::io_context io(1);
     EmulatedPlatform platform(io, shape);
     TroubleMaker troubles(io, platform, arguments["seed"].as<unsigned>(), shape);
+    if (arguments.count("odd-entries"))
+        troubles.writeOddEntries();
     if (arguments.count("crash-primary-ms"))
         asio::co_spawn(io, crashPrimary(io, platform, milliseconds(arguments["crash-primary-ms"].as<int>())), asio::detached);
     if (arguments.count("leave-primary-ms"))
