--- a/packages/pooler/src/PromotionController.cpp
+++ b/packages/pooler/src/PromotionController.cpp
@@ -272,7 +272,8 @@
     request.token = token;
     auto& progress = m_progress[service->name()];
     progress.notBefore = BootClock::now() + attemptInterval;
-    const auto outcome = co_await m_call->promote(request, promoteTimeout);
+    const auto client = m_call; // New settings may replace it during the call.
+    const auto outcome = co_await client->promote(request, promoteTimeout);
     m_metrics.promotionCompleted(promotionOutcomeName(outcome));
     EventLog::info("promotion", { { "service", service->name() }, { "endpoint", endpoint }, { "token", token }, { "outcome", promotionOutcomeName(outcome) } });
     if (outcome == PromotionOutcome::NotDone || outcome == PromotionOutcome::Refused)
--- a/packages/pooler/tests/PoolerFixture.cpp
+++ b/packages/pooler/tests/PoolerFixture.cpp
@@ -5,6 +5,7 @@
 
 #include <CppUTest/TestHarness.h>
 #include <fmt/format.h>
+#include <fstream>
 #include <unistd.h>
 
 namespace kumquatbank {
@@ -105,6 +106,14 @@
     return std::stoi(best.substr(best.find('-') + 1));
 }
 
+std::string PoolerFixture::settingsFile(int host) const { return m_settingsFolder.empty() ? "" : fmt::format("{}/host-{}.json", m_settingsFolder, host); }
+
+void PoolerFixture::writeSettings(int host, const HostAddress& storeAddress) const
+{
+    const nlohmann::json settings { { "host", fmt::format("host-{}", host) }, { "dataCentre", fmt::format("dc-{}", host % m_dataCentres) }, { "region", region(host) }, { "clientAddress", address(host, 0).toString() }, { "readyAddress", address(host, 1).toString() }, { "peerAddress", address(host, 2).toString() }, { "metricsAddress", address(host, 3).toString() }, { "storeAddress", storeAddress.toString() }, { "promotionAddress", m_platform->promotionAddress().toString() }, { "logLinesPerSecond", 0 }, { "failureLinesPerSecond", 0 } };
+    std::ofstream(settingsFile(host)) << settings.dump();
+}
+
 void PoolerFixture::startHost(int host)
 {
     PoolerSettings settings;
@@ -125,7 +134,7 @@
     settings.failureLinesPerSecond = 0;
     if (m_adjust)
         m_adjust(settings);
-    m_processes.push_back(new PoolerProcess(*m_io, settings, ""));
+    m_processes.push_back(new PoolerProcess(*m_io, settings, settingsFile(host)));
     m_processes.back()->start();
 }
 
--- a/packages/pooler/tests/PoolerFixture.h
+++ b/packages/pooler/tests/PoolerFixture.h
@@ -62,6 +62,10 @@
     HostAddress peerAddress(int host) const { return address(host, 2); }
     PoolerProcess& process(int host) { return *m_processes.at(static_cast<std::size_t>(host)); }
     void startHost(int host);
+    /// Hosts that are started from now on read their settings from files in @p folder.
+    void useSettingsFiles(std::string folder) { m_settingsFolder = std::move(folder); }
+    /// Writes the file of a host with another address of the store.
+    void writeSettings(int host, const HostAddress& storeAddress) const;
 
     /// Status of the ready probe.
     Task<int> ready(int host);
@@ -79,6 +83,7 @@
 
 private:
     HostAddress address(int host, int offset) const;
+    std::string settingsFile(int host) const;
 
     // Suspended coroutines refer to the event loop and the processes, so neither is ever destroyed.
     asio::io_context* m_io;
@@ -89,6 +94,7 @@
     std::function<void(PoolerSettings&)> m_adjust;
     EmulatedPlatform* m_platform;
     std::vector<PoolerProcess*> m_processes;
+    std::string m_settingsFolder;
 };
 
 } // namespace kumquatbank
--- a/tools/emulator/EmulatedStore.cpp
+++ b/tools/emulator/EmulatedStore.cpp
@@ -37,6 +37,11 @@
 {
 }
 
+void EmulatedStore::listenAlso(const HostAddress& address)
+{
+    m_furtherListeners.push_back(std::make_unique<HttpListener>(m_io, address, [this](HttpRequest request) { return answer(std::move(request)); }));
+}
+
 void EmulatedStore::store(const std::string& kind, const std::string& name, Json object)
 {
     auto& meta = object["meta"];
--- a/tools/emulator/EmulatedStore.h
+++ b/tools/emulator/EmulatedStore.h
@@ -3,6 +3,7 @@
 #include "kumquatbank/engine/AutoResetEvent.h"
 #include "kumquatbank/engine/HttpListener.h"
 
+#include <memory>
 #include <nlohmann/json.hpp>
 
 namespace kumquatbank {
@@ -28,6 +29,8 @@
     };
 
     StoreBehaviour& behaviour() { return m_behaviour; }
+    /// Answers at a further address as well.
+    void listenAlso(const HostAddress& address);
     void put(const std::string& kind, const std::string& name, const nlohmann::json& spec);
     /// Puts an object whose spec is sent exactly as @p spec says, also if that is no JSON value of ours.
     void putText(const std::string& kind, const std::string& name, std::string spec);
@@ -69,6 +72,7 @@
     std::uint64_t m_calls = 0;
     std::vector<std::shared_ptr<AutoResetEvent>> m_waiters;
     HttpListener m_listener;
+    std::vector<std::unique_ptr<HttpListener>> m_furtherListeners;
 };
 
 } // namespace kumquatbank
