Soak: planned work only, synchronous replicas, and entries of another writer

The emulator draws deaf and leaving replicas where commits are synchronous, entries of another writer, and in a mode of its own planned work only; it reports acknowledged commits that a promotion loses, and statements at databases whose time to serve has ended. Clients run longer transactions and name the statements that got no answer; in planned mode one that reached a database is a violation.

--- a/scripts/pooler_soak.sh
+++ b/scripts/pooler_soak.sh
@@ -2,17 +2,26 @@
 # Random faults against proxies in front of an emulated platform, each a process on loopback: signals to the proxies,
 # network faults by a proxy between all parts, faults of the store and the databases. They overlap, and the same seed
 # draws the same ones. The clients check what they read, the emulator what its databases ran.
-# Usage: scripts/pooler_soak.sh [--seed N] [--seconds N] [--hosts N]
+# --sync N: commits are confirmed by N replicas, which also fall deaf and leave. --odd: another writer leaves entries that
+# cannot be read. --planned: planned work only, signals to stop and to reload, changes of the configuration and databases
+# that leave; every statement that reached a database must then be answered.
+# Usage: scripts/pooler_soak.sh [--seed N] [--seconds N] [--hosts N] [--sync N] [--odd] [--planned]
 set -euo pipefail
 cd "$(dirname "$0")/.."
 seed=1
 seconds=30
 hosts=4
+sync=0
+odd=
+planned=
 while [ $# -gt 0 ]; do
     case $1 in
     --seed) seed=$2 ;;
     --seconds) seconds=$2 ;;
     --hosts) hosts=$2 ;;
+    --sync) sync=$2 ;;
+    --odd) odd=--odd-entries; shift; continue ;;
+    --planned) planned=--planned; shift; continue ;;
     *) echo "unknown option $1" >&2; exit 2 ;;
     esac
     shift 2
@@ -23,13 +32,15 @@
 trap pooler_stop_all EXIT
 
 readonly hosts tick=0.25
+[ -z "$planned" ] && planned_only=0 || planned_only=1
 # The last part of the run is free of new faults, so that what is acknowledged can be read at the end.
 readonly quiet_seconds=5
 trouble_seconds=$((seconds > 2 * quiet_seconds ? seconds - quiet_seconds : quiet_seconds))
 RANDOM=$seed
 
-fault_proxy_start "$hosts" --trouble-ms 700 --trouble-s "$trouble_seconds" --seed "$seed"
-emulator_start --trouble-ms 1500 --trouble-s "$trouble_seconds" --seed "$seed"
+[ -n "$planned" ] || fault_proxy_start "$hosts" --trouble-ms 700 --trouble-s "$trouble_seconds" --seed "$seed"
+emulator_start --trouble-ms 1500 --trouble-s "$trouble_seconds" --seed "$seed" --sync-replicas "$sync" $odd $planned \
+    --ran-file "$pooler_dir/ran.txt"
 addresses=
 host_state=() due_tick=()
 for ((n = 0; n < hosts; n++)); do
@@ -39,7 +50,8 @@
 done
 for ((n = 0; n < hosts; n++)); do pooler_wait_ready "$n"; done
 
-"$bin/tools/emulator/session_load" --proxies "$addresses" --clients 5 --seconds "$seconds" --seed "$seed" >"$pooler_dir/load.txt" &
+"$bin/tools/emulator/session_load" --proxies "$addresses" --clients 5 --seconds "$seconds" --seed "$seed" \
+    --transaction-writes "$((1 + seed % 4))" --unanswered-file "$pooler_dir/unanswered.txt" >"$pooler_dir/load.txt" &
 load_pid=$!
 
 # Ends a fault of a host once it is due.
@@ -56,7 +68,7 @@
 disturb() { # host, tick
     local pid=${pooler_pids[$1]} lasts=$((1 + RANDOM % 16))
     due_tick[$1]=$(($2 + lasts))
-    case $((RANDOM % 5)) in
+    case $((planned_only ? 2 + RANDOM % 3 : RANDOM % 5)) in
     0) echo "tick $2: kill host-$1 for $lasts ticks"; kill -KILL "$pid"; wait "$pid" 2>/dev/null || true; host_state[$1]=killed ;;
     1) echo "tick $2: freeze host-$1 for $lasts ticks"; kill -STOP "$pid"; host_state[$1]=frozen ;;
     2) echo "tick $2: stop host-$1"; kill -TERM "$pid"; host_state[$1]=stopping ;;
@@ -95,8 +107,13 @@
 done
 [ "$now" -lt "$end" ] || { echo "violation: $lagging"; status=1; }
 emulator_stop || status=1
+# A statement that crossed the end of its connection has reached no database.
+if [ -n "$planned" ] && cut=$(grep -Fxf "$pooler_dir/unanswered.txt" "$pooler_dir/ran.txt"); then
+    echo "violation: ran without an answer: $(echo $cut)"
+    status=1
+fi
 cat "$pooler_dir/load.txt"
-grep -hE '^(trouble|violation)' "$pooler_dir/platform.log" "$pooler_dir/faults.log" || true
+grep -hsE '^(trouble|violation)' "$pooler_dir/platform.log" "$pooler_dir/faults.log" || true
 if [ "$status" = 0 ]; then
     echo "soak seed $seed: no violation"
     rm -rf "$pooler_dir"
--- a/tools/emulator/EmulatedDatabase.cpp
+++ b/tools/emulator/EmulatedDatabase.cpp
@@ -143,9 +143,9 @@
     return fmt::format("ROW {} {} {}.{} {} {} {} {}\r\nDONE -\r\n", m_service->isPrimary(m_entry.id) ? "primary" : "replica", m_service->term(), received.term, received.position, m_service->term(), log.lag.count(), m_busySlots, m_connections);
 }
 
-void EmulatedDatabase::record(const Session& session, const std::string& id, const std::string& text)
+void EmulatedDatabase::record(const Session& session, const std::string& id, const std::string& text, BootTime receivedAt)
 {
-    m_ran.push_back({ id, text, m_entry.id, session.number, session.state == TransactionState::None ? 0 : session.transaction, session.values });
+    m_ran.push_back({ id, text, m_entry.id, session.number, session.state == TransactionState::None ? 0 : session.transaction, session.values, receivedAt });
 }
 
 std::string EmulatedDatabase::runOwnCommand(Session& session, std::string_view word, std::string_view rest)
@@ -256,6 +256,7 @@
         writes = it->second.preparesWrite;
         item = takeWord(rest);
     }
+    const auto receivedAt = BootClock::now();
     if (!co_await takeSlot())
         co_return refuse(session, "BUSY");
     co_await sleepFor(m_io, m_behaviour.work);
@@ -273,7 +274,7 @@
     }
     if (writes && session.state == TransactionState::Open && session.isReadOnly)
         co_return refuse(session, "READONLY");
-    record(session, id, text);
+    record(session, id, text, receivedAt);
     if (statement.kind == StatementKind::Commit) {
         const bool wasFailed = session.state == TransactionState::Failed;
         session.state = TransactionState::None;
--- a/tools/emulator/EmulatedDatabase.h
+++ b/tools/emulator/EmulatedDatabase.h
@@ -33,6 +33,7 @@
     std::uint64_t connection = 0;
     std::uint64_t transaction = 0; ///< 0 outside a transaction.
     std::map<std::string, std::string> values; ///< Of the session, at that moment.
+    BootTime at {}; ///< When it was received.
 };
 
 /// One database server: the wire protocol, slots, session values, prepared statements and transactions.
@@ -74,7 +75,7 @@
     std::string refuse(Session& session, std::string_view code);
     bool hasLostLead(const Session& session) const;
     std::string statusRow();
-    void record(const Session& session, const std::string& id, const std::string& text);
+    void record(const Session& session, const std::string& id, const std::string& text, BootTime receivedAt);
 
     asio::io_context& m_io;
     EndpointEntry m_entry;
--- a/tools/emulator/EmulatedPlatform.cpp
+++ b/tools/emulator/EmulatedPlatform.cpp
@@ -94,6 +94,7 @@
                 found.push_back(fmt::format("statement {} took effect twice in {}", commit.statementId, service->name()));
         }
     }
+    std::ranges::copy(lateStatements(), std::back_inserter(found));
     std::map<std::pair<std::string, std::uint64_t>, std::uint64_t> connections;
     for (const auto& statement : ran()) {
         if (statement.transaction == 0)
@@ -105,6 +106,23 @@
     return found;
 }
 
+std::vector<std::string> EmulatedPlatform::lateStatements() const
+{
+    std::vector<std::string> found;
+    if (!m_shape.drainTime)
+        return found;
+    std::set<std::pair<std::string, std::uint64_t>> openTransactions;
+    for (const auto& statement : ran()) {
+        // An open transaction may go on.
+        const bool isFirst = statement.transaction == 0 || openTransactions.emplace(statement.database, statement.transaction).second;
+        const auto isLate = [&](const DrainingPeriod& period) { return period.database == statement.database && statement.at > period.from + *m_shape.drainTime && statement.at < period.to; };
+        const auto it = std::ranges::find_if(m_drainingPeriods, isLate);
+        if (isFirst && it != m_drainingPeriods.end())
+            found.push_back(fmt::format("statement {} reached {} {} ms after it had reported that it is leaving", statement.id, statement.database, toMs(statement.at - it->from)));
+    }
+    return found;
+}
+
 void EmulatedPlatform::announceEntries()
 {
     writeConfig();
@@ -126,7 +144,11 @@
 void EmulatedPlatform::announce(EmulatedDatabase& database, bool isDraining)
 {
     auto entry = database.entry();
-    m_draining[entry.id] = isDraining;
+    const bool wasDraining = std::exchange(m_draining[entry.id], isDraining);
+    if (isDraining && !wasDraining)
+        m_drainingPeriods.push_back({ entry.id, BootClock::now() });
+    if (!isDraining && wasDraining)
+        std::ranges::find(m_drainingPeriods.rbegin(), m_drainingPeriods.rend(), entry.id, &DrainingPeriod::database)->to = BootClock::now();
     entry.isDraining = isDraining;
     entry.sequence = ++m_sequences[entry.id];
     entry.address.port = static_cast<std::uint16_t>(entry.address.port + m_shape.announcedOffset);
--- a/tools/emulator/EmulatedPlatform.h
+++ b/tools/emulator/EmulatedPlatform.h
@@ -32,6 +32,9 @@
         std::chrono::milliseconds lag { 5 };
         std::chrono::milliseconds work { 1 };
         std::chrono::milliseconds promote { 200 }; ///< Until a promotion takes effect.
+        /// Time that a database serves clients after it has reported that it is leaving; later statements count as a
+        /// violation. Not checked if it is empty, as for hosts that are cut off from the store.
+        std::optional<std::chrono::milliseconds> drainTime {};
     };
 
     EmulatedPlatform(asio::io_context& io, Shape shape);
@@ -62,6 +65,15 @@
 private:
     Task<HttpResponse> promote(HttpRequest request);
     Task<void> takeEffect(std::shared_ptr<EmulatedService> service, std::string id);
+    /// A time in which a database was leaving.
+    struct DrainingPeriod {
+        std::string database;
+        BootTime from {};
+        BootTime to = BootTime::max();
+    };
+
+    /// Statements at databases that had been leaving for longer than they serve.
+    std::vector<std::string> lateStatements() const;
     void announceAll(const EmulatedService& service);
     void writeConfig();
 
@@ -72,6 +84,7 @@
     std::vector<std::unique_ptr<EmulatedDatabase>> m_databases;
     std::map<std::string, std::uint64_t> m_tokens; ///< Highest seen by service.
     std::map<std::string, bool> m_draining;
+    std::vector<DrainingPeriod> m_drainingPeriods;
     std::map<std::string, std::int64_t> m_sequences; ///< Entries written so far, by database.
     std::vector<OrderedPromotion> m_promotions;
     RoutingConfig m_config;
--- a/tools/emulator/LoadClient.cpp
+++ b/tools/emulator/LoadClient.cpp
@@ -59,6 +59,8 @@
     Answer answer;
     answer.id = fmt::format("{:08x}{:08x}", m_random(), m_random());
     const auto line = fmt::format("QUERY {} {}\r\n", answer.id, text);
+    if (m_channel->isClosedByPeer())
+        m_channel->close();
     co_await m_channel->write(line, until);
     std::string_view received;
     while (co_await m_channel->readLine(received, until) == ChannelStatus::Ok) {
@@ -74,7 +76,7 @@
     if (!answer.isComplete) {
         answer.code = "closed";
         m_channel.reset();
-        m_report.closed();
+        m_report.closed(answer.id);
     }
     m_report.answered(m_database, std::chrono::duration_cast<std::chrono::microseconds>(BootClock::now() - from), answer.code);
     co_return answer;
@@ -108,19 +110,24 @@
     noteWrite(answer, value);
 }
 
-Task<void> LoadClient::runTransaction()
+Task<void> LoadClient::runTransaction(milliseconds pause, int statements)
 {
-    const auto value = ++m_next;
     const auto begun = co_await query("BEGIN");
     if (!begun.code.empty())
         co_return;
-    const auto written = co_await query(fmt::format("WRITE {} {}", m_item, value));
-    if (!m_channel)
-        co_return;
-    if (!written.code.empty()) {
-        noteWrite(written, value);
-        co_await query("ROLLBACK");
-        co_return;
+    std::uint64_t value = 0;
+    for (int n = 0; n < statements; ++n) {
+        if (n > 0)
+            co_await sleepFor(m_io, pause);
+        value = ++m_next;
+        const auto written = co_await query(fmt::format("WRITE {} {}", m_item, value));
+        if (!m_channel)
+            co_return;
+        if (!written.code.empty()) {
+            noteWrite(written, value);
+            co_await query("ROLLBACK");
+            co_return;
+        }
     }
     const auto committed = co_await query("COMMIT");
     noteWrite(committed, value);
@@ -157,7 +164,7 @@
     check(answer, least);
 }
 
-Task<void> LoadClient::run(BootTime until, milliseconds pause)
+Task<void> LoadClient::run(BootTime until, milliseconds pause, int statements)
 {
     while (BootClock::now() < until) {
         if (!m_channel) {
@@ -174,7 +181,7 @@
         else if (draw < 8)
             co_await write();
         else
-            co_await runTransaction();
+            co_await runTransaction(pause, statements);
         co_await sleepFor(m_io, milliseconds(m_random() % static_cast<unsigned>(2 * pause.count() + 1)));
     }
     m_channel.reset();
--- a/tools/emulator/LoadClient.h
+++ b/tools/emulator/LoadClient.h
@@ -17,7 +17,8 @@
 public:
     LoadClient(asio::io_context& io, std::string database, ReadPolicy policy, std::vector<HostAddress> proxies, unsigned seed, LoadReport& report);
 
-    Task<void> run(BootTime until, std::chrono::milliseconds pause);
+    /// @p statements: writes of a transaction, each after a pause.
+    Task<void> run(BootTime until, std::chrono::milliseconds pause, int statements = 1);
 
     /// Reads the item once more at the end, through any proxy, and checks it.
     Task<void> checkLast();
@@ -34,7 +35,7 @@
     Task<Answer> query(std::string text);
     Task<void> write();
     Task<void> read();
-    Task<void> runTransaction();
+    Task<void> runTransaction(std::chrono::milliseconds pause, int statements);
     void noteWrite(const Answer& answer, std::uint64_t value);
     void changeItem();
     /// The smallest number that a read may return now.
--- a/tools/emulator/LoadReport.h
+++ b/tools/emulator/LoadReport.h
@@ -16,7 +16,10 @@
     void answered(const std::string& database, std::chrono::microseconds took, const std::string& code);
     /// Records that a write was acknowledged, for the longest time between two.
     void acknowledged(const std::string& database, BootTime at);
-    void closed() { ++m_closed; }
+    /// Records that a connection ended before the answer to a statement.
+    void closed(std::string statement) { m_unanswered.push_back(std::move(statement)); }
+    /// Statements without an answer.
+    const std::vector<std::string>& unanswered() const { return m_unanswered; }
     void violation(std::string what) { m_violations.push_back(std::move(what)); }
 
     bool hasViolations() const { return !m_violations.empty(); }
@@ -33,7 +36,7 @@
 
     std::map<std::string, Class> m_classes;
     std::vector<std::string> m_violations;
-    int m_closed = 0;
+    std::vector<std::string> m_unanswered;
 };
 
 } // namespace kumquatbank
--- a/tools/emulator/platform_emulator.cpp
+++ b/tools/emulator/platform_emulator.cpp
@@ -6,6 +6,7 @@
 #include <csignal>
 #include <cxxopts.hpp>
 #include <fmt/format.h>
+#include <fstream>
 #include <iostream>
 #include <random>
 
@@ -24,17 +25,27 @@
         , m_random(seed)
         , m_shape(shape)
     {
+        // Where commits are confirmed by replicas, also troubles of replicas that concern what they have received.
+        if (shape.syncReplicas > 0)
+            m_kinds.insert(m_kinds.end(), { keepsDeaf, leavesReplica });
     }
 
     /// Also draws entries of another writer.
-    void writeOddEntries() { m_writesOddEntries = true; }
+    void addOddEntries() { m_kinds.push_back(writesOddEntry); }
+
+    /// Draws planned work only: changes of the configuration, and databases that leave.
+    void keepToPlannedWork()
+    {
+        m_kinds = { movesPrimary, changesConfig, leavesReplica };
+        m_stay = m_shape.drainTime.value_or(m_stay) + seconds(2);
+    }
 
     /// One trouble each @p interval. They overlap, and the last one begins before @p until.
     Task<void> run(milliseconds interval, BootTime until)
     {
         while (BootClock::now() < until) {
             co_await sleepFor(m_io, interval);
-            switch (m_random() % troubleKinds()) {
+            switch (m_kinds[m_random() % m_kinds.size()]) {
             case 0:
                 asio::co_spawn(m_io, storeDown(), asio::detached);
                 break;
@@ -46,7 +57,7 @@
                 m_platform.store().forgetHistory();
                 report("the store forgets its history");
                 break;
-            case 3:
+            case movesPrimary:
                 movePrimary();
                 break;
             case 4:
@@ -64,13 +75,13 @@
             case 8:
                 asio::co_spawn(m_io, returnFromCopy(), asio::detached);
                 break;
-            case 10:
+            case keepsDeaf:
                 asio::co_spawn(m_io, keepDeaf(), asio::detached);
                 break;
-            case 11:
+            case leavesReplica:
                 leaveReplica();
                 break;
-            case 12:
+            case writesOddEntry:
                 writeOddEntry();
                 break;
             default:
@@ -93,9 +104,12 @@
     }
 
 private:
-    /// Where commits are confirmed by replicas, also troubles of replicas that concern what they have received.
-    unsigned troubleKinds() const { return m_writesOddEntries ? 13 : m_shape.syncReplicas > 0 ? 12
-                                                                                              : 10; }
+    static constexpr unsigned movesPrimary = 3;
+    static constexpr unsigned changesConfig = 9;
+    static constexpr unsigned keepsDeaf = 10;
+    static constexpr unsigned leavesReplica = 11;
+    static constexpr unsigned writesOddEntry = 12;
+
     int anyService() { return static_cast<int>(m_random() % static_cast<unsigned>(m_shape.services)); }
     int anyDatabase() { return static_cast<int>(m_random() % static_cast<unsigned>(m_shape.databasesPerService)); }
 
@@ -208,7 +222,7 @@
     /// The database is replaced by one with its log at its address.
     Task<void> stay(EmulatedDatabase& database)
     {
-        co_await sleepFor(m_io, seconds(5));
+        co_await sleepFor(m_io, m_stay);
         m_platform.announce(database, false);
     }
 
@@ -226,7 +240,8 @@
     std::mt19937 m_random;
     EmulatedPlatform::Shape m_shape;
     std::set<int> m_crashedServices;
-    bool m_writesOddEntries = false;
+    std::vector<unsigned> m_kinds { 0, 1, 2, movesPrimary, 4, 5, 6, 7, 8, changesConfig };
+    milliseconds m_stay { 5000 }; ///< Of a database that leaves.
     int m_outages = 0; ///< Outages of the store that have not ended.
 };
 
@@ -258,7 +273,9 @@
         "seed", "Seed of the troubles", cxxopts::value<unsigned>()->default_value("1"))(
         "sync-replicas", "Replicas that receive a commit before it is acknowledged", cxxopts::value<int>()->default_value("0"))(
         "announce-offset", "Added to the ports of databases in the store", cxxopts::value<std::uint16_t>()->default_value("0"))(
-        "odd-entries", "Draw entries of another writer among the troubles, and those of replicas")(
+        "odd-entries", "Draw entries of another writer among the troubles")(
+        "planned", "Draw planned work only")(
+        "ran-file", "Write the ids of all statements that ran to this file", cxxopts::value<std::string>())(
         "trouble-ms", "A random trouble each this often", cxxopts::value<int>())(
         "trouble-s", "No new trouble after this time", cxxopts::value<int>()->default_value("3600"))("h,help", "Print this text and stop");
     const auto arguments = options.parse(argc, argv);
@@ -273,13 +290,17 @@
     shape.services = arguments["services"].as<int>();
     shape.maxConnections = arguments["max-connections"].as<int>();
     shape.work = milliseconds(arguments["work-ms"].as<int>());
+    if (arguments.count("planned"))
+        shape.drainTime = milliseconds(7000);
     shape.syncReplicas = arguments["sync-replicas"].as<int>();
     shape.lag = milliseconds(arguments["lag-ms"].as<int>());
     asio::io_context io(1);
     EmulatedPlatform platform(io, shape);
     TroubleMaker troubles(io, platform, arguments["seed"].as<unsigned>(), shape);
+    if (arguments.count("planned"))
+        troubles.keepToPlannedWork();
     if (arguments.count("odd-entries"))
-        troubles.writeOddEntries();
+        troubles.addOddEntries();
     if (arguments.count("crash-primary-ms"))
         asio::co_spawn(io, crashPrimary(io, platform, milliseconds(arguments["crash-primary-ms"].as<int>())), asio::detached);
     if (arguments.count("leave-primary-ms"))
@@ -292,6 +313,11 @@
     io.run();
     for (const auto& order : platform.promotions())
         std::cout << "promotion: " << order.service << " to " << order.endpoint << " by " << order.holder << ", token " << order.token << ", status " << order.status << '\n';
+    if (arguments.count("ran-file")) {
+        std::ofstream ranFile(arguments["ran-file"].as<std::string>());
+        for (const auto& statement : platform.ran())
+            ranFile << statement.id << '\n';
+    }
     const auto violations = platform.violations();
     for (const auto& what : violations)
         std::cout << "violation: " << what << '\n';
--- a/tools/emulator/session_load.cpp
+++ b/tools/emulator/session_load.cpp
@@ -2,6 +2,7 @@
 #include "LoadClient.h"
 
 #include <cxxopts.hpp>
+#include <fstream>
 #include <iostream>
 
 using namespace kumquatbank;
@@ -13,12 +14,12 @@
 constexpr int exitViolation = 1;
 constexpr int exitInvalidInput = 2;
 
-Task<void> runAll(asio::io_context& io, std::vector<std::unique_ptr<LoadClient>>& clients, seconds duration, milliseconds pause)
+Task<void> runAll(asio::io_context& io, std::vector<std::unique_ptr<LoadClient>>& clients, seconds duration, milliseconds pause, int statements)
 {
     const auto until = BootClock::now() + duration;
     auto left = clients.size();
     const auto runOne = [&](LoadClient& client) -> Task<void> {
-        co_await client.run(until, pause);
+        co_await client.run(until, pause, statements);
         --left;
     };
     for (const auto& client : clients)
@@ -37,6 +38,8 @@
         "services", "Services of the emulated platform", cxxopts::value<int>()->default_value("3"))(
         "clients", "Clients of each database", cxxopts::value<int>()->default_value("10"))(
         "seconds", "Duration", cxxopts::value<int>()->default_value("20"))(
+        "transaction-writes", "Writes of a transaction, with pauses between them", cxxopts::value<int>()->default_value("1"))(
+        "unanswered-file", "Write the ids of statements without an answer to this file", cxxopts::value<std::string>())(
         "pause-ms", "Mean pause of a client", cxxopts::value<int>()->default_value("50"))(
         "seed", "Seed of the clients", cxxopts::value<unsigned>()->default_value("1"))("h,help", "Print this text and stop");
     const auto arguments = options.parse(argc, argv);
@@ -64,9 +67,14 @@
         }
     }
     const seconds duration(arguments["seconds"].as<int>());
-    asio::co_spawn(io, runAll(io, clients, duration, milliseconds(arguments["pause-ms"].as<int>())), asio::detached);
+    asio::co_spawn(io, runAll(io, clients, duration, milliseconds(arguments["pause-ms"].as<int>()), arguments["transaction-writes"].as<int>()), asio::detached);
     io.run();
     report.print(std::cout, duration);
+    if (arguments.count("unanswered-file")) {
+        std::ofstream file(arguments["unanswered-file"].as<std::string>());
+        for (const auto& id : report.unanswered())
+            file << id << '\n';
+    }
     if (report.served() == 0)
         std::cout << "nothing was served\n";
     return report.hasViolations() || report.served() == 0 ? exitViolation : 0;
