--- a/packages/ctl/src/LogExplainer.cpp
+++ b/packages/ctl/src/LogExplainer.cpp
@@ -9,7 +9,7 @@
 namespace {
 
     const std::set<std::string, std::less<>> beliefEvents { "start", "stop", "drain", "reload", "config_in_force", "store_lost", "store_regained",
-        "primary_changed", "primary_suspected", "primary_demoted", "promotion", "endpoint_changed", "endpoint_failure",
+        "primary_changed", "primary_suspected", "primary_demoted", "promotion", "promotion_chosen", "promotion_blocked", "endpoint_changed", "endpoint_failure",
         "endpoint_regained", "endpoint_gone", "connection_refused", "host_count_changed", "process_paused", "log_lines_dropped" };
 
     constexpr std::array<std::string_view, 4> shownElsewhere { "at_ms", "host", "event", "level" };
@@ -81,7 +81,7 @@
     show(newestBefore(line, { "config_in_force" }, ""), "configuration");
     show(newestBefore(line, { "store_lost", "store_regained" }, ""), "store");
     show(newestBefore(line, { "primary_changed" }, service), "primary");
-    show(newestBefore(line, { "primary_suspected", "primary_demoted", "promotion" }, service), "promotion");
+    show(newestBefore(line, { "primary_suspected", "primary_demoted", "promotion", "promotion_chosen", "promotion_blocked" }, service), "promotion");
     for (const auto* event : { "endpoint_failure", "connection_refused", "process_paused", "drain" }) {
         const auto* recent = newestBefore(line, { event }, std::string_view(event).starts_with("endpoint") || std::string_view(event).starts_with("connection") ? service : "");
         if (recent != nullptr && line.atMs - recent->atMs <= recentMs)
