A failed attempt to replace a primary does not end all further ones

By reading: an exception in an attempt was dropped with its coroutine, and the service stayed marked as busy, so that no host process would have replaced its primary again. It is logged and the mark is removed.

--- a/packages/pooler/src/PromotionController.cpp
+++ b/packages/pooler/src/PromotionController.cpp
@@ -123,7 +123,11 @@
 
 Task<void> PromotionController::runReplacement(std::shared_ptr<DatabaseService> service, ReplacementReason reason)
 {
-    co_await replace(service, reason);
+    try {
+        co_await replace(service, reason);
+    } catch (const std::exception& e) {
+        EventLog::error("replacement_failed", { { "service", service->name() }, { "error", e.what() } });
+    }
     m_progress[service->name()].isBusy = false;
 }
 
