One check for statements that a stop no longer admits; one field for stopped endpoints

By reading the change once more: ClientSession and StatementRunner asked three times whether a statement of the open transaction is admitted and aborted it with a text of their own each; abortIfStopping() serves all. The set of stopped endpoints was only ever asked whether it is empty, since all endpoints resume; the primary for which they were stopped says as much.

--- a/packages/pooler/src/ClientSession.cpp
+++ b/packages/pooler/src/ClientSession.cpp
@@ -48,9 +48,7 @@
 
 void ClientSession::abortIdleTransaction()
 {
-    if (!m_isIdle || !m_runner.isInTransaction() || m_channel.hasInput() || m_runner.admits(RequestKind::InTransaction))
-        return;
-    if (m_runner.abortTransaction("the host is stopping"))
+    if (m_isIdle && !m_channel.hasInput() && m_runner.abortIfStopping())
         EventLog::info("transaction_ended_by_stop", { { "session", m_number }, { "database", m_database } });
 }
 
--- a/packages/pooler/src/PromotionController.cpp
+++ b/packages/pooler/src/PromotionController.cpp
@@ -79,7 +79,7 @@
             auto& progress = m_progress[name];
             // A promotion lets all endpoints go on.
             if (progress.stoppedFor != service->lastPrimary())
-                progress.stoppedMembers.clear();
+                progress.stoppedFor.reset();
             if (progress.isBusy || BootClock::now() < progress.notBefore)
                 continue;
             const auto reason = replacementReason(*service);
@@ -118,7 +118,7 @@
     if (service.hasStalledCommits())
         return true;
     const auto it = m_progress.find(service.name());
-    return it != m_progress.end() && !it->second.stoppedMembers.empty();
+    return it != m_progress.end() && it->second.stoppedFor.has_value();
 }
 
 Task<void> PromotionController::runReplacement(std::shared_ptr<DatabaseService> service, ReplacementReason reason)
@@ -361,8 +361,6 @@
         co_return;
     if (service->syncReplicas() > 0) {
         progress.stoppedFor = lost;
-        for (const auto& status : answered)
-            progress.stoppedMembers.insert(status.id);
         decidedAt = BootClock::now();
         answered = co_await m_survey.stopAll(service, std::move(answered), opinion.isSeenByNone);
         if (co_await findOtherPrimary(service, answered))
@@ -425,7 +423,7 @@
             ids.insert(id);
     }
     if (co_await m_survey.resumeAll(service, std::move(ids)))
-        progress.stoppedMembers.clear();
+        progress.stoppedFor.reset();
 }
 
 } // namespace kumquatbank
--- a/packages/pooler/src/PromotionController.h
+++ b/packages/pooler/src/PromotionController.h
@@ -30,8 +30,7 @@
         std::uint64_t newestToken = 0; ///< Newest token read or obtained by this run; 0 if none.
         StoreRevision peerDecisionRevision; ///< Store revision of the last decision read from the store.
         BootTime peerDecisionSeenAt {};
-        std::set<std::string> stoppedMembers; ///< Endpoints that this run has stopped and that no promotion has let go on since.
-        std::string stoppedFor; ///< The lost primary for whose replacement they were stopped.
+        std::optional<std::string> stoppedFor; ///< The lost primary for whose replacement this run has stopped endpoints; empty once they go on.
     };
 
     /// Why a primary has to be replaced.
--- a/packages/pooler/src/StatementRunner.cpp
+++ b/packages/pooler/src/StatementRunner.cpp
@@ -53,8 +53,7 @@
         answer.state = transactionState();
         co_return answer;
     case StatementKind::Commit:
-        if (m_transaction.isOpen() && !admits(RequestKind::InTransaction))
-            m_transaction.abort(stoppingReason);
+        abortIfStopping();
         co_return co_await m_transaction.commit(id, statement);
     case StatementKind::Rollback:
         co_return m_transaction.rollBack();
@@ -62,7 +61,7 @@
         break;
     }
     if (m_transaction.isOpen() && !begins) {
-        if (!admits(RequestKind::InTransaction) && m_transaction.abort(stoppingReason))
+        if (abortIfStopping())
             co_return m_transaction.refuseAfterFailure();
         co_return co_await m_transaction.run(id, statement);
     }
@@ -85,6 +84,11 @@
     co_return answer;
 }
 
+bool StatementRunner::abortIfStopping()
+{
+    return !m_context.admits(RequestKind::InTransaction, m_transaction.statementTimeout()) && m_transaction.abort(stoppingReason);
+}
+
 StatementAnswer StatementRunner::describeUnfinished(const ClientMessage& message) const
 {
     StatementAnswer answer;
--- a/packages/pooler/src/StatementRunner.h
+++ b/packages/pooler/src/StatementRunner.h
@@ -21,8 +21,9 @@
     bool isInTransaction() const { return m_transaction.isOpen(); }
     /// Aborts an open transaction between two statements; the next one reports the reason. Returns false if there is none.
     bool abortTransaction(std::string_view reason) { return m_transaction.abort(reason); }
-    /// Returns whether a statement of the open transaction is still run while the process stops.
-    bool admits(RequestKind kind) const { return m_context.admits(kind, m_transaction.statementTimeout()); }
+    /// Aborts the open transaction if none of its statements could be run any more before the process stops. Returns false
+    /// if it goes on, or if there is none.
+    bool abortIfStopping();
     /// Returns the answer to a statement that has no result at the end of the process: what is known of its outcome.
     StatementAnswer describeUnfinished(const ClientMessage& message) const;
     /// Returns the idle limit inside a transaction; empty if there is none.
