A stopping process refuses a session's next request before it closes the session

Callers saw: after the last answer of a stopping host their next request got none; the connection ended up to 500 ms later. Cause: closeGracefully() shut down the sending direction, then read and dropped whole requests. The class: the end of a connection was decided by the process alone, while its client may still send.

Change: the process takes leave. It sends the refusal of the client's next request ahead (ERR BUSY while nothing is outstanding, on which a client closes its session), and completes it with READY if a request crosses it. The connection is closed 500 ms later, without input only. StopSchedule decides each step (table in its comment). Also of the class: requests sent together, behind one without a result at the end, are refused; a session that waits for a configuration, or begins after idle ones end, is refused at once; what is sent after a final error ends the connection at once.

--- a/packages/engine/include/kumquatbank/engine/LineChannel.h
+++ b/packages/engine/include/kumquatbank/engine/LineChannel.h
@@ -31,9 +31,15 @@
     /// Reads the next line, without its terminator, into @p line. The view is valid until the next call.
     Task<ChannelStatus> readLine(std::string_view& line, BootTime deadline);
 
+    /// Reads the next line if it has already arrived. Must not be called while readLine() is suspended.
+    bool tryReadLine(std::string_view& line);
+
     /// Sends all of @p data. A failure closes the channel permanently.
     Task<ChannelStatus> write(std::string_view data, BootTime deadline);
 
+    /// Sends @p data if the send buffer takes all of it; otherwise the channel is closed and false is returned.
+    bool tryWrite(std::string_view data);
+
     /// Returns whether the remote end has closed the connection. Does not block and consumes no received data.
     bool isClosedByPeer();
     bool hasBufferedInput() const { return m_begin < m_end; }
--- a/packages/engine/src/LineChannel.cpp
+++ b/packages/engine/src/LineChannel.cpp
@@ -99,6 +99,33 @@
     co_return line.size() > m_maxLineBytes ? ChannelStatus::TooLong : ChannelStatus::Ok;
 }
 
+bool LineChannel::tryReadLine(std::string_view& line)
+{
+    while (!extractLine(line)) {
+        if (!m_socket.is_open() || m_end - m_begin > m_maxLineBytes)
+            return false;
+        reserveReadSpace();
+        boost::system::error_code ec;
+        m_socket.non_blocking(true, ec);
+        const auto n = ec ? 0 : m_socket.read_some(asio::buffer(m_readBuffer.data() + m_end, m_readBuffer.size() - m_end), ec);
+        if (ec || n == 0)
+            return false;
+        m_end += n;
+    }
+    return line.size() <= m_maxLineBytes;
+}
+
+bool LineChannel::tryWrite(std::string_view data)
+{
+    boost::system::error_code ec;
+    if (m_socket.is_open())
+        m_socket.non_blocking(true, ec);
+    const bool isWritten = m_socket.is_open() && !ec && m_socket.write_some(asio::buffer(data), ec) == data.size();
+    if (!isWritten)
+        close();
+    return isWritten;
+}
+
 Task<ChannelStatus> LineChannel::write(std::string_view data, BootTime deadline)
 {
     if (!m_socket.is_open())
--- a/packages/pooler/src/ClientSession.cpp
+++ b/packages/pooler/src/ClientSession.cpp
@@ -19,6 +19,10 @@
     /// A closing session waits this long for its client to read all data.
     constexpr milliseconds closeTimeout { 500 };
 
+    /// Sent while no request is outstanding; on it, a client closes its session and goes to another host. A request that it
+    /// sends before it has read this gets it as the first part of its answer.
+    std::string formatLeave() { return StatementRunner::refuseAsStopping().body; }
+
 } // namespace
 
 ClientSession::ClientSession(asio::io_context& io, asio::ip::tcp::socket socket, ServiceRegistry& registry, PoolerMetrics& metrics, SessionTracker& tracker)
@@ -39,17 +43,30 @@
     m_metrics.sessionClosed();
 }
 
-void ClientSession::closeIfIdle()
+SessionStep ClientSession::nextStep() const
 {
-    // A request that has arrived meanwhile is answered first.
-    if (m_isIdle && !m_runner.isInTransaction() && !m_channel.hasInput())
-        m_channel.close();
+    if (!m_tracker.stop)
+        return SessionStep::Keep;
+    return m_tracker.stop->nextStep({ m_runner.isInTransaction(), m_channel.hasInput(), m_hasServed, m_tookLeaveAt }, BootClock::now());
 }
 
-void ClientSession::abortIdleTransaction()
+void ClientSession::advanceStop()
 {
-    if (m_isIdle && !m_channel.hasInput() && m_runner.abortIfStopping())
+    if (!m_isIdle)
+        return;
+    if (!m_channel.hasInput() && m_runner.abortIfStopping())
         EventLog::info("transaction_ended_by_stop", { { "session", m_number }, { "database", m_database } });
+    switch (nextStep()) {
+    case SessionStep::Keep:
+        break;
+    case SessionStep::TakeLeave:
+        if (m_channel.tryWrite(formatLeave()))
+            m_tookLeaveAt = BootClock::now();
+        break;
+    case SessionStep::Close:
+        m_channel.close();
+        break;
+    }
 }
 
 Task<void> ClientSession::answerUnfinished()
@@ -60,7 +77,18 @@
     m_isSending = true;
     const auto answer = m_runner.describeUnfinished(*m_request);
     EventLog::warn("statement_unfinished", { { "request", m_request->id }, { "session", m_number }, { "database", m_database }, { "outcome", errorCodeName(*answer.code) } });
-    const auto text = answer.body + WireDialect::ready(answer.state);
+    auto text = answer.body + WireDialect::ready(answer.state);
+    auto state = answer.state;
+    std::string_view line;
+    while (m_channel.tryReadLine(line)) {
+        const auto behind = WireDialect::parseClientLine(line);
+        if (!behind || behind->kind != ClientMessage::Kind::Query)
+            break;
+        const auto refusal = StatementRunner::refuseBehindUnfinished(*behind, state);
+        EventLog::warn("statement_unfinished", { { "request", behind->id }, { "session", m_number }, { "database", m_database }, { "outcome", refusal.code ? errorCodeName(*refusal.code) : "ok" } });
+        text += refusal.body + WireDialect::ready(refusal.state);
+        state = refusal.state;
+    }
     co_await send(text);
 }
 
@@ -73,11 +101,11 @@
 {
     m_channel.shutdownSend();
     std::string_view line;
-    // Closing a socket with unread input resets the connection, and the client could lose the last answer.
-    const auto until = BootClock::now() + closeTimeout;
-    while (co_await m_channel.readLine(line, until) == ChannelStatus::Ok) {
+    // Closing a socket with unread input resets the connection, and the client could lose the last answer. A client that
+    // sends a request nevertheless is told by the reset.
+    if (co_await m_channel.readLine(line, BootClock::now() + closeTimeout) == ChannelStatus::Ok) {
         const auto message = WireDialect::parseClientLine(line);
-        EventLog::warn("request_dropped", { { "request", message ? message->id : std::string() }, { "session", m_number }, { "database", m_database }, { "reason", "the session had been closed for sending" }, { "closes_in_ms", toMs(until - BootClock::now()) } });
+        EventLog::warn("request_dropped", { { "request", message ? message->id : std::string() }, { "session", m_number }, { "database", m_database }, { "reason", "the session has ended" } });
     }
     m_channel.close();
 }
@@ -119,7 +147,13 @@
         co_return false;
     }
     m_database = message->database;
-    if (!co_await m_registry.waitForConfig(std::min<BootTime>(BootClock::now() + configWait, m_tracker.answersEnd()))) {
+    if (m_tracker.stop && !m_tracker.stop->admitsSession(BootClock::now())) {
+        EventLog::warn("session_refused", { { "session", m_number }, { "database", m_database }, { "reason", "the host is stopping" } });
+        const auto refused = formatLeave();
+        co_await send(refused);
+        co_return false;
+    }
+    if (!co_await m_registry.waitForConfig(BootClock::now() + configWait)) {
         EventLog::warn("session_refused", { { "session", m_number }, { "database", m_database }, { "reason", "no configuration received yet" } });
         co_await send(WireDialect::error(ErrorCode::Busy, "no configuration received yet; retry after 500 ms"));
         co_return false;
@@ -142,14 +176,17 @@
             if (message && message->kind == ClientMessage::Kind::Bye)
                 break;
             if (!message || message->kind == ClientMessage::Kind::Start) {
-                if (!co_await send(WireDialect::error(ErrorCode::Malformed, "the line is not a valid message") + WireDialect::ready(m_runner.transactionState())))
+                StatementAnswer answer;
+                answer.setError(ErrorCode::Malformed, "the line is not a valid message");
+                answer.state = m_runner.transactionState();
+                const auto text = formatAnswer(answer);
+                const bool isSent = co_await send(text);
+                if (!isSent)
                     break;
                 continue;
             }
-            if (!co_await answerQuery(*message))
-                break;
-            const bool canClose = !m_runner.isInTransaction() && !m_channel.hasBufferedInput();
-            if (m_tracker.isStopping() && canClose)
+            const bool isAnswered = co_await answerQuery(*message);
+            if (!isAnswered)
                 break;
         }
     }
@@ -162,7 +199,9 @@
     const auto since = BootClock::now();
     StatementAnswer answer;
     m_request = &message;
-    if (message.statement) {
+    if (m_tookLeaveAt) {
+        answer = StatementRunner::refuseAsStopping();
+    } else if (message.statement) {
         answer = co_await m_runner.run(m_database, message.id, *message.statement);
     } else {
         answer.code = ErrorCode::Malformed;
@@ -173,13 +212,25 @@
     logAnswer(message, answer, since);
     if (std::exchange(m_isSending, true))
         co_return false; // The process ends, and the request has been answered.
-    const auto text = answer.body + WireDialect::ready(answer.state);
+    const auto text = formatAnswer(answer);
     const bool isSent = co_await send(text);
     m_isSending = false;
     m_request = nullptr;
     co_return isSent;
 }
 
+std::string ClientSession::formatAnswer(const StatementAnswer& answer)
+{
+    // The refusal of this request was sent ahead of it, and that of the next one follows.
+    auto text = (m_tookLeaveAt ? std::string() : answer.body) + WireDialect::ready(answer.state);
+    m_hasServed = m_tracker.isStopping();
+    if (nextStep() == SessionStep::TakeLeave)
+        m_tookLeaveAt = BootClock::now();
+    if (m_tookLeaveAt)
+        text += formatLeave();
+    return text;
+}
+
 void ClientSession::logAnswer(const ClientMessage& message, const StatementAnswer& answer, BootTime since) const
 {
     const auto total = BootClock::now() - since;
--- a/packages/pooler/src/ClientSession.h
+++ b/packages/pooler/src/ClientSession.h
@@ -16,11 +16,11 @@
     ClientSession& operator=(const ClientSession&) = delete;
 
     Task<void> run();
-    /// Closes the session if it is waiting for a line of its client outside a transaction.
-    void closeIfIdle();
-    /// Aborts the transaction if it is waiting for a statement that could no longer be run. The next one is told so.
-    void abortIdleTransaction();
-    /// Answers a request that has no result yet by what is known of its outcome. The process must end after that.
+    /// Takes the next step towards the end of the session if it waits for its client while the process stops: aborts a
+    /// transaction whose statements could no longer be run, takes leave, or closes the connection.
+    void advanceStop();
+    /// Answers a request that has no result yet by what is known of its outcome, and refuses those that have arrived behind
+    /// it. The process must end after that.
     Task<void> answerUnfinished();
     void close() { m_channel.close(); }
     /// True while a request has no complete answer.
@@ -29,6 +29,9 @@
 private:
     Task<bool> startSession();
     Task<bool> answerQuery(const ClientMessage& message);
+    /// Formats an answer. A stopping session takes leave with it, if it may.
+    std::string formatAnswer(const StatementAnswer& answer);
+    SessionStep nextStep() const;
     Task<bool> readMessage(std::string_view& line);
     Task<bool> send(const std::string& text);
     Task<void> closeGracefully();
@@ -44,6 +47,8 @@
     bool m_isIdle = false; ///< Waiting for the client's next line.
     const ClientMessage* m_request = nullptr; ///< The request that is being answered.
     bool m_isSending = false; ///< Its answer is being sent.
+    bool m_hasServed = false; ///< A request was answered since the process was told to stop.
+    std::optional<BootTime> m_tookLeaveAt; ///< Set once the next request has been refused ahead of time.
 };
 
 } // namespace kumquatbank
--- a/packages/pooler/src/PoolerProcess.cpp
+++ b/packages/pooler/src/PoolerProcess.cpp
@@ -86,21 +86,19 @@
     }
 
     /// Reports not ready at once. Sessions end after an answer, idle ones after a third of the grace period. What is still
-    /// run is decided by StopSchedule; every request that was read gets a complete answer.
+    /// run, and when a session ends, is decided by StopSchedule; every request that was read gets a complete answer.
     Task<void> drain()
     {
         const auto since = BootClock::now();
         EventLog::info("drain", { { "sessions", m_gate.open }, { "grace_s", m_settings.grace.count() } });
         const auto& stop = m_gate.stop.emplace(since, m_settings.grace);
         m_lender.stopLending(stop);
+        m_registry.endConfigWait();
         for (const auto& [name, service] : m_registry.services())
             service->stopHolding();
         while (BootClock::now() < stop.answersEnd()) {
-            for (const auto& session : sessions()) {
-                session->abortIdleTransaction();
-                if (BootClock::now() >= stop.idleSessionsEnd())
-                    session->closeIfIdle();
-            }
+            for (const auto& session : sessions())
+                session->advanceStop();
             m_lender.closeUnusableLoans();
             if (BootClock::now() >= stop.idleSessionsEnd() && m_gate.open == 0 && m_lender.openLoans() == 0)
                 break;
--- a/packages/pooler/src/ServiceRegistry.cpp
+++ b/packages/pooler/src/ServiceRegistry.cpp
@@ -100,9 +100,16 @@
     return it == m_services.end() ? nullptr : it->second;
 }
 
+void ServiceRegistry::endConfigWait()
+{
+    m_hasEndedConfigWait = true;
+    for (const auto& waiter : std::exchange(m_configWaiters, {}))
+        waiter->wake();
+}
+
 Task<bool> ServiceRegistry::waitForConfig(BootTime until)
 {
-    while (!m_config && BootClock::now() < until) {
+    while (!m_config && !m_hasEndedConfigWait && BootClock::now() < until) {
         auto waiter = std::make_shared<AutoResetEvent>(m_io);
         m_configWaiters.push_back(waiter);
         co_await waiter->wait(until);
--- a/packages/pooler/src/ServiceRegistry.h
+++ b/packages/pooler/src/ServiceRegistry.h
@@ -30,8 +30,10 @@
     std::shared_ptr<DatabaseService> find(const std::string& service) const;
     const std::map<std::string, std::shared_ptr<DatabaseService>>& services() const { return m_services; }
 
-    /// Waits until a configuration is active; false if there is none at @p until.
+    /// Waits until a configuration is active; false if there is none at @p until or at the end of waits.
     Task<bool> waitForConfig(BootTime until);
+    /// Ends all waits for a configuration, also later ones: the process is to stop.
+    void endConfigWait();
 
 private:
     std::shared_ptr<DatabaseService> findOrCreate(const std::string& service);
@@ -56,6 +58,7 @@
     std::chrono::milliseconds m_memberRetention { 0 };
     std::map<std::string, std::shared_ptr<DatabaseService>> m_services;
     std::vector<std::shared_ptr<AutoResetEvent>> m_configWaiters;
+    bool m_hasEndedConfigWait = false;
 };
 
 } // namespace kumquatbank
--- a/packages/pooler/src/SessionTracker.h
+++ b/packages/pooler/src/SessionTracker.h
@@ -11,7 +11,7 @@
 struct SessionTracker {
     int open = 0;
     std::uint64_t opened = 0;
-    std::optional<StopSchedule> stop; ///< Set once the process is to stop; sessions then end after an answer outside a transaction.
+    std::optional<StopSchedule> stop; ///< Set once the process is to stop.
 
     bool isStopping() const { return stop.has_value(); }
     /// The latest time for the result of a statement.
--- a/packages/pooler/src/StatementRunner.cpp
+++ b/packages/pooler/src/StatementRunner.cpp
@@ -73,7 +73,7 @@
     else if (begins && m_transaction.isOpen())
         answer.setError(ErrorCode::Malformed, "a transaction is already open");
     else if (!m_context.admits(begins ? RequestKind::Begin : RequestKind::Single, route->statementTimeout))
-        answer.setError(ErrorCode::Busy, stoppingReason, stoppingRetryAfter);
+        co_return refuseAsStopping();
     else if (begins) {
         m_transaction.begin(*route, statement.kind == StatementKind::BeginReadOnly);
         answer.body = WireDialect::done();
@@ -106,6 +106,28 @@
     return answer;
 }
 
+StatementAnswer StatementRunner::refuseBehindUnfinished(const ClientMessage& message, TransactionState state)
+{
+    if (state == TransactionState::None)
+        return refuseAsStopping();
+    const auto kind = message.statement ? message.statement->kind : StatementKind::Read;
+    const bool endsTransaction = kind == StatementKind::Commit || kind == StatementKind::Rollback;
+    StatementAnswer answer;
+    if (kind == StatementKind::Rollback)
+        answer.body = WireDialect::done();
+    else
+        answer.setError(ErrorCode::Aborted, stoppingReason);
+    answer.state = endsTransaction ? TransactionState::None : state;
+    return answer;
+}
+
+StatementAnswer StatementRunner::refuseAsStopping()
+{
+    StatementAnswer answer;
+    answer.setError(ErrorCode::Busy, stoppingReason, stoppingRetryAfter);
+    return answer;
+}
+
 Task<StatementAnswer> StatementRunner::runSingle(const Route& route, const std::string& id, const Statement& statement)
 {
     StatementAnswer answer;
--- a/packages/pooler/src/StatementRunner.h
+++ b/packages/pooler/src/StatementRunner.h
@@ -26,6 +26,11 @@
     bool abortIfStopping();
     /// Returns the answer to a statement that has no result at the end of the process: what is known of its outcome.
     StatementAnswer describeUnfinished(const ClientMessage& message) const;
+    /// Returns the answer to a request that arrived behind an unfinished one and is not run either. @p state: of the session
+    /// after the answer before.
+    static StatementAnswer refuseBehindUnfinished(const ClientMessage& message, TransactionState state);
+    /// Returns the refusal of a statement outside a transaction because the process stops.
+    static StatementAnswer refuseAsStopping();
     /// Returns the idle limit inside a transaction; empty if there is none.
     std::optional<std::chrono::milliseconds> idleLimit() const;
 
--- a/packages/pooler/tests/failures/StopTest.cpp
+++ b/packages/pooler/tests/failures/StopTest.cpp
@@ -303,3 +303,42 @@
         }
     }(fixture));
 }
+
+// Guards against a client that waits for a configuration until the host ends, although the host will not serve it.
+TEST(Stop, ASessionThatWaitsForAConfigurationIsRefusedAtOnce)
+{
+    PoolerFixture fixture;
+    fixture.run([](PoolerFixture& f) -> Task<void> {
+        f.platform().store().behaviour().isDown = true;
+        f.startHost(1);
+        TestClient client(f.io());
+        const auto drainSoon = [&]() -> Task<void> {
+            co_await f.sleep(milliseconds(200));
+            co_await f.process(1).drain();
+        };
+        asio::co_spawn(f.io(), drainSoon(), asio::detached);
+        const auto from = BootClock::now();
+        const auto refused = co_await client.start(f.clientAddress(1), primaryDb);
+        STRCMP_EQUAL("BUSY", refused.code().c_str());
+        CHECK_TRUE(BootClock::now() - from < milliseconds(1000));
+    }(fixture));
+}
+
+// Guards against a session that a host accepts though it closes idle sessions already: its first request would cross the
+// close.
+TEST(Stop, ANewSessionIsRefusedOnceIdleOnesAreClosed)
+{
+    PoolerFixture fixture;
+    fixture.run([](PoolerFixture& f) -> Task<void> {
+        co_await f.writeUntilSuccess(primaryDb, "WRITE item before");
+        TestClient held(f.io());
+        co_await held.start(f.clientAddress(), primaryDb);
+        co_await held.query("BEGIN");
+        asio::co_spawn(f.io(), f.process(0).drain(), asio::detached);
+        co_await f.sleep(grace / 3 + milliseconds(100));
+        TestClient client(f.io());
+        const auto refused = co_await client.start(f.clientAddress(), primaryDb);
+        STRCMP_EQUAL("BUSY", refused.code().c_str());
+        CHECK_TRUE(refersToOtherHosts(refused));
+    }(fixture));
+}
--- a/packages/routing/include/kumquatbank/routing/StopSchedule.h
+++ b/packages/routing/include/kumquatbank/routing/StopSchedule.h
@@ -3,6 +3,7 @@
 #include "kumquatbank/core/BootClock.h"
 
 #include <chrono>
+#include <optional>
 
 namespace kumquatbank {
 
@@ -13,8 +14,23 @@
     InTransaction, ///< A statement of an open transaction, or its commit.
 };
 
-/// Decides which requests a process still runs after it was told to stop, so that each request that it has read gets a
-/// complete answer before it ends.
+/// What a stopping process does with a client session next.
+enum class SessionStep {
+    Keep,
+    TakeLeave, ///< Refuse the client's next request ahead of time, so that it goes to another host.
+    Close,
+};
+
+/// A client session of a stopping process that waits for its next request.
+struct WaitingSession {
+    bool isInTransaction = false;
+    bool hasInput = false; ///< A part of a request, or a whole one, has arrived.
+    bool hasServed = false; ///< A request was answered since the stop.
+    std::optional<BootTime> tookLeaveAt {};
+};
+
+/// Decides which requests a process still runs after it was told to stop, and when it ends its sessions, so that each
+/// request that it has read gets a complete answer before it ends.
 ///
 /// | Request                       | First half of the grace period | Second half                                  |
 /// |-------------------------------|--------------------------------|----------------------------------------------|
@@ -24,6 +40,17 @@
 ///
 /// A transaction that begins now could not be known to end in time. A refused request has not run, so that the client can
 /// repeat the operation on another host at once.
+///
+/// | Waiting session              | Before idleSessionsEnd()       | From then on                   |
+/// |------------------------------|--------------------------------|--------------------------------|
+/// | in a transaction             | is kept                        | is kept                        |
+/// | input has arrived            | is kept                        | is kept                        |
+/// | has served since the stop    | takes leave                    | takes leave                    |
+/// | has not served               | is kept                        | takes leave                    |
+/// | has taken leave              | closes after leaveTime         | closes after leaveTime         |
+///
+/// A client cannot be kept from sending while its connection is being closed. Taking leave answers what it sends then;
+/// without it, the client could not know whether the request has run.
 class StopSchedule {
 public:
     /// @param signalledAt  when the process was told to stop.
@@ -33,7 +60,17 @@
     /// Whether a request that was read at @p now is run.
     bool admits(RequestKind kind, BootTime now, std::chrono::milliseconds statementTimeout) const;
 
-    /// Idle sessions without a transaction are closed from then on. Until then their clients may move of their own accord.
+    /// Whether a new session is accepted at @p now. A later one would be told to leave at once.
+    bool admitsSession(BootTime now) const { return now < idleSessionsEnd(); }
+    /// What to do at @p now with a session that waits for a request.
+    SessionStep nextStep(const WaitingSession& session, BootTime now) const;
+
+    /// Time that a client has to close its session, or to send requests that are refused, after the process took leave.
+    /// Covers a round trip between regions and a client that is busy. A client that goes on after it is disconnected, since
+    /// only a new connection leads it to a host that serves.
+    static constexpr std::chrono::milliseconds leaveTime { 500 };
+
+    /// Idle sessions without a transaction end from then on. Until then their clients may move of their own accord.
     BootTime idleSessionsEnd() const { return m_signalledAt + m_grace / 3; }
     /// Every request that was run has its result by then.
     BootTime answersEnd() const;
--- a/packages/routing/src/StopSchedule.cpp
+++ b/packages/routing/src/StopSchedule.cpp
@@ -41,4 +41,13 @@
     return isFirstHalf || now + statementTimeout <= answersEnd();
 }
 
+SessionStep StopSchedule::nextStep(const WaitingSession& session, BootTime now) const
+{
+    if (session.isInTransaction || session.hasInput)
+        return SessionStep::Keep;
+    if (session.tookLeaveAt)
+        return now >= *session.tookLeaveAt + leaveTime ? SessionStep::Close : SessionStep::Keep;
+    return session.hasServed || now >= idleSessionsEnd() ? SessionStep::TakeLeave : SessionStep::Keep;
+}
+
 } // namespace kumquatbank
--- a/packages/routing/tests/StopScheduleTest.cpp
+++ b/packages/routing/tests/StopScheduleTest.cpp
@@ -48,3 +48,48 @@
         CHECK_TRUE(schedule.finalAnswers() < signalledAt + period);
     }
 }
+
+// Guards against sessions that are closed while a request of theirs is on its way or unanswered, and against ones that are
+// never closed. Each row of the table, before and after the end of idle sessions.
+TEST(StopSchedule, SessionsTakeLeaveBeforeTheyAreClosed)
+{
+    struct Row {
+        WaitingSession session;
+        SessionStep early; ///< Before the end of idle sessions.
+        SessionStep late; ///< After it.
+    };
+    const StopSchedule schedule(signalledAt, grace);
+    constexpr milliseconds early { 1000 };
+    constexpr milliseconds late { 2500 };
+    const auto justLeft = signalledAt + early - milliseconds(100);
+    const std::array<Row, 7> table { {
+        { {}, SessionStep::Keep, SessionStep::TakeLeave },
+        { { .hasServed = true }, SessionStep::TakeLeave, SessionStep::TakeLeave },
+        { { .isInTransaction = true, .hasServed = true }, SessionStep::Keep, SessionStep::Keep },
+        { { .hasInput = true, .hasServed = true }, SessionStep::Keep, SessionStep::Keep },
+        { { .hasServed = true, .tookLeaveAt = justLeft }, SessionStep::Keep, SessionStep::Close },
+        { { .tookLeaveAt = justLeft }, SessionStep::Keep, SessionStep::Close },
+        { { .hasInput = true, .tookLeaveAt = justLeft }, SessionStep::Keep, SessionStep::Keep },
+    } };
+    for (const auto& row : table) {
+        CHECK_TRUE(schedule.nextStep(row.session, signalledAt + early) == row.early);
+        CHECK_TRUE(schedule.nextStep(row.session, signalledAt + late) == row.late);
+    }
+}
+
+// Guards against a session that is closed before its client can have read that it should leave.
+TEST(StopSchedule, AClientHasTheLeaveTimeToClose)
+{
+    const StopSchedule schedule(signalledAt, grace);
+    const WaitingSession session { .tookLeaveAt = signalledAt };
+    CHECK_TRUE(schedule.nextStep(session, signalledAt + StopSchedule::leaveTime - milliseconds(1)) == SessionStep::Keep);
+    CHECK_TRUE(schedule.nextStep(session, signalledAt + StopSchedule::leaveTime) == SessionStep::Close);
+}
+
+// Guards against a session that is accepted and then told to leave before its first request.
+TEST(StopSchedule, NoSessionBeginsOnceIdleOnesEnd)
+{
+    const StopSchedule schedule(signalledAt, grace);
+    CHECK_TRUE(schedule.admitsSession(signalledAt + milliseconds(1999)));
+    CHECK_FALSE(schedule.admitsSession(signalledAt + milliseconds(2000)));
+}
