A stopped process ends without destroying what suspended coroutines refer to

A supervisor sees a crash, and a core dump would delay the restart. Cause: main destroyed PoolerProcess before the io_context, whose destructor destroys the suspended coroutines, which refer to the process. The other order does not work either, because the sockets of the process refer to the io_context. Change: the process ends after it has flushed its log. The soak counts any other exit code of a stopped proxy as a violation, and its clients leave transactions idle past the idle limit, so that sessions are open at the end.

--- a/apps/ProxyCommandLine.h
+++ b/apps/ProxyCommandLine.h
@@ -6,6 +6,7 @@
 
 namespace kumquatbank {
 
+constexpr int exitStopped = 0;
 constexpr int exitInvalidInput = 2;
 constexpr int exitCannotStart = 4;
 
--- a/apps/kumquatbank_pooler/main.cpp
+++ b/apps/kumquatbank_pooler/main.cpp
@@ -2,6 +2,7 @@
 #include "kumquatbank/pooler/pooler.h"
 
 #include <csignal>
+#include <cstdlib>
 #include <exception>
 
 using namespace kumquatbank;
@@ -13,7 +14,8 @@
     asio::io_context io(1);
     PoolerProcess process(io, settings, file);
     process.run();
-    return 0;
+    // Suspended coroutines refer to the process and to the event loop, so that neither can be destroyed before the other.
+    std::_Exit(exitStopped);
 }
 
 } // namespace
--- a/scripts/pooler_soak.sh
+++ b/scripts/pooler_soak.sh
@@ -61,7 +61,7 @@
     up) kill -0 "$pid" 2>/dev/null || { echo "host-$1 ended by itself"; status=1; pooler_start "$1"; } ;;
     frozen) [ "$2" -lt "${due_tick[$1]}" ] || { kill -CONT "$pid"; host_state[$1]=up; } ;;
     killed) [ "$2" -lt "${due_tick[$1]}" ] || { pooler_start "$1"; host_state[$1]=up; } ;;
-    stopping) kill -0 "$pid" 2>/dev/null || { wait "$pid" || echo "host-$1 exited with $?"; pooler_start "$1"; host_state[$1]=up; } ;;
+    stopping) kill -0 "$pid" 2>/dev/null || { wait "$pid" || { echo "violation: host-$1 exited with $?"; status=1; }; pooler_start "$1"; host_state[$1]=up; } ;;
     esac
 }
 
--- a/tools/emulator/PlannedWorkClient.cpp
+++ b/tools/emulator/PlannedWorkClient.cpp
@@ -19,6 +19,7 @@
     constexpr milliseconds lossSlack { 200 };
     constexpr milliseconds longPause { 2500 };
     constexpr milliseconds statementPause { 150 };
+    constexpr milliseconds transactionPause { 4500 };
     constexpr milliseconds pieceGap { 60 };
     constexpr unsigned maxStatements = 12;
     constexpr std::size_t largeTextBytes = 300'000;
@@ -166,8 +167,10 @@
         co_return;
     const auto statements = 1 + m_random() % maxStatements;
     const auto pause = draw(statementPause);
+    // Some transactions stay idle for longer than the idle limit and than what is left of a grace period.
+    const auto longPauseAt = m_random() % 4 == 0 ? m_random() % statements : statements;
     for (unsigned n = 0; n < statements && m_channel; ++n) {
-        co_await sleepFor(m_io, pause);
+        co_await sleepFor(m_io, n == longPauseAt ? transactionPause : pause);
         const bool writes = !isReadOnly && m_random() % 2 == 0;
         const auto text = (writes ? "WRITE " : "READ ") + m_item + (writes ? " value" : "");
         const bool isServed = co_await ask(text);
