--- a/packages/pooler/src/ClientSession.cpp
+++ b/packages/pooler/src/ClientSession.cpp
@@ -21,7 +21,7 @@
 
     /// Sent while no request is outstanding; on it, a client closes its session and goes to another host. A request that it
     /// sends before it has read this gets it as the first part of its answer.
-    std::string formatLeave() { return StatementRunner::refuseAsStopping().body; }
+    std::string formatCloseNotice() { return StatementRunner::refuseAsStopping().body; }
 
 } // namespace
 
@@ -47,7 +47,7 @@
 {
     if (!m_tracker.stop)
         return SessionStep::Keep;
-    return m_tracker.stop->nextStep({ m_runner.isInTransaction(), m_channel.hasInput(), m_hasServed, m_tookLeaveAt }, BootClock::now());
+    return m_tracker.stop->nextStep({ m_runner.isInTransaction(), m_channel.hasInput(), m_hasServed, m_closeAnnouncedAt }, BootClock::now());
 }
 
 void ClientSession::advanceStop()
@@ -59,9 +59,9 @@
     switch (nextStep()) {
     case SessionStep::Keep:
         break;
-    case SessionStep::TakeLeave:
-        if (m_channel.tryWrite(formatLeave()))
-            m_tookLeaveAt = BootClock::now();
+    case SessionStep::AnnounceClose:
+        if (m_channel.tryWrite(formatCloseNotice()))
+            m_closeAnnouncedAt = BootClock::now();
         break;
     case SessionStep::Close:
         m_channel.close();
@@ -149,7 +149,7 @@
     m_database = message->database;
     if (m_tracker.stop && !m_tracker.stop->admitsSession(BootClock::now())) {
         EventLog::warn("session_refused", { { "session", m_number }, { "database", m_database }, { "reason", "the host is stopping" } });
-        const auto refused = formatLeave();
+        const auto refused = formatCloseNotice();
         co_await send(refused);
         co_return false;
     }
@@ -199,7 +199,7 @@
     const auto since = BootClock::now();
     StatementAnswer answer;
     m_request = &message;
-    if (m_tookLeaveAt) {
+    if (m_closeAnnouncedAt) {
         answer = StatementRunner::refuseAsStopping();
     } else if (message.statement) {
         answer = co_await m_runner.run(m_database, message.id, *message.statement);
@@ -222,12 +222,12 @@
 std::string ClientSession::formatAnswer(const StatementAnswer& answer)
 {
     // The refusal of this request was sent ahead of it, and that of the next one follows.
-    auto text = (m_tookLeaveAt ? std::string() : answer.body) + WireDialect::ready(answer.state);
+    auto text = (m_closeAnnouncedAt ? std::string() : answer.body) + WireDialect::ready(answer.state);
     m_hasServed = m_tracker.isStopping();
-    if (nextStep() == SessionStep::TakeLeave)
-        m_tookLeaveAt = BootClock::now();
-    if (m_tookLeaveAt)
-        text += formatLeave();
+    if (nextStep() == SessionStep::AnnounceClose)
+        m_closeAnnouncedAt = BootClock::now();
+    if (m_closeAnnouncedAt)
+        text += formatCloseNotice();
     return text;
 }
 
--- a/packages/pooler/src/ClientSession.h
+++ b/packages/pooler/src/ClientSession.h
@@ -17,7 +17,7 @@
 
     Task<void> run();
     /// Takes the next step towards the end of the session if it waits for its client while the process stops: aborts a
-    /// transaction whose statements could no longer be run, takes leave, or closes the connection.
+    /// transaction whose statements could no longer be run, announces the close, or closes the connection.
     void advanceStop();
     /// Answers a request that has no result yet by what is known of its outcome, and refuses those that have arrived behind
     /// it. The process must end after that.
@@ -29,7 +29,7 @@
 private:
     Task<bool> startSession();
     Task<bool> answerQuery(const ClientMessage& message);
-    /// Formats an answer. A stopping session takes leave with it, if it may.
+    /// Formats an answer. Announces the close of a stopping session with it, if that is due.
     std::string formatAnswer(const StatementAnswer& answer);
     SessionStep nextStep() const;
     Task<bool> readMessage(std::string_view& line);
@@ -48,7 +48,7 @@
     const ClientMessage* m_request = nullptr; ///< The request that is being answered.
     bool m_isSending = false; ///< Its answer is being sent.
     bool m_hasServed = false; ///< A request was answered since the process was told to stop.
-    std::optional<BootTime> m_tookLeaveAt; ///< Set once the next request has been refused ahead of time.
+    std::optional<BootTime> m_closeAnnouncedAt; ///< Set once the next request has been refused ahead of time.
 };
 
 } // namespace kumquatbank
--- a/packages/routing/include/kumquatbank/routing/StopSchedule.h
+++ b/packages/routing/include/kumquatbank/routing/StopSchedule.h
@@ -17,7 +17,7 @@
 /// What a stopping process does with a client session next.
 enum class SessionStep {
     Keep,
-    TakeLeave, ///< Refuse the client's next request ahead of time, so that it goes to another host.
+    AnnounceClose, ///< Refuse the client's next request ahead of time, so that it goes to another host.
     Close,
 };
 
@@ -26,7 +26,7 @@
     bool isInTransaction = false;
     bool hasInput = false; ///< A part of a request, or a whole one, has arrived.
     bool hasServed = false; ///< A request was answered since the stop.
-    std::optional<BootTime> tookLeaveAt {};
+    std::optional<BootTime> closeAnnouncedAt {};
 };
 
 /// Decides which requests a process still runs after it was told to stop, and when it ends its sessions, so that each
@@ -45,12 +45,12 @@
 /// |------------------------------|--------------------------------|--------------------------------|
 /// | in a transaction             | is kept                        | is kept                        |
 /// | input has arrived            | is kept                        | is kept                        |
-/// | has served since the stop    | takes leave                    | takes leave                    |
-/// | has not served               | is kept                        | takes leave                    |
-/// | has taken leave              | closes after leaveTime         | closes after leaveTime         |
+/// | has served since the stop    | is told of the close           | is told of the close           |
+/// | has not served               | is kept                        | is told of the close           |
+/// | was told of the close        | is closed after closeNotice    | is closed after closeNotice    |
 ///
-/// A client cannot be kept from sending while its connection is being closed. Taking leave answers what it sends then;
-/// without it, the client could not know whether the request has run.
+/// A client cannot be kept from sending while its connection is being closed. The announcement
+/// answers what it sends then; without it, the client could not know whether the request has run.
 class StopSchedule {
 public:
     /// @param signalledAt  when the process was told to stop.
@@ -60,15 +60,15 @@
     /// Whether a request that was read at @p now is run.
     bool admits(RequestKind kind, BootTime now, std::chrono::milliseconds statementTimeout) const;
 
-    /// Whether a new session is accepted at @p now. A later one would be told to leave at once.
+    /// Whether a new session is accepted at @p now. A later one would be closed before its first request.
     bool admitsSession(BootTime now) const { return now < idleSessionsEnd(); }
     /// What to do at @p now with a session that waits for a request.
     SessionStep nextStep(const WaitingSession& session, BootTime now) const;
 
-    /// Time that a client has to close its session, or to send requests that are refused, after the process took leave.
+    /// Time that a client has to close its session, or to send requests that are refused, after the announcement.
     /// Covers a round trip between regions and a client that is busy. A client that goes on after it is disconnected, since
     /// only a new connection leads it to a host that serves.
-    static constexpr std::chrono::milliseconds leaveTime { 500 };
+    static constexpr std::chrono::milliseconds closeNotice { 500 };
 
     /// Idle sessions without a transaction end from then on. Until then their clients may move of their own accord.
     BootTime idleSessionsEnd() const { return m_signalledAt + m_grace / 3; }
--- a/packages/routing/src/StopSchedule.cpp
+++ b/packages/routing/src/StopSchedule.cpp
@@ -45,9 +45,9 @@
 {
     if (session.isInTransaction || session.hasInput)
         return SessionStep::Keep;
-    if (session.tookLeaveAt)
-        return now >= *session.tookLeaveAt + leaveTime ? SessionStep::Close : SessionStep::Keep;
-    return session.hasServed || now >= idleSessionsEnd() ? SessionStep::TakeLeave : SessionStep::Keep;
+    if (session.closeAnnouncedAt)
+        return now >= *session.closeAnnouncedAt + closeNotice ? SessionStep::Close : SessionStep::Keep;
+    return session.hasServed || now >= idleSessionsEnd() ? SessionStep::AnnounceClose : SessionStep::Keep;
 }
 
 } // namespace kumquatbank
--- a/packages/routing/tests/StopScheduleTest.cpp
+++ b/packages/routing/tests/StopScheduleTest.cpp
@@ -51,7 +51,7 @@
 
 // Guards against sessions that are closed while a request of theirs is on its way or unanswered, and against ones that are
 // never closed. Each row of the table, before and after the end of idle sessions.
-TEST(StopSchedule, SessionsTakeLeaveBeforeTheyAreClosed)
+TEST(StopSchedule, ClosesAreAnnounced)
 {
     struct Row {
         WaitingSession session;
@@ -63,13 +63,13 @@
     constexpr milliseconds late { 2500 };
     const auto justLeft = signalledAt + early - milliseconds(100);
     const std::array<Row, 7> table { {
-        { {}, SessionStep::Keep, SessionStep::TakeLeave },
-        { { .hasServed = true }, SessionStep::TakeLeave, SessionStep::TakeLeave },
+        { {}, SessionStep::Keep, SessionStep::AnnounceClose },
+        { { .hasServed = true }, SessionStep::AnnounceClose, SessionStep::AnnounceClose },
         { { .isInTransaction = true, .hasServed = true }, SessionStep::Keep, SessionStep::Keep },
         { { .hasInput = true, .hasServed = true }, SessionStep::Keep, SessionStep::Keep },
-        { { .hasServed = true, .tookLeaveAt = justLeft }, SessionStep::Keep, SessionStep::Close },
-        { { .tookLeaveAt = justLeft }, SessionStep::Keep, SessionStep::Close },
-        { { .hasInput = true, .tookLeaveAt = justLeft }, SessionStep::Keep, SessionStep::Keep },
+        { { .hasServed = true, .closeAnnouncedAt = justLeft }, SessionStep::Keep, SessionStep::Close },
+        { { .closeAnnouncedAt = justLeft }, SessionStep::Keep, SessionStep::Close },
+        { { .hasInput = true, .closeAnnouncedAt = justLeft }, SessionStep::Keep, SessionStep::Keep },
     } };
     for (const auto& row : table) {
         CHECK_TRUE(schedule.nextStep(row.session, signalledAt + early) == row.early);
@@ -77,16 +77,16 @@
     }
 }
 
-// Guards against a session that is closed before its client can have read that it should leave.
-TEST(StopSchedule, AClientHasTheLeaveTimeToClose)
+// Guards against a session that is closed before its client can have read the announcement.
+TEST(StopSchedule, AClientHasTheNoticeTimeToClose)
 {
     const StopSchedule schedule(signalledAt, grace);
-    const WaitingSession session { .tookLeaveAt = signalledAt };
-    CHECK_TRUE(schedule.nextStep(session, signalledAt + StopSchedule::leaveTime - milliseconds(1)) == SessionStep::Keep);
-    CHECK_TRUE(schedule.nextStep(session, signalledAt + StopSchedule::leaveTime) == SessionStep::Close);
+    const WaitingSession session { .closeAnnouncedAt = signalledAt };
+    CHECK_TRUE(schedule.nextStep(session, signalledAt + StopSchedule::closeNotice - milliseconds(1)) == SessionStep::Keep);
+    CHECK_TRUE(schedule.nextStep(session, signalledAt + StopSchedule::closeNotice) == SessionStep::Close);
 }
 
-// Guards against a session that is accepted and then told to leave before its first request.
+// Guards against a session that is accepted and then closed before its first request.
 TEST(StopSchedule, NoSessionBeginsOnceIdleOnesEnd)
 {
     const StopSchedule schedule(signalledAt, grace);
