--- a/packages/routing/src/StopSchedule.cpp
+++ b/packages/routing/src/StopSchedule.cpp
@@ -41,4 +41,13 @@
     return isFirstHalf || now + statementTimeout <= answersEnd();
 }
 
+SessionStep StopSchedule::nextStep(const WaitingSession& session, BootTime now) const
+{
+    if (session.isInTransaction || session.hasInput)
+        return SessionStep::Keep;
+    if (session.closeAnnouncedAt)
+        return now >= *session.closeAnnouncedAt + closeNotice ? SessionStep::Close : SessionStep::Keep;
+    return session.hasServed || now >= idleSessionsEnd() ? SessionStep::AnnounceClose : SessionStep::Keep;
+}
+
 } // namespace kumquatbank
--- a/packages/routing/tests/StopScheduleTest.cpp
+++ b/packages/routing/tests/StopScheduleTest.cpp
@@ -48,3 +48,48 @@
         CHECK_TRUE(schedule.finalAnswers() < signalledAt + period);
     }
 }
+
+// Guards against sessions that are closed while a request of theirs is on its way or unanswered, and against ones that are
+// never closed. Each row of the table, before and after the end of idle sessions.
+TEST(StopSchedule, ClosesAreAnnounced)
+{
+    struct Row {
+        WaitingSession session;
+        SessionStep early; ///< Before the end of idle sessions.
+        SessionStep late; ///< After it.
+    };
+    const StopSchedule schedule(signalledAt, grace);
+    constexpr milliseconds early { 1000 };
+    constexpr milliseconds late { 2500 };
+    const auto justLeft = signalledAt + early - milliseconds(100);
+    const std::array<Row, 7> table { {
+        { {}, SessionStep::Keep, SessionStep::AnnounceClose },
+        { { .hasServed = true }, SessionStep::AnnounceClose, SessionStep::AnnounceClose },
+        { { .isInTransaction = true, .hasServed = true }, SessionStep::Keep, SessionStep::Keep },
+        { { .hasInput = true, .hasServed = true }, SessionStep::Keep, SessionStep::Keep },
+        { { .hasServed = true, .closeAnnouncedAt = justLeft }, SessionStep::Keep, SessionStep::Close },
+        { { .closeAnnouncedAt = justLeft }, SessionStep::Keep, SessionStep::Close },
+        { { .hasInput = true, .closeAnnouncedAt = justLeft }, SessionStep::Keep, SessionStep::Keep },
+    } };
+    for (const auto& row : table) {
+        CHECK_TRUE(schedule.nextStep(row.session, signalledAt + early) == row.early);
+        CHECK_TRUE(schedule.nextStep(row.session, signalledAt + late) == row.late);
+    }
+}
+
+// Guards against a session that is closed before its client can have read the announcement.
+TEST(StopSchedule, AClientHasTheNoticeTimeToClose)
+{
+    const StopSchedule schedule(signalledAt, grace);
+    const WaitingSession session { .closeAnnouncedAt = signalledAt };
+    CHECK_TRUE(schedule.nextStep(session, signalledAt + StopSchedule::closeNotice - milliseconds(1)) == SessionStep::Keep);
+    CHECK_TRUE(schedule.nextStep(session, signalledAt + StopSchedule::closeNotice) == SessionStep::Close);
+}
+
+// Guards against a session that is accepted and then closed before its first request.
+TEST(StopSchedule, NoSessionBeginsOnceIdleOnesEnd)
+{
+    const StopSchedule schedule(signalledAt, grace);
+    CHECK_TRUE(schedule.admitsSession(signalledAt + milliseconds(1999)));
+    CHECK_FALSE(schedule.admitsSession(signalledAt + milliseconds(2000)));
+}
--- a/scripts/pooler_soak.sh
+++ b/scripts/pooler_soak.sh
@@ -51,7 +51,7 @@
 for ((n = 0; n < hosts; n++)); do pooler_wait_ready "$n"; done
 
 "$bin/tools/emulator/session_load" --proxies "$addresses" --clients 5 --seconds "$seconds" --seed "$seed" \
-    --transaction-writes "$((1 + seed % 4))" --unanswered-file "$pooler_dir/unanswered.txt" >"$pooler_dir/load.txt" &
+    --transaction-writes "$((1 + seed % 4))" ${planned:+--planned-work-clients 6} --unanswered-file "$pooler_dir/unanswered.txt" >"$pooler_dir/load.txt" &
 load_pid=$!
 
 # Ends a fault of a host once it is due.
@@ -61,7 +61,7 @@
     up) kill -0 "$pid" 2>/dev/null || { echo "host-$1 ended by itself"; status=1; pooler_start "$1"; } ;;
     frozen) [ "$2" -lt "${due_tick[$1]}" ] || { kill -CONT "$pid"; host_state[$1]=up; } ;;
     killed) [ "$2" -lt "${due_tick[$1]}" ] || { pooler_start "$1"; host_state[$1]=up; } ;;
-    stopping) kill -0 "$pid" 2>/dev/null || { wait "$pid" || echo "host-$1 exited with $?"; pooler_start "$1"; host_state[$1]=up; } ;;
+    stopping) kill -0 "$pid" 2>/dev/null || { wait "$pid" || { echo "violation: host-$1 exited with $?"; status=1; }; pooler_start "$1"; host_state[$1]=up; } ;;
     esac
 }
 
