A stopping host keeps busy sessions until it is out of rotation, and announces a close to quiet ones only

Change: sessions are kept until idle ones end, except those with a refused request; the close is announced once a session has waited for 50 ms; after a request that crossed the announcement the connection is closed.

--- a/packages/pooler/src/ClientSession.cpp
+++ b/packages/pooler/src/ClientSession.cpp
@@ -47,7 +47,7 @@
 {
     if (!m_tracker.stop)
         return SessionStep::Keep;
-    return m_tracker.stop->nextStep({ m_runner.isInTransaction(), m_channel.hasInput(), m_hasServed, m_closeAnnouncedAt }, BootClock::now());
+    return m_tracker.stop->nextStep({ m_runner.isInTransaction(), m_channel.hasInput(), m_hasRefused, m_waitsSince, m_closeAnnouncedAt, m_hasRefusedAfterAnnouncement }, BootClock::now());
 }
 
 void ClientSession::advanceStop()
@@ -115,6 +115,7 @@
     while (true) {
         const auto idleLimit = m_runner.isInTransaction() && m_runner.transactionState() == TransactionState::Open ? m_runner.idleLimit() : std::nullopt;
         m_isIdle = true;
+        m_waitsSince = BootClock::now();
         const auto status = co_await m_channel.readLine(line, idleLimit ? BootClock::now() + *idleLimit : BootTime::max());
         m_isIdle = false;
         if (status == ChannelStatus::Ok)
@@ -221,14 +222,9 @@
 
 std::string ClientSession::formatAnswer(const StatementAnswer& answer)
 {
-    // The refusal of this request was sent ahead of it, and that of the next one follows.
-    auto text = (m_closeAnnouncedAt ? std::string() : answer.body) + WireDialect::ready(answer.state);
-    m_hasServed = m_tracker.isStopping();
-    if (nextStep() == SessionStep::AnnounceClose)
-        m_closeAnnouncedAt = BootClock::now();
-    if (m_closeAnnouncedAt)
-        text += formatCloseNotice();
-    return text;
+    m_hasRefused = m_hasRefused || (m_tracker.isStopping() && answer.code == ErrorCode::Busy);
+    const bool wasSentAhead = m_closeAnnouncedAt && !std::exchange(m_hasRefusedAfterAnnouncement, true);
+    return (wasSentAhead ? std::string() : answer.body) + WireDialect::ready(answer.state);
 }
 
 void ClientSession::logAnswer(const ClientMessage& message, const StatementAnswer& answer, BootTime since) const
--- a/packages/pooler/src/ClientSession.h
+++ b/packages/pooler/src/ClientSession.h
@@ -29,7 +29,7 @@
 private:
     Task<bool> startSession();
     Task<bool> answerQuery(const ClientMessage& message);
-    /// Formats an answer. Announces the close of a stopping session with it, if that is due.
+    /// Formats an answer. Its error is left out if it has been sent ahead, as the announcement of the close.
     std::string formatAnswer(const StatementAnswer& answer);
     SessionStep nextStep() const;
     Task<bool> readMessage(std::string_view& line);
@@ -47,7 +47,9 @@
     bool m_isIdle = false; ///< Waiting for the client's next line.
     const ClientMessage* m_request = nullptr; ///< The request that is being answered.
     bool m_isSending = false; ///< Its answer is being sent.
-    bool m_hasServed = false; ///< A request was answered since the process was told to stop.
+    bool m_hasRefused = false; ///< A request was refused since the process was told to stop.
+    bool m_hasRefusedAfterAnnouncement = false;
+    BootTime m_waitsSince {}; ///< When the session began to wait for the client's next line.
     std::optional<BootTime> m_closeAnnouncedAt; ///< Set once the next request has been refused ahead of time.
 };
 
--- a/packages/routing/include/kumquatbank/routing/StopSchedule.h
+++ b/packages/routing/include/kumquatbank/routing/StopSchedule.h
@@ -25,8 +25,10 @@
 struct WaitingSession {
     bool isInTransaction = false;
     bool hasInput = false; ///< A part of a request, or a whole one, has arrived.
-    bool hasServed = false; ///< A request was answered since the stop.
+    bool hasRefused = false; ///< A request was refused since the stop.
+    BootTime waitsSince {}; ///< When it began to wait.
     std::optional<BootTime> closeAnnouncedAt {};
+    bool hasRefusedAfterAnnouncement = false;
 };
 
 /// Decides which requests a process still runs after it was told to stop, and when it ends its sessions, so that each
@@ -45,9 +47,14 @@
 /// |------------------------------|--------------------------------|--------------------------------|
 /// | in a transaction             | is kept                        | is kept                        |
 /// | input has arrived            | is kept                        | is kept                        |
-/// | has served since the stop    | is told of the close           | is told of the close           |
-/// | has not served               | is kept                        | is told of the close           |
+/// | waits for less than quietTime| is kept                        | is kept                        |
+/// | has refused since the stop   | is told of the close           | is told of the close           |
+/// | others                       | is kept                        | is told of the close           |
 /// | was told of the close        | is closed after closeNotice    | is closed after closeNotice    |
+/// | ... and has refused a request| is closed                      | is closed                      |
+///
+/// Until then the load balancer may still send new connections here, so that a client whose session ended earlier could come
+/// back to this host. A busy session is kept, because its next request would cross the announcement.
 ///
 /// A client cannot be kept from sending while its connection is being closed. The announcement
 /// answers what it sends then; without it, the client could not know whether the request has run.
@@ -65,9 +72,11 @@
     /// What to do at @p now with a session that waits for a request.
     SessionStep nextStep(const WaitingSession& session, BootTime now) const;
 
-    /// Time that a client has to close its session, or to send requests that are refused, after the announcement.
-    /// Covers a round trip between regions and a client that is busy. A client that goes on after it is disconnected, since
-    /// only a new connection leads it to a host that serves.
+    /// Time for which a session must have waited before its close is announced. Exceeds the round trip of a client that sends
+    /// its next request as soon as it has an answer.
+    static constexpr std::chrono::milliseconds quietTime { 50 };
+    /// Time that a client has to close its session, or to send a request that is refused, after the announcement. Covers a
+    /// round trip between regions and a client that is busy.
     static constexpr std::chrono::milliseconds closeNotice { 500 };
 
     /// Idle sessions without a transaction end from then on. Until then their clients may move of their own accord.
--- a/packages/routing/src/StopSchedule.cpp
+++ b/packages/routing/src/StopSchedule.cpp
@@ -45,9 +45,12 @@
 {
     if (session.isInTransaction || session.hasInput)
         return SessionStep::Keep;
-    if (session.closeAnnouncedAt)
-        return now >= *session.closeAnnouncedAt + closeNotice ? SessionStep::Close : SessionStep::Keep;
-    return session.hasServed || now >= idleSessionsEnd() ? SessionStep::AnnounceClose : SessionStep::Keep;
+    if (session.closeAnnouncedAt) {
+        const bool isOver = session.hasRefusedAfterAnnouncement || now >= *session.closeAnnouncedAt + closeNotice;
+        return isOver ? SessionStep::Close : SessionStep::Keep;
+    }
+    const bool isDue = session.hasRefused || now >= idleSessionsEnd();
+    return isDue && now >= session.waitsSince + quietTime ? SessionStep::AnnounceClose : SessionStep::Keep;
 }
 
 } // namespace kumquatbank
