A destroyed listener is no longer used by an accept that has completed

Cause: the accept loop, a coroutine, referred to the TcpListener. If a connection was accepted and its handler was still queued when the listener was destroyed, the loop read freed memory and called a freed std::function. Closing the acceptor does not help: an operation that has completed is not cancelled, and the check of the acceptor reads the freed memory as well. EmulatedDatabase::crash() is the only place that destroys a listener while the event loop runs; the proxies keep theirs until the end of the process.

Evidence: TcpListener.AConnectionThatWaitsInTheEventLoopIsDroppedWithItsListener ends by signal 11 before the fix, in a build without sanitizers.

Change: the loop and the listener share the state, the destructor closes the acceptor, and the loop ends without a call. The test passes after it.

--- a/packages/engine/include/kumquatbank/engine/TcpListener.h
+++ b/packages/engine/include/kumquatbank/engine/TcpListener.h
@@ -6,25 +6,32 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <functional>
+#include <memory>
 
 namespace kumquatbank {
 
-/// Accepts TCP connections on one address and passes each socket to a callback.
+/// Accepts TCP connections on one address and passes each socket to a callback. After close() and after its destruction
+/// the callback is not called any more, also for connections whose accept has already completed.
 class TcpListener {
 public:
     using AcceptHandler = std::function<void(asio::ip::tcp::socket)>;
 
     /// Throws boost::system::system_error if the address cannot be bound.
     TcpListener(asio::io_context& io, const HostAddress& address, AcceptHandler onAccept);
+    ~TcpListener() { close(); }
+
+    TcpListener(const TcpListener&) = delete;
+    TcpListener& operator=(const TcpListener&) = delete;
 
     void close();
 
 private:
-    Task<void> acceptLoop();
+    struct State;
+
+    static Task<void> acceptLoop(std::shared_ptr<State> state);
 
-    asio::io_context& m_io;
-    asio::ip::tcp::acceptor m_acceptor;
-    AcceptHandler m_onAccept;
+    /// Shared with the accept loop, which ends one iteration of the event loop after a close at the earliest.
+    std::shared_ptr<State> m_state;
 };
 
 } // namespace kumquatbank
--- a/packages/engine/src/TcpListener.cpp
+++ b/packages/engine/src/TcpListener.cpp
@@ -10,37 +10,42 @@
 
 } // namespace
 
+struct TcpListener::State {
+    asio::io_context& io;
+    asio::ip::tcp::acceptor acceptor;
+    AcceptHandler onAccept;
+};
+
 TcpListener::TcpListener(asio::io_context& io, const HostAddress& address, AcceptHandler onAccept)
-    : m_io(io)
-    , m_acceptor(io)
-    , m_onAccept(std::move(onAccept))
+    : m_state(std::make_shared<State>(State { io, asio::ip::tcp::acceptor(io), std::move(onAccept) }))
 {
     const auto endpoint = toEndpoint(address);
-    m_acceptor.open(endpoint.protocol());
-    m_acceptor.set_option(asio::ip::tcp::acceptor::reuse_address(true));
-    m_acceptor.bind(endpoint);
-    m_acceptor.listen(acceptBacklog);
-    asio::co_spawn(io, acceptLoop(), asio::detached);
+    auto& acceptor = m_state->acceptor;
+    acceptor.open(endpoint.protocol());
+    acceptor.set_option(asio::ip::tcp::acceptor::reuse_address(true));
+    acceptor.bind(endpoint);
+    acceptor.listen(acceptBacklog);
+    asio::co_spawn(io, acceptLoop(m_state), asio::detached);
 }
 
 void TcpListener::close()
 {
-    boost::system::error_code ec; // Ignored: the listener is closed once, at the end of a drain.
-    m_acceptor.close(ec);
+    boost::system::error_code ec; // Ignored: nothing can be done about a failed close.
+    m_state->acceptor.close(ec);
 }
 
-Task<void> TcpListener::acceptLoop()
+Task<void> TcpListener::acceptLoop(std::shared_ptr<State> state)
 {
-    while (m_acceptor.is_open()) {
-        auto [ec, socket] = co_await m_acceptor.async_accept(asTuple);
-        if (ec == asio::error::operation_aborted || !m_acceptor.is_open())
+    while (state->acceptor.is_open()) {
+        auto [ec, socket] = co_await state->acceptor.async_accept(asTuple);
+        if (ec == asio::error::operation_aborted || !state->acceptor.is_open())
             co_return;
         if (ec) {
             EventLog::warn("accept_failed", { { "error", ec.message() } });
-            co_await sleepFor(m_io, acceptRetryDelay);
+            co_await sleepFor(state->io, acceptRetryDelay);
             continue;
         }
-        m_onAccept(std::move(socket));
+        state->onAccept(std::move(socket));
     }
 }
 
