An exception while a connection is taken over does not end the accept loop

By reading: the accept loop is a spawned coroutine whose exceptions were dropped. One exception of its callback, such as bad_alloc, ended it without a log line: the process stayed ready, and every later connection waited in the backlog. Change: the exception is logged and costs that connection only. Test: TcpListener.AnExceptionOfTheHandlerCostsOneConnectionOnly; 1 of 2 connections accepted before, 2 after.

--- a/packages/engine/src/TcpListener.cpp
+++ b/packages/engine/src/TcpListener.cpp
@@ -45,7 +45,11 @@
             co_await sleepFor(state->io, acceptRetryDelay);
             continue;
         }
-        state->onAccept(std::move(socket));
+        try {
+            state->onAccept(std::move(socket));
+        } catch (const std::exception& e) {
+            EventLog::error("accept_failed", { { "error", e.what() } });
+        }
     }
 }
 
