An HTTP request whose handler throws is answered with 500 and logged

By reading: an exception of a handler (ready probe, peers, metrics, and the emulated store) closed the connection without a response and without a log line. Change: HttpListener answers 500 and logs the target and the error. LogFailure is the completion handler for coroutines that nobody awaits; it logs what asio::detached drops.

--- a/packages/engine/include/kumquatbank/engine/engine.h
+++ b/packages/engine/include/kumquatbank/engine/engine.h
@@ -11,5 +11,6 @@
 #include "kumquatbank/engine/HttpListener.h"
 #include "kumquatbank/engine/KeepRunning.h"
 #include "kumquatbank/engine/LineChannel.h"
+#include "kumquatbank/engine/LogFailure.h"
 #include "kumquatbank/engine/Random.h"
 #include "kumquatbank/engine/TcpListener.h"
--- a/packages/engine/src/HttpListener.cpp
+++ b/packages/engine/src/HttpListener.cpp
@@ -1,11 +1,12 @@
 #include "kumquatbank/engine/HttpListener.h"
 
 #include "OperationTimer.h"
+#include "kumquatbank/engine/EventLog.h"
 #include "kumquatbank/engine/LineChannel.h"
+#include "kumquatbank/engine/LogFailure.h"
 
 #include <boost/algorithm/string/case_conv.hpp>
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 
@@ -23,7 +24,7 @@
 
 HttpListener::HttpListener(asio::io_context& io, const HostAddress& address, Handler handler)
     : m_listener(io, address, [&io, handler = std::move(handler)](asio::ip::tcp::socket socket) {
-        asio::co_spawn(io, serve(std::move(socket), handler), asio::detached);
+        asio::co_spawn(io, serve(std::move(socket), handler), LogFailure("http_connection"));
     })
 {
 }
@@ -47,7 +48,13 @@
         received.body = std::move(request.body());
         for (const auto& field : request)
             received.headers[boost::algorithm::to_lower_copy(std::string(field.name_string()))] = field.value();
-        const auto result = co_await handler(std::move(received));
+        HttpResponse result;
+        try {
+            result = co_await handler(std::move(received));
+        } catch (const std::exception& e) {
+            EventLog::error("http_request_failed", { { "target", std::string_view(request.target()) }, { "error", e.what() } });
+            result = { 500, R"({"error":"the request could not be processed"})" };
+        }
         if (result.status == HttpResponse::closeConnection)
             co_return;
         http::response<http::string_body> response(static_cast<http::status>(result.status), request.version());
