A reload request during the load of the program no longer ends the process

Seen: SIGHUP 0 to 30 ms after the exec of a proxy ends it by signal 1. Until main runs, the signal has its default action. Cause: main installed the disposition only after the loader had relocated ten shared libraries and run their constructors. Change: a function in .preinit_array ignores SIGHUP before the constructors of the shared libraries.

Tests: EarlyReloadRequest.AHangupBeforeMainDoesNotEndTheProcess (a library's constructor raises SIGHUP; without the function the test program ends by signal 1), and early_signals, which starts proxies with SIGHUP ignored.

--- a/apps/kumquatbank_pooler/main.cpp
+++ b/apps/kumquatbank_pooler/main.cpp
@@ -23,7 +23,7 @@
 int main(int argc, char** argv)
 {
     std::signal(SIGPIPE, SIG_IGN);
-    // A reload that is asked for before the process listens for it must not end the process.
+    // Also in EarlyReloadRequests.cpp; here for loaders that do not run the functions of .preinit_array.
     std::signal(SIGHUP, SIG_IGN);
     try {
         return runProxyCommandLine<PoolerSettings>("kumquatbank-pooler", KUMQUATBANK_VERSION,
