Changed settings are recognised by the content of the file, not by its time

Seen: a process went on with old settings for good if its file was read half-written and completed with the same modification time, if it was replaced by one with the same time and size, or if it was changed after main had read it and before the process recorded the time. Cause: a version of the file was its modification time, which advances in ticks of several milliseconds and can be set; it was recorded before each reading, also of one that failed, and at the start after the settings had been read. A SIGHUP in that last gap is ignored, so that it was lost as well. Ruled out: size, inode and change time in addition: two writes in place in one tick, of the same length, are still alike. Change: SettingsFile compares what was read, text or error. The file is checked once a second, and at the start once SIGHUP is handled. SIGHUP always reads. A failure is logged once until the file changes. Pipes are not checked, as they could block.

--- a/packages/pooler/include/kumquatbank/pooler/PoolerProcess.h
+++ b/packages/pooler/include/kumquatbank/pooler/PoolerProcess.h
@@ -11,7 +11,7 @@
 /// One proxy process with all its services on one event loop.
 class PoolerProcess {
 public:
-    /// @p settingsFile is read again on SIGHUP and when it changes.
+    /// @p settingsFile is read again on SIGHUP and when it changes; empty: there is none.
     PoolerProcess(asio::io_context& io, PoolerSettings settings, std::string settingsFile);
     ~PoolerProcess();
 
--- a/packages/pooler/src/PoolerProcess.cpp
+++ b/packages/pooler/src/PoolerProcess.cpp
@@ -6,12 +6,12 @@
 #include "HostDirectory.h"
 #include "PeerService.h"
 #include "PromotionController.h"
+#include "SettingsFile.h"
 #include "StoreSync.h"
 #include "kumquatbank/engine/engine.h"
 
 #include <boost/asio/signal_set.hpp>
 #include <csignal>
-#include <sys/stat.h>
 
 namespace kumquatbank {
 
@@ -27,12 +27,6 @@
     constexpr milliseconds stopCheckInterval { 20 };
     constexpr int logFlushTimeoutMs = 100;
 
-    std::int64_t modificationTime(const std::string& file)
-    {
-        struct stat info { };
-        return stat(file.c_str(), &info) == 0 ? info.st_mtim.tv_sec * 1'000'000'000 + info.st_mtim.tv_nsec : 0;
-    }
-
 } // namespace
 
 class PoolerProcess::Impl {
@@ -41,7 +35,6 @@
         : m_io(io)
         , m_settings(std::move(settings))
         , m_settingsFile(std::move(settingsFile))
-        , m_settingsTime(modificationTime(m_settingsFile))
         , m_registry(m_io, m_settings.host, m_metrics)
         , m_store(std::make_shared<ObjectStore>(m_io, m_settings.storeAddress))
         , m_sync(m_io, m_store, m_registry, m_metrics)
@@ -189,17 +182,20 @@
 
     Task<void> watchSettings()
     {
+        auto loaded = m_settingsFile.loadIfChanged();
+        // The settings that the process started with were read before it handled SIGHUP.
+        if (loaded && *loaded && **loaded == m_settings)
+            loaded.reset();
         while (true) {
+            if (loaded)
+                applySettings("file changed", *loaded);
             co_await sleepFor(m_io, settingsCheckInterval);
-            if (modificationTime(m_settingsFile) != m_settingsTime)
-                reload("file changed");
+            loaded = m_settingsFile.loadIfChanged();
         }
     }
 
-    void reload(std::string_view trigger)
+    void applySettings(std::string_view trigger, const Result<PoolerSettings>& settings)
     {
-        m_settingsTime = modificationTime(m_settingsFile);
-        const auto settings = PoolerSettings::load(m_settingsFile);
         if (!settings) {
             EventLog::error("reload_failed", { { "trigger", trigger }, { "error", settings.error().message } });
             return;
@@ -226,7 +222,7 @@
             if (ec)
                 co_return;
             if (signal == SIGHUP) {
-                reload("SIGHUP");
+                applySettings("SIGHUP", m_settingsFile.load());
                 continue;
             }
             co_await drain();
@@ -241,8 +237,7 @@
 
     asio::io_context& m_io;
     PoolerSettings m_settings;
-    std::string m_settingsFile;
-    std::int64_t m_settingsTime;
+    SettingsFile m_settingsFile;
     PoolerMetrics m_metrics;
     SessionTracker m_gate;
     ServiceRegistry m_registry;
--- a/packages/pooler/tests/failures/ReloadTest.cpp
+++ b/packages/pooler/tests/failures/ReloadTest.cpp
@@ -3,6 +3,8 @@
 #include <CppUTest/TestHarness.h>
 #include <filesystem>
 #include <fmt/format.h>
+#include <fstream>
+#include <functional>
 #include <unistd.h>
 
 using namespace kumquatbank;
@@ -23,8 +25,58 @@
 
     void setup() override { std::filesystem::create_directory(folder); }
     void teardown() override { std::filesystem::remove_all(folder); }
+
+    std::filesystem::path file(int host) const { return folder / fmt::format("host-{}.json", host); }
 };
 
+namespace {
+
+/// Port offset of an address at which no store listens.
+constexpr std::uint16_t unusedPortOffset = 100;
+
+/// Host 1 has no other source than the store, at an address where nothing listens.
+void useUnreachableStore(PoolerSettings& settings)
+{
+    if (settings.host != "host-1")
+        return;
+    settings.seeds.clear();
+    settings.storeAddress.port += unusedPortOffset;
+}
+
+HostAddress unreachableStore(PoolerFixture& fixture)
+{
+    auto address = fixture.platform().storeAddress();
+    address.port += unusedPortOffset;
+    return address;
+}
+
+/// Changes a file without a change of its modification time, as by two writes in one tick of the file system's clock.
+void changeWithinOneTick(const std::filesystem::path& file, const std::function<void()>& change)
+{
+    const auto time = std::filesystem::last_write_time(file);
+    change();
+    std::filesystem::last_write_time(file, time);
+}
+
+std::string readFile(const std::filesystem::path& file)
+{
+    std::ifstream in(file);
+    return std::string(std::istreambuf_iterator<char>(in), {});
+}
+
+Task<void> expectReadyAfter(PoolerFixture& fixture, std::function<void()> change)
+{
+    co_await fixture.sleep(milliseconds(1500));
+    const int before = co_await fixture.ready(1);
+    CHECK_EQUAL(503, before);
+    change();
+    co_await fixture.sleep(reloadTime);
+    const int after = co_await fixture.ready(1);
+    CHECK_EQUAL(200, after);
+}
+
+} // namespace
+
 // Guards against a process that ends with requests under way, because the client of the store was destroyed during its
 // calls when the settings named another address.
 TEST(Reload, AChangedStoreAddressLeavesCallsUnderWayAlone)
@@ -54,3 +106,47 @@
     }(fixture, original, further),
         std::chrono::seconds(40));
 }
+
+// Guards against a change that is never read, because the file has the same time and size as before.
+TEST(Reload, AChangeWithTheSameTimeAndSizeIsRead)
+{
+    PoolerFixture fixture({}, 1, 3, true, 1, useUnreachableStore);
+    fixture.useSettingsFiles(folder.string());
+    fixture.writeSettings(1, unreachableStore(fixture));
+    fixture.startHost(1);
+    fixture.run(expectReadyAfter(fixture, [&] {
+        changeWithinOneTick(file(1), [&] { fixture.writeSettings(1, fixture.platform().storeAddress()); });
+    }));
+}
+
+// Guards against a file that is read half-written and not again once it is complete, because its time is the same.
+TEST(Reload, AFileThatWasReadHalfWrittenIsReadAgain)
+{
+    PoolerFixture fixture({}, 1, 3, true, 1, useUnreachableStore);
+    fixture.useSettingsFiles(folder.string());
+    fixture.writeSettings(1, fixture.platform().storeAddress());
+    const auto text = readFile(file(1));
+    fixture.writeSettings(1, unreachableStore(fixture));
+    fixture.startHost(1);
+    fixture.run([](PoolerFixture& f, std::filesystem::path path, std::string whole) -> Task<void> {
+        co_await f.sleep(milliseconds(200));
+        std::ofstream(path) << whole.substr(0, whole.size() / 2);
+        std::function<void()> complete = [path, whole] { changeWithinOneTick(path, [&] { std::ofstream(path) << whole; }); };
+        co_await expectReadyAfter(f, complete);
+    }(fixture, file(1), text));
+}
+
+// Guards against a change, or a SIGHUP, that is lost between the first reading of the file and the start of its checks.
+TEST(Reload, AChangeDuringTheStartIsRead)
+{
+    PoolerFixture fixture({}, 1, 3, true, 1, useUnreachableStore);
+    fixture.useSettingsFiles(folder.string());
+    fixture.writeSettings(1, fixture.platform().storeAddress());
+    // Starts with the settings that the file held before.
+    fixture.startHost(1);
+    fixture.run([](PoolerFixture& f) -> Task<void> {
+        co_await f.sleep(reloadTime);
+        const int status = co_await f.ready(1);
+        CHECK_EQUAL(200, status);
+    }(fixture));
+}
