A stopping host keeps sessions for the notice time of a late announcement

Callers saw: a request that crosses an announcement made shortly before the last results are due gets its refusal (ERR BUSY) and then the end of the connection in place of READY: the host ends as soon as no request is unfinished. Class: the same as of the requests dropped at a stop.

Change: between the end of results and the final answers (250 ms at a grace period over 2.8 s) the host waits for open sessions too, and still takes their steps, so that announced sessions are closed once their time is over. Test: ARequestThatCrossesALateAnnouncementIsAnswered fails before (ERR without READY), passes after; the 11 tests of Stop pass.

--- a/packages/pooler/src/PoolerProcess.cpp
+++ b/packages/pooler/src/PoolerProcess.cpp
@@ -106,8 +106,12 @@
         }
         m_clients->close();
         const auto countUnfinished = [this] { return std::ranges::count_if(sessions(), &ClientSession::hasUnfinishedRequest); };
-        while (BootClock::now() < stop.finalAnswers() && countUnfinished() > 0)
+        // Sessions whose close was announced last still have a part of the notice time.
+        while (BootClock::now() < stop.finalAnswers() && m_gate.open > 0) {
+            for (const auto& session : sessions())
+                session->advanceStop();
             co_await sleepFor(m_io, stopCheckInterval);
+        }
         const auto unfinished = countUnfinished();
         for (const auto& session : sessions())
             asio::co_spawn(m_io, session->answerUnfinished(), asio::detached);
--- a/packages/pooler/tests/failures/StopTest.cpp
+++ b/packages/pooler/tests/failures/StopTest.cpp
@@ -342,3 +342,36 @@
         CHECK_TRUE(refersToOtherHosts(refused));
     }(fixture));
 }
+
+// Guards against a host that ends right after it has announced the close of a session, while a request is on its way.
+TEST(Stop, ARequestThatCrossesALateAnnouncementIsAnswered)
+{
+    PoolerFixture fixture;
+    fixture.run([](PoolerFixture& f) -> Task<void> {
+        for (auto& [name, route] : f.platform().config().routes)
+            route.statementTimeout = std::chrono::seconds(3);
+        f.platform().putConfig();
+        co_await f.sleep(hostDiscoveryTime);
+        co_await f.writeUntilSuccess(primaryDb, "WRITE item before");
+        TestClient client(f.io());
+        co_await client.start(f.clientAddress(), primaryDb);
+        const auto from = BootClock::now();
+        const auto ended = std::make_shared<bool>(false);
+        const auto drainNow = [&f, ended]() -> Task<void> {
+            co_await f.process(0).drain();
+            *ended = true;
+        };
+        asio::co_spawn(f.io(), drainNow(), asio::detached);
+        co_await f.sleep(grace / 3 - milliseconds(100));
+        f.platform().primary(0).behaviour().work = milliseconds(1360);
+        const auto last = co_await client.query("WRITE item last");
+        CHECK_TRUE_TEXT(last.isSuccess(), last.result.c_str());
+        co_await f.sleep(milliseconds(100));
+        const auto refused = co_await client.query("WRITE item refused");
+        STRCMP_EQUAL("BUSY", refused.code().c_str());
+        BYTES_EQUAL('I', refused.state());
+        while (!*ended)
+            co_await f.sleep(milliseconds(10));
+        CHECK_TRUE(BootClock::now() - from < grace);
+    }(fixture));
+}
