Soak: further orders of planned events, changes of routes, lent connections

The soak drew one signal, or a reload and a stop, for one host at a time; configurations that differed in their version only; and hosts without a loan address, so that none ever lent a connection. The orders of events around stops and reloads that the users' machines show could not occur.

New checks: an answer NODB for a database that had a route, asked for later than 3 s after the route was added, is a violation, and so is NODB inside a transaction.

--- a/scripts/pooler_fleet.sh
+++ b/scripts/pooler_fleet.sh
@@ -13,23 +13,32 @@
 fault_offset=0
 # Above the ports of 390 hosts.
 fault_port_offset=5000
+pooler_regions=1
+pooler_store_ports=() # of hosts whose settings name another port than the first one
 pooler_pids=()
 emulator_pid=
 fault_pid=
 
 pooler_client_address() { echo "$pooler_ip:$((pooler_base + $1 * 10 + fault_offset))"; }
 
-pooler_start() { # HOST
+pooler_region() { [ "$pooler_regions" = 1 ] && echo local || echo "region-$(($1 % pooler_regions))"; } # HOST
+
+pooler_settings() { # HOST
     local port=$((pooler_base + $1 * 10))
-    cat >"$pooler_dir/host-$1.json" <<SETTINGS
-{ "host": "host-$1", "dataCentre": "dc-$(($1 % 3))", "region": "local",
+    cat <<SETTINGS
+{ "host": "host-$1", "dataCentre": "dc-$(($1 % 3))", "region": "$(pooler_region "$1")",
   "clientAddress": "$pooler_ip:$port", "readyAddress": "$pooler_ip:$((port + 1))",
   "peerAddress": "$pooler_ip:$((port + 2))", "metricsAddress": "$pooler_ip:$((port + 3))",
+  "loanAddress": "$pooler_ip:$((port + 4))",
   "seeds": ["$pooler_ip:$((pooler_base + 2))", "$pooler_ip:$((pooler_base + 12))"],
-  "storeAddress": "$pooler_ip:$((emulator_port + fault_offset))",
+  "storeAddress": "$pooler_ip:${pooler_store_ports[$1]:-$((emulator_port + fault_offset))}",
   "promotionAddress": "$pooler_ip:$((emulator_port + 1 + fault_offset))",
   "graceSeconds": 4 }
 SETTINGS
+}
+
+pooler_start() { # HOST
+    pooler_settings "$1" >"$pooler_dir/host-$1.json"
     "${KUMQUATBANK_PROXY:-$bin/apps/kumquatbank-pooler}" --settings "$pooler_dir/host-$1.json" >>"$pooler_dir/host-$1.log" 2>&1 &
     pooler_pids[$1]=$!
     # Before it handles signals, the child is still the shell with its exit trap, or a program that a SIGHUP ends.
--- a/scripts/pooler_soak.sh
+++ b/scripts/pooler_soak.sh
@@ -5,7 +5,11 @@
 # --sync N: commits are confirmed by N replicas, which also fall deaf and leave. --odd: another writer leaves entries that
 # cannot be read. --planned: planned work only, signals to stop and to reload, changes of the configuration and databases
 # that leave; every statement that reached a database must then be answered.
-# Usage: scripts/pooler_soak.sh [--seed N] [--seconds N] [--hosts N] [--sync N] [--odd] [--planned]
+# --orders: --planned with further orders of events: several signals to one host, stops of a whole region, stops before the
+# first configuration, changes of the settings files and of routes, databases that leave in turn.
+# --max-connections N: of each database; with fewer than hosts, hosts lend each other connections. --regions N: of hosts.
+# Usage: scripts/pooler_soak.sh [--seed N] [--seconds N] [--hosts N] [--sync N] [--odd] [--planned | --orders]
+#            [--max-connections N] [--regions N]
 set -euo pipefail
 cd "$(dirname "$0")/.."
 seed=1
@@ -14,6 +18,9 @@
 sync=0
 odd=
 planned=
+orders=
+max_connections=21
+regions=1
 while [ $# -gt 0 ]; do
     case $1 in
     --seed) seed=$2 ;;
@@ -22,6 +29,9 @@
     --sync) sync=$2 ;;
     --odd) odd=--odd-entries; shift; continue ;;
     --planned) planned=--planned; shift; continue ;;
+    --orders) planned=--planned orders=--orders; shift; continue ;;
+    --max-connections) max_connections=$2 ;;
+    --regions) regions=$2 ;;
     *) echo "unknown option $1" >&2; exit 2 ;;
     esac
     shift 2
@@ -29,6 +39,8 @@
 # Seeds that run beside each other use one finished build.
 [ -n "${KUMQUATBANK_BIN:-}" ] || scripts/build.sh kumquatbank-pooler platform_emulator fault_proxy session_load >/dev/null
 . scripts/pooler_fleet.sh
+[ -z "$orders" ] || . scripts/pooler_orders.sh
+pooler_regions=$regions
 trap pooler_stop_all EXIT
 
 readonly hosts tick=0.25
@@ -40,6 +52,7 @@
 
 [ -n "$planned" ] || fault_proxy_start "$hosts" --trouble-ms 700 --trouble-s "$trouble_seconds" --seed "$seed"
 emulator_start --trouble-ms 1500 --trouble-s "$trouble_seconds" --seed "$seed" --sync-replicas "$sync" $odd $planned \
+    --max-connections "$max_connections" ${orders:+--orders --second-store-port $((emulator_port + second_store_offset)) --absent-file "$pooler_dir/absent.txt"} \
     --ran-file "$pooler_dir/ran.txt"
 addresses=
 host_state=() due_tick=()
@@ -51,7 +64,9 @@
 for ((n = 0; n < hosts; n++)); do pooler_wait_ready "$n"; done
 
 "$bin/tools/emulator/session_load" --proxies "$addresses" --clients 5 --seconds "$seconds" --seed "$seed" \
-    --transaction-writes "$((1 + seed % 4))" ${planned:+--planned-work-clients 6} --unanswered-file "$pooler_dir/unanswered.txt" >"$pooler_dir/load.txt" &
+    --transaction-writes "$((1 + seed % 4))" ${planned:+--planned-work-clients 6} \
+    ${orders:+--extra-databases 2} --unknown-file "$pooler_dir/unknown.txt" --unanswered-file "$pooler_dir/unanswered.txt" \
+    >"$pooler_dir/load.txt" &
 load_pid=$!
 
 # Ends a fault of a host once it is due.
@@ -61,13 +76,14 @@
     up) kill -0 "$pid" 2>/dev/null || { echo "host-$1 ended by itself"; status=1; pooler_start "$1"; } ;;
     frozen) [ "$2" -lt "${due_tick[$1]}" ] || { kill -CONT "$pid"; host_state[$1]=up; } ;;
     killed) [ "$2" -lt "${due_tick[$1]}" ] || { pooler_start "$1"; host_state[$1]=up; } ;;
-    stopping) kill -0 "$pid" 2>/dev/null || { wait "$pid" || { echo "violation: host-$1 exited with $?"; status=1; }; pooler_start "$1"; host_state[$1]=up; } ;;
+    stopping) kill -0 "$pid" 2>/dev/null || { wait "$pid" || { echo "violation: host-$1 exited with $?"; status=1; }; pooler_start "$1"; host_state[$1]=up; [ -z "$orders" ] || order_after_start "$1"; } ;;
     esac
 }
 
 disturb() { # host, tick
     local pid=${pooler_pids[$1]} lasts=$((1 + RANDOM % 16))
     due_tick[$1]=$(($2 + lasts))
+    if [ -n "$orders" ]; then draw_order "$1" "$2"; return; fi
     case $((planned_only ? 2 + RANDOM % 3 : RANDOM % 5)) in
     0) echo "tick $2: kill host-$1 for $lasts ticks"; kill -KILL "$pid"; wait "$pid" 2>/dev/null || true; host_state[$1]=killed ;;
     1) echo "tick $2: freeze host-$1 for $lasts ticks"; kill -STOP "$pid"; host_state[$1]=frozen ;;
@@ -96,14 +112,14 @@
     for ((n = 0; n < hosts; n++)); do recover "$n" "$now"; done
     host=$((RANDOM % hosts)) draw=$((RANDOM % 6))
     if [ "$draw" = 0 ] && [ "$now" -lt "$last_tick" ] && [ "${host_state[$host]}" = up ]; then disturb "$host" "$now"; fi
-    sleep "$tick"
+    if [ -n "$orders" ]; then pass_tick; else sleep "$tick"; fi
 done
 wait "$load_pid" || status=1
 # The last return of the store ends its outage and what is written again within this time, and a change is then in force.
 lagging="a host is not up"
 for ((end = now + 60; now < end; now++)); do
     all_configured "$now" && break
-    sleep "$tick"
+    if [ -n "$orders" ]; then pass_tick; else sleep "$tick"; fi
 done
 [ "$now" -lt "$end" ] || { echo "violation: $lagging"; status=1; }
 emulator_stop || status=1
@@ -112,6 +128,8 @@
     echo "violation: ran without an answer: $(echo $cut)"
     status=1
 fi
+# Without changes of routes, no answer may be NODB.
+if ! awk -v apply_ms=3000 -f scripts/unknown_databases.awk <(cat "$pooler_dir/absent.txt" 2>/dev/null) "$pooler_dir/unknown.txt"; then status=1; fi
 cat "$pooler_dir/load.txt"
 grep -hsE '^(trouble|violation)' "$pooler_dir/platform.log" "$pooler_dir/faults.log" || true
 if [ "$status" = 0 ]; then
--- a/tools/emulator/EmulatedPlatform.cpp
+++ b/tools/emulator/EmulatedPlatform.cpp
@@ -62,6 +62,8 @@
 
 std::string EmulatedPlatform::databaseName(int service, ReadPolicy policy) { return fmt::format("{}-{}", readPolicyName(policy), service); }
 
+std::string EmulatedPlatform::extraDatabaseName(int n) { return fmt::format("extra-{}", n); }
+
 EmulatedDatabase& EmulatedPlatform::primary(int service)
 {
     const auto& id = this->service(service).primary();
--- a/tools/emulator/EmulatedPlatform.h
+++ b/tools/emulator/EmulatedPlatform.h
@@ -53,6 +53,8 @@
 
     /// Names of the databases that clients may give, by policy of their route.
     static std::string databaseName(int service, ReadPolicy policy);
+    /// Name of a database that has no route at first.
+    static std::string extraDatabaseName(int n);
 
     /// The operator and the databases write again what the store may have lost.
     void announceEntries();
--- a/tools/emulator/LoadClient.cpp
+++ b/tools/emulator/LoadClient.cpp
@@ -43,12 +43,15 @@
         co_return false;
     m_channel.emplace(std::move(*channel));
     const auto line = fmt::format("START {} load\r\n", m_database);
-    const auto until = BootClock::now() + answerTimeout;
+    const auto sentAt = BootClock::now();
+    const auto until = sentAt + answerTimeout;
     std::string_view answer;
     if (co_await m_channel->write(line, until) != ChannelStatus::Ok)
         co_return false;
     const auto status = co_await m_channel->readLine(answer, until);
     m_ownSession = 0;
+    if (status == ChannelStatus::Ok && answer.starts_with("ERR NODB"))
+        m_report.unknownDatabase(m_database, sentAt);
     co_return status == ChannelStatus::Ok&& answer.starts_with("READY I");
 }
 
@@ -78,6 +81,8 @@
         m_channel.reset();
         m_report.closed(answer.id);
     }
+    if (answer.code == "NODB")
+        m_report.unknownDatabase(m_database, from);
     m_report.answered(m_database, std::chrono::duration_cast<std::chrono::microseconds>(BootClock::now() - from), answer.code);
     co_return answer;
 }
--- a/tools/emulator/LoadReport.cpp
+++ b/tools/emulator/LoadReport.cpp
@@ -36,6 +36,11 @@
     known.lastAcknowledged = at;
 }
 
+void LoadReport::unknownDatabase(const std::string& database, BootTime sentAt)
+{
+    m_unknownDatabases.push_back(fmt::format("{} {} {}", database, toMs(sentAt.time_since_epoch()), toMs(BootClock::now().time_since_epoch())));
+}
+
 std::size_t LoadReport::served() const
 {
     return std::accumulate(m_classes.begin(), m_classes.end(), std::size_t(0), [](std::size_t sum, const auto& item) { return sum + item.second.served.size(); });
--- a/tools/emulator/LoadReport.h
+++ b/tools/emulator/LoadReport.h
@@ -20,6 +20,10 @@
     void closed(std::string statement) { m_unanswered.push_back(std::move(statement)); }
     /// Statements without an answer.
     const std::vector<std::string>& unanswered() const { return m_unanswered; }
+    /// Records that a process answered that it knows no route for @p database.
+    void unknownDatabase(const std::string& database, BootTime sentAt);
+    /// One line for each such answer: the database, and when it was asked for and answered, in ms since the machine started.
+    const std::vector<std::string>& unknownDatabases() const { return m_unknownDatabases; }
     void violation(std::string what) { m_violations.push_back(std::move(what)); }
 
     bool hasViolations() const { return !m_violations.empty(); }
@@ -37,6 +41,7 @@
     std::map<std::string, Class> m_classes;
     std::vector<std::string> m_violations;
     std::vector<std::string> m_unanswered;
+    std::vector<std::string> m_unknownDatabases;
 };
 
 } // namespace kumquatbank
--- a/tools/emulator/PlannedWorkClient.cpp
+++ b/tools/emulator/PlannedWorkClient.cpp
@@ -59,11 +59,14 @@
         co_return false;
     m_channel.emplace(std::move(*channel));
     const auto line = fmt::format("START {} planned\r\n", m_database);
-    const auto until = BootClock::now() + answerTimeout;
+    const auto sentAt = BootClock::now();
+    const auto until = sentAt + answerTimeout;
     std::string_view answer;
     if (co_await m_channel->write(line, until) != ChannelStatus::Ok)
         co_return false;
     const auto status = co_await m_channel->readLine(answer, until);
+    if (status == ChannelStatus::Ok && answer.starts_with("ERR NODB"))
+        m_report.unknownDatabase(m_database, sentAt);
     co_return status == ChannelStatus::Ok&& answer.starts_with("READY I");
 }
 
@@ -136,6 +139,7 @@
     for (const auto& request : requests) {
         if (!isOpen)
             break;
+        const bool wasInTransaction = m_isInTransaction;
         const auto code = co_await receive(sentAt + answerTimeout);
         if (code.empty()) {
             co_await judge(request, sentAt, false);
@@ -143,6 +147,11 @@
             break;
         }
         n += code == "ok" ? 1 : 0;
+        // A change of a route applies from the next transaction on.
+        if (code == "NODB" && wasInTransaction)
+            m_report.violation(fmt::format("lost route: {} in {} at {} got NODB inside a transaction", request.text.substr(0, 20), request.id, m_proxy.toString()));
+        if (code == "NODB")
+            m_report.unknownDatabase(m_database, sentAt);
         m_report.answered(m_database, std::chrono::duration_cast<std::chrono::microseconds>(BootClock::now() - begunAt), code == "ok" ? "" : code);
     }
     if (!isOpen)
--- a/tools/emulator/platform_emulator.cpp
+++ b/tools/emulator/platform_emulator.cpp
@@ -1,5 +1,6 @@
 #include "EmulatedPlatform.h"
 #include "OddEntries.h"
+#include "RouteChanges.h"
 #include "kumquatbank/adapter/StoreCodec.h"
 
 #include <boost/asio/signal_set.hpp>
@@ -40,6 +41,15 @@
         m_stay = m_shape.drainTime.value_or(m_stay) + seconds(2);
     }
 
+    /// Also draws changes of routes, and databases of a service that leave one after the other.
+    void addOrders()
+    {
+        m_kinds.insert(m_kinds.end(), { changesRoutes, changesRoutes, leavesInTurn });
+        m_routes.emplace(m_io, m_platform, m_random());
+    }
+
+    const std::optional<RouteChanges>& routes() const { return m_routes; }
+
     /// One trouble each @p interval. They overlap, and the last one begins before @p until.
     Task<void> run(milliseconds interval, BootTime until)
     {
@@ -84,6 +94,12 @@
             case writesOddEntry:
                 writeOddEntry();
                 break;
+            case changesRoutes:
+                asio::co_spawn(m_io, m_routes->changeInSuccession(), asio::detached);
+                break;
+            case leavesInTurn:
+                asio::co_spawn(m_io, leaveInTurn(), asio::detached);
+                break;
             default:
                 m_platform.putConfig();
                 report(fmt::format("a new configuration, version {}", m_platform.config().version));
@@ -109,6 +125,8 @@
     static constexpr unsigned keepsDeaf = 10;
     static constexpr unsigned leavesReplica = 11;
     static constexpr unsigned writesOddEntry = 12;
+    static constexpr unsigned changesRoutes = 13;
+    static constexpr unsigned leavesInTurn = 14;
 
     int anyService() { return static_cast<int>(m_random() % static_cast<unsigned>(m_shape.services)); }
     int anyDatabase() { return static_cast<int>(m_random() % static_cast<unsigned>(m_shape.databasesPerService)); }
@@ -209,9 +227,21 @@
     }
 
     /// Announces that a database will leave, which may be a replica.
-    void leaveReplica()
+    void leaveReplica() { leave(m_platform.database(anyService(), anyDatabase())); }
+
+    /// Announces that the databases of a service will leave, each while the one before is still leaving or gone.
+    Task<void> leaveInTurn()
+    {
+        const int service = anyService();
+        const auto gap = milliseconds(m_random() % 4000);
+        for (int n = 0; n < m_shape.databasesPerService; ++n) {
+            leave(m_platform.database(service, n));
+            co_await sleepFor(m_io, gap);
+        }
+    }
+
+    void leave(EmulatedDatabase& database)
     {
-        auto& database = m_platform.database(anyService(), anyDatabase());
         if (!database.isRunning())
             return;
         m_platform.announce(database, true);
@@ -242,6 +272,7 @@
     std::set<int> m_crashedServices;
     std::vector<unsigned> m_kinds { 0, 1, 2, movesPrimary, 4, 5, 6, 7, 8, changesConfig };
     milliseconds m_stay { 5000 }; ///< Of a database that leaves.
+    std::optional<RouteChanges> m_routes;
     int m_outages = 0; ///< Outages of the store that have not ended.
 };
 
@@ -275,6 +306,9 @@
         "announce-offset", "Added to the ports of databases in the store", cxxopts::value<std::uint16_t>()->default_value("0"))(
         "odd-entries", "Draw entries of another writer among the troubles")(
         "planned", "Draw planned work only")(
+        "orders", "Draw changes of routes as well, and databases that leave in turn")(
+        "absent-file", "Write the times without a route, by database, to this file", cxxopts::value<std::string>())(
+        "second-store-port", "The store answers at this port as well", cxxopts::value<std::uint16_t>())(
         "ran-file", "Write the ids of all statements that ran to this file", cxxopts::value<std::string>())(
         "trouble-ms", "A random trouble each this often", cxxopts::value<int>())(
         "trouble-s", "No new trouble after this time", cxxopts::value<int>()->default_value("3600"))("h,help", "Print this text and stop");
@@ -301,6 +335,10 @@
         troubles.keepToPlannedWork();
     if (arguments.count("odd-entries"))
         troubles.addOddEntries();
+    if (arguments.count("orders"))
+        troubles.addOrders();
+    if (arguments.count("second-store-port"))
+        platform.store().listenAlso({ shape.ip, arguments["second-store-port"].as<std::uint16_t>() });
     if (arguments.count("crash-primary-ms"))
         asio::co_spawn(io, crashPrimary(io, platform, milliseconds(arguments["crash-primary-ms"].as<int>())), asio::detached);
     if (arguments.count("leave-primary-ms"))
@@ -318,6 +356,11 @@
         for (const auto& statement : platform.ran())
             ranFile << statement.id << '\n';
     }
+    if (arguments.count("absent-file") && troubles.routes()) {
+        std::ofstream absentFile(arguments["absent-file"].as<std::string>());
+        for (const auto& absence : troubles.routes()->absences())
+            absentFile << absence << '\n';
+    }
     const auto violations = platform.violations();
     for (const auto& what : violations)
         std::cout << "violation: " << what << '\n';
--- a/tools/emulator/session_load.cpp
+++ b/tools/emulator/session_load.cpp
@@ -48,9 +48,11 @@
         "services", "Services of the emulated platform", cxxopts::value<int>()->default_value("3"))(
         "clients", "Clients of each database", cxxopts::value<int>()->default_value("10"))(
         "planned-work-clients", "Clients of each database that use a connection until it ends and expect an answer to every request that was read", cxxopts::value<int>()->default_value("0"))(
+        "extra-databases", "Databases extra-0, extra-1 and so on, with two clients of planned work each", cxxopts::value<int>()->default_value("0"))(
         "seconds", "Duration", cxxopts::value<int>()->default_value("20"))(
         "transaction-writes", "Writes of a transaction, with pauses between them", cxxopts::value<int>()->default_value("1"))(
         "unanswered-file", "Write the ids of statements without an answer to this file", cxxopts::value<std::string>())(
+        "unknown-file", "Write the answers NODB, with their times, to this file", cxxopts::value<std::string>())(
         "pause-ms", "Mean pause of a client", cxxopts::value<int>()->default_value("50"))(
         "seed", "Seed of the clients", cxxopts::value<unsigned>()->default_value("1"))("h,help", "Print this text and stop");
     const auto arguments = options.parse(argc, argv);
@@ -80,6 +82,8 @@
                 plannedWorkClients.push_back(std::make_unique<PlannedWorkClient>(io, EmulatedPlatform::databaseName(service, policy), proxies, ++seed, report));
         }
     }
+    for (int n = 0; n < 2 * arguments["extra-databases"].as<int>(); ++n)
+        plannedWorkClients.push_back(std::make_unique<PlannedWorkClient>(io, EmulatedPlatform::extraDatabaseName(n / 2), proxies, ++seed, report));
     const seconds duration(arguments["seconds"].as<int>());
     asio::co_spawn(io, runAll(io, clients, plannedWorkClients, duration, milliseconds(arguments["pause-ms"].as<int>()), arguments["transaction-writes"].as<int>()), asio::detached);
     io.run();
@@ -89,6 +93,11 @@
         for (const auto& id : report.unanswered())
             file << id << '\n';
     }
+    if (arguments.count("unknown-file")) {
+        std::ofstream file(arguments["unknown-file"].as<std::string>());
+        for (const auto& line : report.unknownDatabases())
+            file << line << '\n';
+    }
     if (report.served() == 0)
         std::cout << "nothing was served\n";
     return report.hasViolations() || report.served() == 0 ? exitViolation : 0;
