--- a/scripts/pooler_orders.sh
+++ b/scripts/pooler_orders.sh
@@ -49,10 +49,11 @@
     esac
 }
 
-# Stops the hosts of a region, with so many steps between them.
-plan_region_stop() { # host of the region, steps
-    local n at=0
+# Stops the hosts of a region, with so many steps between them, or only those whose bit in the mask is set.
+plan_region_stop() { # host of the region, steps, mask
+    local n at=0 mask=${3:--1}
     for ((n = 0; n < hosts; n++)); do
+        [ $((mask >> n % 15 & 1)) = 1 ] || continue
         [ "$(pooler_region "$n")" = "$(pooler_region "$1")" ] && [ "${host_state[$n]}" = up ] || continue
         plan_action "$at" term "$n"
         at=$((at + $2))
@@ -65,7 +66,7 @@
     0) plan_action 0 term "$1"; plan_action "$gap" term "$1" ;;
     1) plan_action 0 term "$1"; plan_action "$gap" term "$1"; plan_action "$second_gap" term "$1" ;;
     2) plan_region_stop "$1" 0 ;;
-    3) plan_region_stop "$1" "$gap" ;;
+    3) plan_region_stop "$1" "$((gap % 3))" "$RANDOM" ;;
     4) plan_region_stop "$1" $((second_gap + 1)) ;;
     # The process that follows gets SIGTERM right after its start.
     5) plan_action 0 term "$1"; early_stop[$1]=$((RANDOM % 8)) ;;
