Soak: stops of a process that has no configuration yet

Processes had their configuration 1 to 20 ms after the start, before any SIGTERM of the soak. In half of the early stops, the store now answers the process 700 ms late and its only seed is itself.

--- a/scripts/pooler_fleet.sh
+++ b/scripts/pooler_fleet.sh
@@ -15,6 +15,7 @@
 fault_port_offset=5000
 pooler_regions=1
 pooler_store_ports=() # of hosts whose settings name another port than the first one
+pooler_seeds=() # of hosts that have others than the first two
 pooler_pids=()
 emulator_pid=
 fault_pid=
@@ -25,12 +26,13 @@
 
 pooler_settings() { # HOST
     local port=$((pooler_base + $1 * 10))
+    local seeds="\"$pooler_ip:$((pooler_base + 2))\", \"$pooler_ip:$((pooler_base + 12))\""
     cat <<SETTINGS
 { "host": "host-$1", "dataCentre": "dc-$(($1 % 3))", "region": "$(pooler_region "$1")",
   "clientAddress": "$pooler_ip:$port", "readyAddress": "$pooler_ip:$((port + 1))",
   "peerAddress": "$pooler_ip:$((port + 2))", "metricsAddress": "$pooler_ip:$((port + 3))",
   "loanAddress": "$pooler_ip:$((port + 4))",
-  "seeds": ["$pooler_ip:$((pooler_base + 2))", "$pooler_ip:$((pooler_base + 12))"],
+  "seeds": [${pooler_seeds[$1]:-$seeds}],
   "storeAddress": "$pooler_ip:${pooler_store_ports[$1]:-$((emulator_port + fault_offset))}",
   "promotionAddress": "$pooler_ip:$((emulator_port + 1 + fault_offset))",
   "graceSeconds": 4 }
--- a/scripts/pooler_orders.sh
+++ b/scripts/pooler_orders.sh
@@ -68,8 +68,14 @@
     2) plan_region_stop "$1" 0 ;;
     3) plan_region_stop "$1" "$((gap % 3))" "$RANDOM" ;;
     4) plan_region_stop "$1" $((second_gap + 1)) ;;
-    # The process that follows gets SIGTERM right after its start.
-    5) plan_action 0 term "$1"; early_stop[$1]=$((RANDOM % 8)) ;;
+    # The process that follows gets SIGTERM right after its start, in half of the cases without a configuration: the store
+    # answers it late, and its only seed is itself.
+    5)
+        plan_action 0 term "$1"; early_stop[$1]=$((RANDOM % 8))
+        if [ $((second_gap % 2)) = 0 ]; then
+            pooler_store_ports[$1]=$((emulator_port + second_store_offset + 1))
+            pooler_seeds[$1]="\"$pooler_ip:$((pooler_base + $1 * 10 + 2))\""
+        fi ;;
     6) plan_action 0 hup "$1"; plan_action 0 term "$1"; plan_action "$gap" hup "$1" ;;
     7) plan_action 0 hup "$1"; plan_action "$((gap % 4))" term "$1"; plan_action "$((gap % 4 + second_gap % 4))" hup "$1" ;;
     8) plan_action 0 other_store "$1"; plan_action "$((gap % 3))" hup "$1"; plan_action "$second_gap" term "$1" ;;
@@ -93,4 +99,5 @@
         plan_action "${early_stop[$1]}" term "$1"
     fi
     early_stop[$1]=
+    pooler_seeds[$1]= pooler_store_ports[$1]=
 }
--- a/tools/emulator/EmulatedStore.cpp
+++ b/tools/emulator/EmulatedStore.cpp
@@ -37,9 +37,9 @@
 {
 }
 
-void EmulatedStore::listenAlso(const HostAddress& address)
+void EmulatedStore::listenAlso(const HostAddress& address, std::chrono::milliseconds delay)
 {
-    m_furtherListeners.push_back(std::make_unique<HttpListener>(m_io, address, [this](HttpRequest request) { return answer(std::move(request)); }));
+    m_furtherListeners.push_back(std::make_unique<HttpListener>(m_io, address, [this, delay](HttpRequest request) { return answerLate(std::move(request), delay); }));
 }
 
 void EmulatedStore::store(const std::string& kind, const std::string& name, Json object)
@@ -152,6 +152,12 @@
     co_return response;
 }
 
+Task<HttpResponse> EmulatedStore::answerLate(HttpRequest request, std::chrono::milliseconds delay)
+{
+    co_await sleepFor(m_io, delay);
+    co_return co_await answer(std::move(request));
+}
+
 Task<HttpResponse> EmulatedStore::process(HttpRequest request)
 {
     ++m_calls;
--- a/tools/emulator/EmulatedStore.h
+++ b/tools/emulator/EmulatedStore.h
@@ -29,8 +29,8 @@
     };
 
     StoreBehaviour& behaviour() { return m_behaviour; }
-    /// Answers at a further address as well.
-    void listenAlso(const HostAddress& address);
+    /// Answers at a further address as well, each time after @p delay.
+    void listenAlso(const HostAddress& address, std::chrono::milliseconds delay = std::chrono::milliseconds(0));
     void put(const std::string& kind, const std::string& name, const nlohmann::json& spec);
     /// Puts an object whose spec is sent exactly as @p spec says, also if that is no JSON value of ours.
     void putText(const std::string& kind, const std::string& name, std::string spec);
@@ -57,6 +57,7 @@
     };
 
     Task<HttpResponse> answer(HttpRequest request);
+    Task<HttpResponse> answerLate(HttpRequest request, std::chrono::milliseconds delay);
     Task<HttpResponse> process(HttpRequest request);
     Task<HttpResponse> watch(std::string kind, std::uint64_t revision, std::chrono::milliseconds wait);
     HttpResponse change(const std::string& method, const std::string& kind, const std::string& name, const std::string& body);
--- a/tools/emulator/platform_emulator.cpp
+++ b/tools/emulator/platform_emulator.cpp
@@ -308,7 +308,7 @@
         "planned", "Draw planned work only")(
         "orders", "Draw changes of routes as well, and databases that leave in turn")(
         "absent-file", "Write the times without a route, by database, to this file", cxxopts::value<std::string>())(
-        "second-store-port", "The store answers at this port as well", cxxopts::value<std::uint16_t>())(
+        "second-store-port", "The store answers at this port as well, and 700 ms late at the next one", cxxopts::value<std::uint16_t>())(
         "ran-file", "Write the ids of all statements that ran to this file", cxxopts::value<std::string>())(
         "trouble-ms", "A random trouble each this often", cxxopts::value<int>())(
         "trouble-s", "No new trouble after this time", cxxopts::value<int>()->default_value("3600"))("h,help", "Print this text and stop");
@@ -337,8 +337,11 @@
         troubles.addOddEntries();
     if (arguments.count("orders"))
         troubles.addOrders();
-    if (arguments.count("second-store-port"))
-        platform.store().listenAlso({ shape.ip, arguments["second-store-port"].as<std::uint16_t>() });
+    if (arguments.count("second-store-port")) {
+        const auto port = arguments["second-store-port"].as<std::uint16_t>();
+        platform.store().listenAlso({ shape.ip, port });
+        platform.store().listenAlso({ shape.ip, static_cast<std::uint16_t>(port + 1) }, milliseconds(700));
+    }
     if (arguments.count("crash-primary-ms"))
         asio::co_spawn(io, crashPrimary(io, platform, milliseconds(arguments["crash-primary-ms"].as<int>())), asio::detached);
     if (arguments.count("leave-primary-ms"))
