--- a/scripts/install-packages.sh
+++ b/scripts/install-packages.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
 # Installs the Debian packages that the build, the tests, the formatter and the linter need.
 set -euo pipefail
-packages=(g++ cmake ninja-build ccache pkg-config clang-format clang-tidy curl jq
+packages=(g++ cmake ninja-build ccache pkg-config clang-format clang-tidy curl jq python3
     libcxxtools-dev libnng-dev prometheus-cpp-dev liblog4cxx-dev libcxxopts-dev libexpected-dev
     libboost1.81-dev libboost-url1.81-dev libspdlog-dev libfmt-dev librapidcheck-dev
     libcpputest-dev libxxhash-dev nlohmann-json3-dev libvalijson-dev)
--- a/tools/emulator/PlannedWorkClient.cpp
+++ b/tools/emulator/PlannedWorkClient.cpp
@@ -13,6 +13,9 @@
 
 namespace {
 
+    /// For a comparison with the logs of the proxies.
+    std::int64_t wallTimeMs() { return toMs(std::chrono::system_clock::now().time_since_epoch()); }
+
     constexpr milliseconds connectTimeout { 1000 };
     constexpr milliseconds answerTimeout { 9000 };
     constexpr milliseconds reconnectPause { 100 };
@@ -60,11 +63,14 @@
         co_return false;
     m_channel.emplace(std::move(*channel));
     const auto line = fmt::format("START {} planned\r\n", m_database);
-    const auto until = BootClock::now() + answerTimeout;
+    const auto sentAt = BootClock::now();
+    const auto until = sentAt + answerTimeout;
     std::string_view answer;
     if (co_await m_channel->write(line, until) != ChannelStatus::Ok)
         co_return false;
     const auto status = co_await m_channel->readLine(answer, until);
+    if (status == ChannelStatus::Ok && answer.starts_with("ERR NODB"))
+        m_report.unknownDatabase(m_database, sentAt);
     co_return status == ChannelStatus::Ok&& answer.starts_with("READY I");
 }
 
@@ -100,7 +106,7 @@
 {
     const auto held = std::chrono::duration_cast<milliseconds>(BootClock::now() - sentAt);
     if (!hadEnded && held > lossSlack)
-        m_report.violation(fmt::format("cut: {} in {} at {} was sent {} ms before the connection ended", request.text.substr(0, 20), request.id, m_proxy.toString(), held.count()));
+        m_report.violation(fmt::format("cut: {} in {} at {} was sent {} ms before the connection ended; seen at {}, the load itself ran up to {} ms late", request.text.substr(0, 20), request.id, m_proxy.toString(), held.count(), wallTimeMs(), m_report.longestDelay().count()));
     if (!hadEnded)
         co_return;
     co_await sleepFor(m_io, lossSlack - std::min(held, lossSlack) + milliseconds(20));
@@ -136,6 +142,7 @@
     for (const auto& request : requests) {
         if (!isOpen)
             break;
+        const bool wasInTransaction = m_isInTransaction;
         const auto code = co_await receive(sentAt + answerTimeout);
         if (code.empty()) {
             co_await judge(request, sentAt, false);
@@ -144,6 +151,11 @@
         }
         ++answered;
         n += code == "ok" ? 1 : 0;
+        // A change of a route applies from the next transaction on.
+        if (code == "NODB" && wasInTransaction)
+            m_report.violation(fmt::format("lost route: {} in {} at {} got NODB inside a transaction", request.text.substr(0, 20), request.id, m_proxy.toString()));
+        if (code == "NODB")
+            m_report.unknownDatabase(m_database, sentAt);
         m_report.answered(m_database, std::chrono::duration_cast<std::chrono::microseconds>(BootClock::now() - begunAt), code == "ok" ? "" : code);
     }
     // Requests that were sent together may have run, too.
