A statement that ends by an exception is logged and answered

By reading: the coroutine of a session is spawned, and an exception that left it was dropped. The session closed without an answer and without a log line, which is a request without an answer (LOST).

Change: the session logs the request and the error, answers as at the end of the process (what may have run is in doubt, an open transaction is aborted), refuses what was sent behind it, and closes. A COMMIT counts as under way until the next one, so that an exception after it was sent is never answered as aborted. Exceptions of the other spawned coroutines of the process are logged. The loop that handles signals begins anew after one; before, a process would have ignored SIGTERM from then on.

--- a/packages/engine/src/LogFailure.cpp
+++ b/packages/engine/src/LogFailure.cpp
@@ -11,7 +11,7 @@
     try {
         std::rethrow_exception(failure);
     } catch (const std::exception& e) {
-        EventLog::error("task_failed", { { "task", m_task }, { "error", e.what() } });
+        EventLog::error("task_aborted", { { "task", m_task }, { "error", e.what() } });
     }
 }
 
--- a/packages/pooler/src/ClientSession.cpp
+++ b/packages/pooler/src/ClientSession.cpp
@@ -75,7 +75,8 @@
     if (m_request == nullptr || m_isSending)
         co_return;
     m_isSending = true;
-    const auto answer = m_runner.describeUnfinished(*m_request);
+    const auto reason = m_tracker.isStopping() ? std::string_view("the host is stopping") : std::string_view("the host could not complete a request of the session");
+    const auto answer = m_runner.describeUnfinished(*m_request, reason);
     EventLog::warn("statement_unfinished", { { "request", m_request->id }, { "session", m_number }, { "database", m_database }, { "outcome", errorCodeName(*answer.code) } });
     auto text = answer.body + WireDialect::ready(answer.state);
     auto state = answer.state;
@@ -84,7 +85,7 @@
         const auto behind = WireDialect::parseClientLine(line);
         if (!behind || behind->kind != ClientMessage::Kind::Query)
             break;
-        const auto refusal = StatementRunner::refuseBehindUnfinished(*behind, state);
+        const auto refusal = StatementRunner::refuseBehindUnfinished(*behind, state, reason);
         EventLog::warn("statement_unfinished", { { "request", behind->id }, { "session", m_number }, { "database", m_database }, { "outcome", refusal.code ? errorCodeName(*refusal.code) : "ok" } });
         text += refusal.body + WireDialect::ready(refusal.state);
         state = refusal.state;
@@ -198,17 +199,29 @@
 {
     const auto since = BootClock::now();
     StatementAnswer answer;
+    std::string failure;
     m_request = &message;
     if (m_closeAnnouncedAt) {
         answer = StatementRunner::refuseAsStopping();
     } else if (message.statement) {
-        answer = co_await m_runner.run(m_database, message.id, *message.statement);
+        try {
+            answer = co_await m_runner.run(m_database, message.id, *message.statement);
+        } catch (const std::exception& e) {
+            failure = fmt::format("exception: {}", e.what());
+        }
     } else {
         answer.code = ErrorCode::Malformed;
         answer.reason = "the text is not a valid statement";
         answer.body = WireDialect::error(ErrorCode::Malformed, "the text is not a valid statement");
         answer.state = m_runner.transactionState();
     }
+    if (!failure.empty()) {
+        // The state of the session is unknown now, so it ends with this answer.
+        EventLog::error("statement_failed", { { "request", message.id }, { "session", m_number }, { "database", m_database }, { "error", failure } });
+        co_await answerUnfinished();
+        m_request = nullptr;
+        co_return false;
+    }
     logAnswer(message, answer, since);
     if (std::exchange(m_isSending, true))
         co_return false; // The process ends, and the request has been answered.
--- a/packages/pooler/src/ClientSession.h
+++ b/packages/pooler/src/ClientSession.h
@@ -20,7 +20,7 @@
     /// transaction whose statements could no longer be run, announces the close, or closes the connection.
     void advanceStop();
     /// Answers a request that has no result yet by what is known of its outcome, and refuses those that have arrived behind
-    /// it. The process must end after that.
+    /// it. The session must end after that.
     Task<void> answerUnfinished();
     void close() { m_channel.close(); }
     /// True while a request has no complete answer.
--- a/packages/pooler/src/PoolerProcess.cpp
+++ b/packages/pooler/src/PoolerProcess.cpp
@@ -79,7 +79,7 @@
     void run()
     {
         start();
-        asio::co_spawn(m_io, handleSignals(), asio::detached);
+        keepRunning(m_io, "signals", [this] { return handleSignals(); });
         m_io.run();
         EventLog::info("stop", { { "sessions", m_gate.open } });
         EventLog::flushAll(logFlushTimeoutMs);
@@ -110,7 +110,7 @@
             co_await sleepFor(m_io, stopCheckInterval);
         const auto unfinished = countUnfinished();
         for (const auto& session : sessions())
-            asio::co_spawn(m_io, session->answerUnfinished(), asio::detached);
+            asio::co_spawn(m_io, session->answerUnfinished(), LogFailure("unfinished_answer"));
         // Lets the answers of this and the last iterations of the event loop be sent.
         if (m_gate.open > 0)
             co_await sleepFor(m_io, stopCheckInterval);
@@ -136,13 +136,13 @@
         auto session = std::make_shared<ClientSession>(m_io, std::move(socket), m_registry, m_metrics, m_gate);
         std::erase_if(m_sessions, [](const auto& weakSession) { return weakSession.expired(); });
         m_sessions.push_back(session);
-        asio::co_spawn(m_io, session->run(), asio::detached);
+        asio::co_spawn(m_io, session->run(), LogFailure("session"));
     }
 
     void acceptBorrower(asio::ip::tcp::socket socket)
     {
         LineChannel::enableDeadPeerDetection(socket, borrowerSilenceLimit);
-        asio::co_spawn(m_io, m_lender.serve(LineChannel(std::move(socket), WireDialect::maxMessageBytes)), asio::detached);
+        asio::co_spawn(m_io, m_lender.serve(LineChannel(std::move(socket), WireDialect::maxMessageBytes)), LogFailure("lender"));
     }
 
     bool isReady() const { return !m_gate.isStopping() && m_registry.config() && m_registry.hasEndpoints(); }
@@ -178,7 +178,7 @@
             m_metrics.setStoreEra(era);
             m_hosts.recordEra(era);
             for (const auto& [name, service] : m_registry.services()) {
-                asio::co_spawn(m_io, service->runMaintenance(), asio::detached);
+                asio::co_spawn(m_io, service->runMaintenance(), LogFailure("service_maintenance"));
                 if (const auto primary = service->primary())
                     m_metrics.setPrimarySilence(name, std::chrono::duration<double>(now - primary->lastAnswer).count());
                 m_metrics.setWaiting(name, static_cast<double>(service->scheduler().waiting()));
--- a/packages/pooler/src/StatementRunner.cpp
+++ b/packages/pooler/src/StatementRunner.cpp
@@ -89,35 +89,35 @@
     return !m_context.admits(RequestKind::InTransaction, m_transaction.statementTimeout()) && m_transaction.abort(stoppingReason);
 }
 
-StatementAnswer StatementRunner::describeUnfinished(const ClientMessage& message) const
+StatementAnswer StatementRunner::describeUnfinished(const ClientMessage& message, std::string_view reason) const
 {
     StatementAnswer answer;
     const bool isCommit = message.statement && message.statement->kind == StatementKind::Commit;
     const bool writes = message.statement && m_context.writes(*message.statement).value_or(false);
     if (isCommit && m_transaction.isCommittingWrites())
-        answer.setError(ErrorCode::InDoubt, "the host stopped before the answer to COMMIT");
+        answer.setError(ErrorCode::InDoubt, "the session ended before the answer to COMMIT");
     else if (isCommit || m_transaction.isOpen())
-        answer.setError(ErrorCode::Aborted, stoppingReason); // The database rolls back with the end of the connection.
+        answer.setError(ErrorCode::Aborted, reason); // The database rolls back with the end of the connection.
     else if (writes)
-        answer.setError(ErrorCode::InDoubt, "the host stopped before the answer to the write");
+        answer.setError(ErrorCode::InDoubt, "the session ended before the answer to the write");
     else
-        answer.setError(ErrorCode::Timeout, "the host stopped before the answer");
+        answer.setError(ErrorCode::Timeout, "the session ended before the answer");
     answer.state = m_transaction.isOpen() && !isCommit ? TransactionState::Failed : TransactionState::None;
     return answer;
 }
 
-StatementAnswer StatementRunner::refuseBehindUnfinished(const ClientMessage& message, TransactionState state)
+StatementAnswer StatementRunner::refuseBehindUnfinished(const ClientMessage& message, TransactionState state, std::string_view reason)
 {
-    if (state == TransactionState::None)
-        return refuseAsStopping();
     const auto kind = message.statement ? message.statement->kind : StatementKind::Read;
     const bool endsTransaction = kind == StatementKind::Commit || kind == StatementKind::Rollback;
     StatementAnswer answer;
-    if (kind == StatementKind::Rollback)
+    answer.state = endsTransaction ? TransactionState::None : state;
+    if (state == TransactionState::None)
+        answer.setError(ErrorCode::Busy, reason, stoppingRetryAfter);
+    else if (kind == StatementKind::Rollback)
         answer.body = WireDialect::done();
     else
-        answer.setError(ErrorCode::Aborted, stoppingReason);
-    answer.state = endsTransaction ? TransactionState::None : state;
+        answer.setError(ErrorCode::Aborted, reason);
     return answer;
 }
 
--- a/packages/pooler/src/StatementRunner.h
+++ b/packages/pooler/src/StatementRunner.h
@@ -24,11 +24,12 @@
     /// Aborts the open transaction if none of its statements could be run any more before the process stops. Returns false
     /// if it goes on, or if there is none.
     bool abortIfStopping();
-    /// Returns the answer to a statement that has no result at the end of the process: what is known of its outcome.
-    StatementAnswer describeUnfinished(const ClientMessage& message) const;
+    /// Returns the answer to a statement that has no result at the end of the session: what is known of its outcome.
+    /// @p reason: why the session ends.
+    StatementAnswer describeUnfinished(const ClientMessage& message, std::string_view reason) const;
     /// Returns the answer to a request that arrived behind an unfinished one and is not run either. @p state: of the session
     /// after the answer before.
-    static StatementAnswer refuseBehindUnfinished(const ClientMessage& message, TransactionState state);
+    static StatementAnswer refuseBehindUnfinished(const ClientMessage& message, TransactionState state, std::string_view reason);
     /// Returns the refusal of a statement outside a transaction because the process stops.
     static StatementAnswer refuseAsStopping();
     /// Returns the idle limit inside a transaction; empty if there is none.
--- a/packages/pooler/src/TransactionRunner.cpp
+++ b/packages/pooler/src/TransactionRunner.cpp
@@ -179,6 +179,7 @@
         co_return answer;
     }
     const auto until = deadline();
+    m_isCommittingWrites = false;
     bool isPinned = false;
     if (!m_transaction->hasFailed)
         isPinned = co_await pinConnection(until, answer);
@@ -198,7 +199,6 @@
     StatementExchange exchange;
     if (co_await replaySession(lease, m_context.state(), until) == ExchangeStatus::Ok)
         exchange = co_await exchangeStatement(lease, m_context.state(), id, statement, std::nullopt, false, until);
-    m_isCommittingWrites = false;
     if (exchange.wasSent() && hasWritten)
         lease.service().recordCommitAnswer(exchange.status != ExchangeStatus::TimedOut, exchange.sentAt);
     if (exchange.status != ExchangeStatus::Ok) {
--- a/packages/pooler/src/TransactionRunner.h
+++ b/packages/pooler/src/TransactionRunner.h
@@ -37,7 +37,7 @@
     bool abort(std::string_view reason);
     /// Time limit of a statement of the open transaction; 0 if none is open.
     std::chrono::milliseconds statementTimeout() const { return m_transaction ? m_transaction->route.statementTimeout : std::chrono::milliseconds(0); }
-    /// True while the commit of a transaction that has written is under way.
+    /// True from the moment at which the last COMMIT may have been sent, if its transaction has written.
     bool isCommittingWrites() const { return m_isCommittingWrites; }
     /// Returns the error for a statement that follows the failure of its transaction.
     StatementAnswer refuseAfterFailure();
