A draining HTTP server announces the close of each connection with its last answer

Callers saw: at the end of a planned stop of kumquatbank, kept-alive connections end at once; requests that cross this get no answer, so that a write may or may not have run for its caller. Cause: the end of a connection was decided by the server alone, as in the line protocol; no answer had Connection: close. Change: from the start of the drain each answer has it, so that within drainNoticeMs every caller that sends requests has moved. Connections that stay idle all that time are still closed without an answer.

Test: AStoppingServerAnnouncesTheCloseWithEachAnswer fails before; all 24 transport tests pass.

--- a/packages/proxy/src/ProxyProcess.cpp
+++ b/packages/proxy/src/ProxyProcess.cpp
@@ -137,6 +137,7 @@
 {
     LOG4CXX_INFO(logger(), "drains");
     m_operators.beginDrain();
+    m_httpServer.announceClose();
     m_membership.announceLeaving();
     // Time for the load balancer and the peers to detect the drain; all requests are served until then.
     std::this_thread::sleep_for(m_settings.drainNotice);
--- a/packages/transport/include/kumquatbank/transport/HttpServer.h
+++ b/packages/transport/include/kumquatbank/transport/HttpServer.h
@@ -35,7 +35,12 @@
     /// Listens and serves on background threads; NotRun/Unavailable when the address cannot be used.
     Result<void> start();
 
-    /// Waits for requests in progress, then closes every connection. Idempotent.
+    /// Announces the close of its connection with each further answer, so that callers open a new one, elsewhere if the
+    /// load balancer leads them there. A caller that isn't told may send a request while its connection is being closed,
+    /// and cannot know whether it has run.
+    void announceClose();
+
+    /// Waits for requests in progress, whose answers announce the close, then closes every connection. Idempotent.
     void stop();
 
 private:
--- a/packages/transport/src/HttpConnection.cpp
+++ b/packages/transport/src/HttpConnection.cpp
@@ -149,7 +149,7 @@
         aio, makeError(status, notRun(FailureCode::BadRequest, message, Cause::BadRequest).value()), close);
 }
 
-bool HttpConnection::serve(const NngAio& aio, Milliseconds transferTimeout,
+bool HttpConnection::serve(const NngAio& aio, Milliseconds transferTimeout, const std::atomic<bool>& isClosing,
     const std::function<HttpResponse(const HttpRequest&)>& handler)
 {
     nng_aio_set_timeout(aio.get(), static_cast<nng_duration>(transferTimeout.count()));
@@ -165,12 +165,13 @@
         return reject(aio, 400, "the Content-Length is no number of bytes", true);
     if (*length > maxBodyBytes) {
         const bool isSkipped = *length <= maxSkippedBytes && skip(aio, *length);
-        return reject(aio, 413, tooLargeMessage, !isSkipped || isLastRequest());
+        return reject(aio, 413, tooLargeMessage, !isSkipped || isClosing || isLastRequest());
     }
     std::string body(*length, '\0');
     if (!read(aio, body.data(), body.size()))
         return false;
-    return respond(aio, handler(makeRequest(m_request, std::move(body))), isLastRequest());
+    const auto response = handler(makeRequest(m_request, std::move(body)));
+    return respond(aio, response, isClosing || isLastRequest());
 }
 
 bool HttpConnection::respond(const NngAio& aio, const HttpResponse& response, bool close)
--- a/packages/transport/src/HttpConnection.h
+++ b/packages/transport/src/HttpConnection.h
@@ -40,9 +40,10 @@
     bool isIdleSince(TimePoint time) const { return m_readStartedAt.load() < time; }
 
     /// Reads the body of the current request, then has @p handler answer it; answers invalid requests itself.
-    /// The body has to arrive, and the answer to be taken, within @p transferTimeout each.
+    /// The body has to arrive, and the answer to be taken, within @p transferTimeout each. The answer announces the close
+    /// of the connection if @p isClosing is set once it is known.
     /// @return false when the connection has to be closed.
-    bool serve(const NngAio& aio, Milliseconds transferTimeout,
+    bool serve(const NngAio& aio, Milliseconds transferTimeout, const std::atomic<bool>& isClosing,
         const std::function<HttpResponse(const HttpRequest&)>& handler);
 
     /// Answers with @p response. @return false when the write failed or @p close is set.
--- a/packages/transport/src/HttpServer.cpp
+++ b/packages/transport/src/HttpServer.cpp
@@ -53,6 +53,7 @@
     ~Impl() { stop(); }
 
     Result<void> start();
+    void announceClose() { m_isClosing = true; }
     void stop();
 
 private:
@@ -70,7 +71,7 @@
     Handler m_handler;
     HttpWorkers m_workers;
     nng_http_server* m_server = nullptr;
-    std::atomic<bool> m_isStopping = false;
+    std::atomic<bool> m_isClosing = false; ///< Each answer is the last one of its connection.
 
     std::mutex m_connectionsMutex;
     std::condition_variable m_connectionClosed;
@@ -136,7 +137,7 @@
 {
     if (!m_maintenance.joinable())
         return;
-    m_isStopping = true;
+    announceClose();
     if (m_server) {
         nng_http_server_stop(m_server);
         nng_http_server_release(m_server);
@@ -182,7 +183,7 @@
 
 void HttpServer::Impl::serve(HttpConnection& connection, const NngAio& aio)
 {
-    if (connection.serve(aio, transferTimeout, m_handler) && !m_isStopping)
+    if (connection.serve(aio, transferTimeout, m_isClosing, m_handler))
         return connection.startRead();
     close(connection);
 }
@@ -211,7 +212,7 @@
     if (connection.readError() == 0) { // nng has closed it otherwise, also after a head that it cannot parse.
         const auto failure = notRun(FailureCode::Unavailable, "too many requests wait for a thread").value();
         const auto refuse = [&](const HttpRequest&) { return HttpConnection::makeError(503, failure); };
-        if (connection.serve(aio, refusalTimeout, refuse) && !m_isStopping)
+        if (connection.serve(aio, refusalTimeout, m_isClosing, refuse))
             return connection.startRead();
     }
     close(connection);
@@ -249,6 +250,8 @@
 
 Result<void> HttpServer::start() { return m_impl->start(); }
 
+void HttpServer::announceClose() { m_impl->announceClose(); }
+
 void HttpServer::stop() { m_impl->stop(); }
 
 } // namespace kumquatbank
--- a/packages/transport/tests/HttpTest.cpp
+++ b/packages/transport/tests/HttpTest.cpp
@@ -246,3 +246,26 @@
     CHECK_EQUAL(1'000'000, slow->body.size());
     CHECK_FALSE(idle.front().send({ "GET", "/", {}, {} }, Milliseconds(500)).has_value());
 }
+
+// Guards against a client that sends its next request on a connection that a stopping server closes after an answer.
+TEST(Http, AStoppingServerAnnouncesTheCloseWithEachAnswer)
+{
+    std::latch hasStarted(1);
+    HttpServer server(address, {}, [&](const HttpRequest& request) {
+        if (request.path == "/slow") {
+            hasStarted.count_down();
+            std::this_thread::sleep_for(Milliseconds(300));
+        }
+        return HttpResponse { 200, "{}", "application/json" };
+    });
+    startServer(server);
+    const int slow = connectRaw(address);
+    const std::string request = "GET /slow HTTP/1.1\r\nHost: h\r\n\r\n";
+    CHECK_EQUAL(static_cast<ssize_t>(request.size()), ::send(slow, request.data(), request.size(), 0));
+    hasStarted.wait();
+    server.stop();
+    const auto answer = readUntil(slow, "{}");
+    CHECK_TRUE(answer.starts_with("HTTP/1.1 200"));
+    CHECK_TRUE(answer.find("Connection: close") != std::string::npos);
+    ::close(slow);
+}
