Test of idle sessions at a stop: a request that crosses the announced close is refused, then the session is closed

ADrainFinishesTransactionsAndClosesIdleSessions expected that such a request gets no answer 0.3 s after idle sessions end. It is now refused as not run within the notice time, and the session must be closed after it, so that the check is as strict about the close.

--- a/packages/pooler/tests/ConfigurationTest.cpp
+++ b/packages/pooler/tests/ConfigurationTest.cpp
@@ -166,6 +166,11 @@
         const auto status = co_await f.ready(0);
         LONGS_EQUAL(503, status);
         co_await f.sleep(milliseconds(1200));
+        // The close of the idle session has been announced; a request that crosses the announcement is refused.
+        const auto refused = co_await idle.query("READ item");
+        STRCMP_EQUAL("BUSY", refused.code().c_str());
+        STRCMP_EQUAL("READY I -", refused.ready.c_str());
+        co_await f.sleep(milliseconds(50));
         const auto closed = co_await idle.query("READ item");
         STRCMP_EQUAL("", closed.ready.c_str());
         CHECK_FALSE(isDrained);
