--- a/scripts/pooler_fleet.sh
+++ b/scripts/pooler_fleet.sh
@@ -13,6 +13,8 @@
 fault_offset=0
 # Above the ports of 390 hosts.
 fault_port_offset=5000
+# Grace period of the proxies, in seconds.
+pooler_grace_seconds=4
 pooler_pids=()
 emulator_pid=
 fault_pid=
@@ -28,7 +30,7 @@
   "seeds": ["$pooler_ip:$((pooler_base + 2))", "$pooler_ip:$((pooler_base + 12))"],
   "storeAddress": "$pooler_ip:$((emulator_port + fault_offset))",
   "promotionAddress": "$pooler_ip:$((emulator_port + 1 + fault_offset))",
-  "graceSeconds": 4 }
+  "graceSeconds": $pooler_grace_seconds }
 SETTINGS
     "${KUMQUATBANK_PROXY:-$bin/apps/kumquatbank-pooler}" --settings "$pooler_dir/host-$1.json" >>"$pooler_dir/host-$1.log" 2>&1 &
     pooler_pids[$1]=$!
