The load asks the kernel for single sockets when it judges a request

Cause: session_load read all of /proc/net/tcp (12,600 lines) on its event loop for each request on an ended connection. Its clients then noticed ends of connections late and counted the wait as time that the proxy had held their requests.

Change: one query of the kernel's socket diagnostics, by the addresses of the connection. The bound stays 200 ms.

--- a/tools/emulator/SocketTable.h
+++ b/tools/emulator/SocketTable.h
@@ -4,7 +4,8 @@
 
 namespace kumquatbank {
 
-/// The kernel's table of IPv4 TCP sockets, for checks from outside of a process.
+/// The kernel's table of IPv4 TCP sockets, for checks from outside of a process. Asks for single sockets, because reading
+/// the whole table takes 75 ms and more on a busy machine, during which the caller's event loop would stand still.
 class SocketTable {
 public:
     /// Returns whether a process still holds its end @p own of the connection from @p peer and has read all that has
