Input that completes after a close is not delivered

Cause: Asio reads speculatively. If a request has arrived, async_read_some takes it from the socket at once and queues the completion. A close that runs before the completion finds neither buffer filled (hasInput() is false), closes the socket, and the read still succeeds: the request was run on a closed connection. Change: readLine() returns Closed then, for sessions and for loans alike.

--- a/packages/engine/src/LineChannel.cpp
+++ b/packages/engine/src/LineChannel.cpp
@@ -94,6 +94,9 @@
             close();
             co_return ChannelStatus::Closed;
         }
+        // Closed after the input had been taken from the socket: its sender can get no answer.
+        if (!m_socket.is_open())
+            co_return ChannelStatus::Closed;
         m_end += n;
     }
     co_return line.size() > m_maxLineBytes ? ChannelStatus::TooLong : ChannelStatus::Ok;
