--- a/scripts/pooler_fleet.sh
+++ b/scripts/pooler_fleet.sh
@@ -13,14 +13,11 @@
 fault_offset=0
 # Above the ports of 390 hosts.
 fault_port_offset=5000
-<<<<<<< HEAD
 pooler_regions=1
 pooler_store_ports=() # of hosts whose settings name another port than the first one
 pooler_seeds=() # of hosts that have others than the first two
-=======
 # Grace period of the proxies, in seconds.
 pooler_grace_seconds=4
->>>>>>> h1
 pooler_pids=()
 emulator_pid=
 fault_pid=
