--- a/packages/routing/include/kumquatbank/routing/StopSchedule.h
+++ b/packages/routing/include/kumquatbank/routing/StopSchedule.h
@@ -53,11 +53,11 @@
 /// | was told of the close        | is closed after closeNotice    | is closed after closeNotice    |
 /// | ... and has refused a request| is closed                      | is closed                      |
 ///
-/// Until then the load balancer may still send new connections here, so that a client whose session ended earlier could come
-/// back to this host. A busy session is kept, because its next request would cross the announcement.
+/// Before idleSessionsEnd() the load balancer may still send new connections here, so that a client whose session ended could
+/// come back to this host. A busy session is kept, because its next request would cross the announcement.
 ///
-/// A client cannot be kept from sending while its connection is being closed. The announcement
-/// answers what it sends then; without it, the client could not know whether the request has run.
+/// A client cannot be kept from sending while its connection is being closed. The announcement answers what it sends then;
+/// without it, the client could not know whether the request has run.
 class StopSchedule {
 public:
     /// @param signalledAt  when the process was told to stop.
