Client accounts: keys, identity of a session, database connections by account (thin path)

Cause: databases were told the name of the host, and any key was accepted. Change: the configuration's accounts are read, a session is identified by the digest of its key at START and at each operation, and a database connection belongs to one account. Without accounts in the configuration nothing changes.

--- a/packages/pooler/src/ClientSession.cpp
+++ b/packages/pooler/src/ClientSession.cpp
@@ -165,6 +165,15 @@
         co_await send(WireDialect::error(ErrorCode::UnknownDatabase, "no route for this database"));
         co_return false;
     }
+    if (!message->key.empty())
+        m_key = KeyDigest::of(message->key);
+    m_runner.setKey(m_key);
+    const auto config = m_registry.config();
+    if (!config->identify(*config->findRoute(m_database), m_key).isAllowed) {
+        EventLog::warn("session_refused", { { "session", m_number }, { "database", m_database }, { "reason", m_key ? "unknown key" : "no key" }, { "config_version", config->version } });
+        co_await send(WireDialect::error(ErrorCode::Unauthorized, "the key is not known"));
+        co_return false;
+    }
     co_return co_await send(WireDialect::ready(TransactionState::None));
 }
 
@@ -230,7 +239,7 @@
     const bool isSent = co_await send(text);
     m_isSending = false;
     m_request = nullptr;
-    co_return isSent;
+    co_return isSent && !answer.endsSession;
 }
 
 std::string ClientSession::formatAnswer(const StatementAnswer& answer)
@@ -261,6 +270,7 @@
         { "service", route != nullptr ? std::string_view(route->service) : std::string_view() },
         { "statement", kind },
         { "outcome", outcome },
+        { "account", answer.account },
         { "reason", answer.reason },
         { "endpoint", answer.endpoint },
         { "lender", answer.lender },
--- a/packages/pooler/src/ClientSession.h
+++ b/packages/pooler/src/ClientSession.h
@@ -44,6 +44,7 @@
     StatementRunner m_runner;
     std::uint64_t m_number;
     std::string m_database;
+    std::optional<KeyDigest> m_key; ///< Of the key in the START message; empty if there was none.
     bool m_isIdle = false; ///< Waiting for the client's next line.
     const ClientMessage* m_request = nullptr; ///< The request that is being answered.
     bool m_isSending = false; ///< Its answer is being sent.
--- a/packages/pooler/src/ConnectionBorrower.cpp
+++ b/packages/pooler/src/ConnectionBorrower.cpp
@@ -68,6 +68,7 @@
     const auto requestedAt = BootClock::now();
     LoanRequest loanRequest;
     loanRequest.service = service->name();
+    loanRequest.account = request.account;
     loanRequest.eligibility = request.permit.eligibility;
     loanRequest.priority = request.permit.priority;
     loanRequest.maxWait = std::max(milliseconds(0), std::chrono::floor<milliseconds>(request.permit.queueDeadline - requestedAt));
--- a/packages/pooler/src/ConnectionLender.cpp
+++ b/packages/pooler/src/ConnectionLender.cpp
@@ -72,6 +72,7 @@
     service->recordLoanRequest();
     const auto now = BootClock::now();
     ConnectionRequest request;
+    request.account = std::move(loanRequest.account);
     request.permit.eligibility = loanRequest.eligibility;
     request.permit.priority = loanRequest.priority;
     request.permit.queueDeadline = now + std::clamp(loanRequest.maxWait, milliseconds(0), maxWait);
--- a/packages/pooler/src/ConnectionRequest.h
+++ b/packages/pooler/src/ConnectionRequest.h
@@ -16,6 +16,7 @@
 /// only once the minimum log position of the read is known.
 struct ConnectionRequest {
     PermitRequest permit;
+    std::string account; ///< Connections belong to one account; empty for clients without one.
     std::optional<ReadFreshness> freshness; ///< Set for reads that any endpoint may serve.
     BootTime deadline {}; ///< Time limit of the whole attempt.
     std::chrono::milliseconds answerTimeout { 0 }; ///< Time limit of each statement on the connection.
--- a/packages/pooler/src/DatabaseConnection.cpp
+++ b/packages/pooler/src/DatabaseConnection.cpp
@@ -12,7 +12,7 @@
 
 } // namespace
 
-Task<DatabaseConnection::OpenResult> DatabaseConnection::open(asio::io_context& io, EndpointEntry endpoint, std::string hostName, std::chrono::milliseconds timeout)
+Task<DatabaseConnection::OpenResult> DatabaseConnection::open(asio::io_context& io, EndpointEntry endpoint, std::string account, std::string hostName, std::chrono::milliseconds timeout)
 {
     const auto connectStartedAt = BootClock::now();
     const auto until = connectStartedAt + timeout;
@@ -21,8 +21,9 @@
     if (!channel)
         co_return result;
     result.roundTrip = std::chrono::duration_cast<std::chrono::microseconds>(BootClock::now() - connectStartedAt);
-    auto connection = std::make_unique<DatabaseConnection>(std::move(*channel));
-    if (co_await connection->send(WireDialect::start(endpoint.service, hostName, endpoint.id), 1, until) != ExchangeStatus::Ok)
+    auto connection = std::make_unique<DatabaseConnection>(std::move(*channel), account);
+    const auto start = WireDialect::start(endpoint.service, account.empty() ? hostName : account, endpoint.id);
+    if (co_await connection->send(start, 1, until) != ExchangeStatus::Ok)
         co_return result;
     DatabaseReply reply;
     const auto status = co_await connection->receive(reply, until);
--- a/packages/pooler/src/DatabaseConnection.h
+++ b/packages/pooler/src/DatabaseConnection.h
@@ -37,10 +37,12 @@
         std::chrono::microseconds roundTrip { 0 }; ///< Network round trip, taken from the TCP connect time.
     };
 
-    static Task<OpenResult> open(asio::io_context& io, EndpointEntry endpoint, std::string hostName, std::chrono::milliseconds timeout);
+    /// @p account: account for which the connection is used; the database is told @p hostName if it is empty.
+    static Task<OpenResult> open(asio::io_context& io, EndpointEntry endpoint, std::string account, std::string hostName, std::chrono::milliseconds timeout);
 
-    explicit DatabaseConnection(LineChannel channel)
+    DatabaseConnection(LineChannel channel, std::string account)
         : m_channel(std::move(channel))
+        , m_account(std::move(account))
     {
     }
 
@@ -52,6 +54,8 @@
     Task<ExchangeStatus> exchange(std::string commands, std::vector<DatabaseReply>& replies, std::size_t n, BootTime until);
 
     ConnectionState& state() { return m_state; }
+    /// Account that the database was told; empty if it was told the name of a host.
+    const std::string& account() const { return m_account; }
     /// Returns true if the connection is open, outside a transaction, and has no pending replies.
     bool isReusable() const { return m_channel.isOpen() && m_pendingReplies == 0 && m_transaction == TransactionState::None; }
     bool needsRollback() const { return m_channel.isOpen() && m_pendingReplies == 0 && m_transaction != TransactionState::None; }
@@ -63,6 +67,7 @@
 
 private:
     LineChannel m_channel;
+    std::string m_account;
     ConnectionState m_state;
     int m_pendingReplies = 0; ///< Replies that were requested and not yet received.
     TransactionState m_transaction = TransactionState::None;
--- a/packages/pooler/src/DatabaseService.cpp
+++ b/packages/pooler/src/DatabaseService.cpp
@@ -363,25 +363,50 @@
     }
 }
 
-std::unique_ptr<DatabaseConnection> DatabaseService::takeIdle(Endpoint& endpoint, const SessionState* session)
+std::unique_ptr<DatabaseConnection> DatabaseService::take(Endpoint& endpoint, std::vector<IdleConnection>::iterator it)
 {
-    while (!endpoint.idle.empty()) {
-        auto it = std::prev(endpoint.idle.end());
-        if (session != nullptr) {
-            const auto matching = std::ranges::find_if(endpoint.idle, [&](const IdleConnection& idle) { return idle.connection->state().hasSameValuesAs(*session); });
-            if (matching != endpoint.idle.end())
-                it = matching;
+    auto connection = std::move(it->connection);
+    endpoint.idle.erase(it);
+    updateOpeningCost(endpoint);
+    if (!connection->hasClosed())
+        return connection;
+    --endpoint.open;
+    return nullptr;
+}
+
+std::unique_ptr<DatabaseConnection> DatabaseService::takeIdle(Endpoint& endpoint, std::string_view account, const SessionState& session)
+{
+    const auto isOfAccount = [&](const IdleConnection& idle) { return idle.connection->account() == account; };
+    while (true) {
+        auto it = std::ranges::find_if(endpoint.idle, [&](const IdleConnection& idle) { return isOfAccount(idle) && idle.connection->state().hasSameValuesAs(session); });
+        if (it == endpoint.idle.end()) {
+            const auto newest = std::ranges::find_if(endpoint.idle.rbegin(), endpoint.idle.rend(), isOfAccount);
+            if (newest == endpoint.idle.rend())
+                return nullptr;
+            it = std::prev(newest.base());
         }
-        auto connection = std::move(it->connection);
-        endpoint.idle.erase(it);
-        updateOpeningCost(endpoint);
-        if (!connection->hasClosed())
+        if (auto connection = take(endpoint, it))
+            return connection;
+    }
+}
+
+std::unique_ptr<DatabaseConnection> DatabaseService::takeIdleForProbe(Endpoint& endpoint)
+{
+    while (!endpoint.idle.empty()) {
+        if (auto connection = take(endpoint, std::prev(endpoint.idle.end())))
             return connection;
-        --endpoint.open;
     }
     return nullptr;
 }
 
+void DatabaseService::makeRoomForAnother(Endpoint& endpoint)
+{
+    if (endpoint.idle.empty() || endpoint.open < sharing().share())
+        return;
+    endpoint.idle.erase(endpoint.idle.begin());
+    --endpoint.open;
+}
+
 void DatabaseService::closeAllIdle(Endpoint& endpoint)
 {
     endpoint.open -= static_cast<int>(endpoint.idle.size());
@@ -411,10 +436,10 @@
     return endpoint.idle.empty() && std::bernoulli_distribution(sharing().keepProbability())(randomEngine());
 }
 
-Task<tl::expected<std::unique_ptr<DatabaseConnection>, ErrorCode>> DatabaseService::open(std::shared_ptr<Endpoint> endpoint, milliseconds timeout)
+Task<tl::expected<std::unique_ptr<DatabaseConnection>, ErrorCode>> DatabaseService::open(std::shared_ptr<Endpoint> endpoint, std::string account, milliseconds timeout)
 {
     const auto sentAt = BootClock::now();
-    auto opened = co_await DatabaseConnection::open(m_io, endpoint->entry, m_hostName, std::min(timeout, connectTimeout));
+    auto opened = co_await DatabaseConnection::open(m_io, endpoint->entry, std::move(account), m_hostName, std::min(timeout, connectTimeout));
     m_metrics.connectionOpened(m_name, opened.connection != nullptr);
     if (opened.connection) {
         ++endpoint->open;
@@ -527,9 +552,10 @@
             m_scheduler.removeEndpoint(*granted);
             continue;
         }
-        auto connection = takeIdle(*endpoint, &session);
+        auto connection = takeIdle(*endpoint, request.account, session);
         if (!connection) {
-            auto opened = co_await open(endpoint, std::chrono::duration_cast<milliseconds>(until - since));
+            makeRoomForAnother(*endpoint);
+            auto opened = co_await open(endpoint, request.account, std::chrono::duration_cast<milliseconds>(until - since));
             if (!opened) {
                 m_scheduler.release(*granted, {});
                 // A write has only one endpoint and waits until it can be tried again; a read tries another endpoint.
@@ -548,9 +574,9 @@
 Task<std::optional<ConnectionLease>> DatabaseService::acquireProbe(std::shared_ptr<Endpoint> endpoint, milliseconds timeout)
 {
     const auto since = BootClock::now();
-    auto connection = takeIdle(*endpoint, nullptr);
+    auto connection = takeIdleForProbe(*endpoint);
     if (!connection) {
-        auto opened = co_await open(endpoint, timeout);
+        auto opened = co_await open(endpoint, {}, timeout);
         if (!opened)
             co_return std::nullopt;
         connection = std::move(*opened);
--- a/packages/pooler/src/DatabaseService.h
+++ b/packages/pooler/src/DatabaseService.h
@@ -136,9 +136,15 @@
         BootTime at {};
     };
 
-    Task<tl::expected<std::unique_ptr<DatabaseConnection>, ErrorCode>> open(std::shared_ptr<Endpoint> endpoint, std::chrono::milliseconds timeout);
+    Task<tl::expected<std::unique_ptr<DatabaseConnection>, ErrorCode>> open(std::shared_ptr<Endpoint> endpoint, std::string account, std::chrono::milliseconds timeout);
     Task<void> rollBack(std::shared_ptr<Endpoint> endpoint, std::unique_ptr<DatabaseConnection> connection, BootTime since);
-    std::unique_ptr<DatabaseConnection> takeIdle(Endpoint& endpoint, const SessionState* session);
+    /// Takes an idle connection of @p account, preferably one with the values of @p session.
+    std::unique_ptr<DatabaseConnection> takeIdle(Endpoint& endpoint, std::string_view account, const SessionState& session);
+    /// Takes any idle connection, for a probe.
+    std::unique_ptr<DatabaseConnection> takeIdleForProbe(Endpoint& endpoint);
+    std::unique_ptr<DatabaseConnection> take(Endpoint& endpoint, std::vector<IdleConnection>::iterator it);
+    /// Closes an idle connection of another account if this host has no connection left of its share.
+    void makeRoomForAnother(Endpoint& endpoint);
     static void closeAllIdle(Endpoint& endpoint);
     void closeExpiredIdle(Endpoint& endpoint, BootTime now);
     /// Returns whether a returned connection is kept open.
--- a/packages/pooler/src/LenderLink.cpp
+++ b/packages/pooler/src/LenderLink.cpp
@@ -115,7 +115,7 @@
         result.outcome = LoanOutcome::Granted;
         result.endpoint = response.reply.endpoint;
         result.sample = std::move(response.reply.sample);
-        result.connection = std::make_unique<DatabaseConnection>(std::move(*response.channel));
+        result.connection = std::make_unique<DatabaseConnection>(std::move(*response.channel), request.account);
         co_return result;
     }
     if (response.reply.kind == LoanReply::Kind::Leaving) {
--- a/packages/pooler/src/LoanMessage.h
+++ b/packages/pooler/src/LoanMessage.h
@@ -14,6 +14,7 @@
 /// Request to another host for the use of one of its database connections.
 struct LoanRequest {
     std::string service;
+    std::string account; ///< Account for which the connection is used; empty for clients without one.
     Eligibility eligibility = Eligibility::Any;
     int priority = 0; ///< 0 is the most urgent.
     std::chrono::milliseconds maxWait { 0 }; ///< Maximum wait in the lender's queue.
--- a/packages/pooler/src/SessionContext.cpp
+++ b/packages/pooler/src/SessionContext.cpp
@@ -55,7 +55,7 @@
     return service.currentFloor(route.maxStaleness, ownCommit(route));
 }
 
-Task<std::optional<ConnectionLease>> SessionContext::acquire(Route route, Eligibility eligibility, std::set<std::string> excluded, BootTime until, StatementAnswer& answer)
+Task<std::optional<ConnectionLease>> SessionContext::acquire(Route route, std::string account, Eligibility eligibility, std::set<std::string> excluded, BootTime until, StatementAnswer& answer)
 {
     const auto service = m_registry.find(route.service);
     if (!service) {
@@ -64,6 +64,7 @@
     }
     const auto requestedAt = BootClock::now();
     ConnectionRequest request;
+    request.account = std::move(account);
     if (eligibility == Eligibility::Any) {
         request.freshness = ReadFreshness { route.maxStaleness, ownCommit(route) };
         excluded.merge(service->laggingEndpoints());
--- a/packages/pooler/src/SessionContext.h
+++ b/packages/pooler/src/SessionContext.h
@@ -42,6 +42,11 @@
     /// Returns the time by which a statement that begins now must have its result.
     BootTime deadline(const Route& route) const { return std::min<BootTime>(BootClock::now() + route.statementTimeout - RetryPolicy::answerMargin, m_tracker.answersEnd()); }
 
+    /// Sets the key with which the client opened its session.
+    void setKey(std::optional<KeyDigest> key) { m_key = std::move(key); }
+    /// Identifies the client by the current configuration, which must be present.
+    ClientIdentity identify(const Route& route) const { return m_registry.config()->identify(route, m_key); }
+
     /// Applies a statement that changes only the session state: a value or a prepared statement.
     void applyLocally(const Statement& statement);
     /// Returns whether the statement writes; empty if it names a prepared statement that the session does not have.
@@ -50,7 +55,7 @@
 
     /// Acquires a connection for a statement on @p route. A read that any endpoint may serve first waits until its
     /// minimum position is known, and avoids lagging endpoints. On failure, @p answer is set to an error.
-    Task<std::optional<ConnectionLease>> acquire(Route route, Eligibility eligibility, std::set<std::string> excluded, BootTime until, StatementAnswer& answer);
+    Task<std::optional<ConnectionLease>> acquire(Route route, std::string account, Eligibility eligibility, std::set<std::string> excluded, BootTime until, StatementAnswer& answer);
 
     /// Returns the minimum position for a read on @p route; empty if no known position is recent enough.
     std::optional<LogPosition> currentFloor(DatabaseService& service, const Route& route) const;
@@ -63,6 +68,7 @@
     PoolerMetrics& m_metrics;
     const SessionTracker& m_tracker;
     SessionState m_state;
+    std::optional<KeyDigest> m_key;
     BootTime m_lastCommitAt {};
 };
 
--- a/packages/pooler/src/StatementAnswer.h
+++ b/packages/pooler/src/StatementAnswer.h
@@ -19,6 +19,8 @@
     std::optional<LogPosition> floor; ///< Minimum position of a read.
     std::chrono::nanoseconds queued { 0 };
     int attempts = 0;
+    std::string account; ///< Account of the client; empty if it has none.
+    bool endsSession = false; ///< The session is closed after this answer.
 
     /// Sets an error that the proxy itself reports. The transaction state is not changed.
     void setError(ErrorCode errorCode, std::string_view message, std::optional<std::chrono::milliseconds> retryAfter = std::nullopt);
--- a/packages/pooler/src/StatementRunner.cpp
+++ b/packages/pooler/src/StatementRunner.cpp
@@ -15,6 +15,9 @@
     /// Other hosts serve the request at once.
     constexpr milliseconds stoppingRetryAfter { 0 };
 
+    /// Empty for clients without an account.
+    std::string accountName(const ClientIdentity& identity) { return identity.account == nullptr ? std::string() : identity.account->name; }
+
     AttemptResult refuseAttempt(const ConnectionLease& lease, std::set<std::string>& excluded, StatementAnswer& answer)
     {
         excluded.insert(lease.endpointId());
@@ -68,17 +71,22 @@
 
     const auto config = m_registry.config();
     const auto* route = config ? config->findRoute(database) : nullptr;
-    if (route == nullptr)
+    const auto identity = route == nullptr ? ClientIdentity() : m_context.identify(*route);
+    answer.account = accountName(identity);
+    if (route == nullptr) {
         answer.setError(ErrorCode::UnknownDatabase, "no route for this database");
-    else if (begins && m_transaction.isOpen())
+    } else if (!identity.isAllowed) {
+        answer.setError(ErrorCode::Unauthorized, "the key is not known");
+        answer.endsSession = true;
+    } else if (begins && m_transaction.isOpen())
         answer.setError(ErrorCode::Malformed, "a transaction is already open");
     else if (!m_context.admits(begins ? RequestKind::Begin : RequestKind::Single, route->statementTimeout))
         co_return refuseAsStopping();
     else if (begins) {
-        m_transaction.begin(*route, statement.kind == StatementKind::BeginReadOnly);
+        m_transaction.begin(*route, answer.account, statement.kind == StatementKind::BeginReadOnly);
         answer.body = WireDialect::done();
     } else {
-        co_return co_await runSingle(*route, id, statement);
+        co_return co_await runSingle(*route, answer.account, id, statement);
     }
     answer.state = transactionState();
     co_return answer;
@@ -128,9 +136,10 @@
     return answer;
 }
 
-Task<StatementAnswer> StatementRunner::runSingle(const Route& route, const std::string& id, const Statement& statement)
+Task<StatementAnswer> StatementRunner::runSingle(const Route& route, const std::string& account, const std::string& id, const Statement& statement)
 {
     StatementAnswer answer;
+    answer.account = account;
     const auto writeFlag = m_context.writes(statement);
     if (!writeFlag) {
         answer.setError(ErrorCode::UnknownStatement, "no such prepared statement");
@@ -140,7 +149,7 @@
     std::set<std::string> excluded;
     while (true) {
         ++answer.attempts;
-        if (co_await attempt(route, id, statement, *writeFlag, excluded, until, answer) == AttemptResult::Done)
+        if (co_await attempt(route, account, id, statement, *writeFlag, excluded, until, answer) == AttemptResult::Done)
             co_return answer;
         if (answer.attempts >= RetryPolicy::maxAttempts || BootClock::now() + RetryPolicy::minRemainingTime >= until)
             co_return answer;
@@ -149,10 +158,10 @@
     }
 }
 
-Task<AttemptResult> StatementRunner::attempt(const Route& route, const std::string& id, const Statement& statement, bool writes, std::set<std::string>& excluded, BootTime until, StatementAnswer& answer)
+Task<AttemptResult> StatementRunner::attempt(const Route& route, const std::string& account, const std::string& id, const Statement& statement, bool writes, std::set<std::string>& excluded, BootTime until, StatementAnswer& answer)
 {
     const bool needsPrimary = writes || route.policy == ReadPolicy::Primary;
-    auto lease = co_await m_context.acquire(route, needsPrimary ? Eligibility::PrimaryOnly : Eligibility::Any, excluded, until, answer);
+    auto lease = co_await m_context.acquire(route, account, needsPrimary ? Eligibility::PrimaryOnly : Eligibility::Any, excluded, until, answer);
     if (!lease)
         co_return AttemptResult::Done;
     // The configuration may have changed while the request was queued.
@@ -161,6 +170,11 @@
         answer.setError(ErrorCode::Busy, "the route changed while the request was queued", milliseconds(0));
         co_return AttemptResult::Done;
     }
+    const auto identity = m_context.identify(*current);
+    if (!identity.isAllowed || accountName(identity) != account) {
+        answer.setError(ErrorCode::Busy, "the account of the client changed while the request was queued", milliseconds(0));
+        co_return AttemptResult::Done;
+    }
     co_return co_await attemptOn(*lease, route, id, statement, writes, excluded, until, answer);
 }
 
--- a/packages/pooler/src/StatementRunner.h
+++ b/packages/pooler/src/StatementRunner.h
@@ -12,6 +12,8 @@
     /// @p tracker must outlive this object.
     StatementRunner(asio::io_context& io, ServiceRegistry& registry, PoolerMetrics& metrics, const SessionTracker& tracker);
 
+    void setKey(std::optional<KeyDigest> key) { m_context.setKey(std::move(key)); }
+
     StatementRunner(const StatementRunner&) = delete;
     StatementRunner& operator=(const StatementRunner&) = delete;
 
@@ -36,8 +38,8 @@
     std::optional<std::chrono::milliseconds> idleLimit() const;
 
 private:
-    Task<StatementAnswer> runSingle(const Route& route, const std::string& id, const Statement& statement);
-    Task<AttemptResult> attempt(const Route& route, const std::string& id, const Statement& statement, bool writes, std::set<std::string>& excluded, BootTime until, StatementAnswer& answer);
+    Task<StatementAnswer> runSingle(const Route& route, const std::string& account, const std::string& id, const Statement& statement);
+    Task<AttemptResult> attempt(const Route& route, const std::string& account, const std::string& id, const Statement& statement, bool writes, std::set<std::string>& excluded, BootTime until, StatementAnswer& answer);
     Task<AttemptResult> attemptOn(ConnectionLease& lease, const Route& route, const std::string& id, const Statement& statement, bool writes, std::set<std::string>& excluded, BootTime until, StatementAnswer& answer);
     Task<AttemptResult> beginPrimaryRead(ConnectionLease& lease, std::set<std::string>& excluded, BootTime until, StatementAnswer& answer);
     AttemptResult handleFailure(ConnectionLease& lease, bool writes, std::set<std::string>& excluded, StatementAnswer& answer);
--- a/packages/pooler/src/TransactionRunner.cpp
+++ b/packages/pooler/src/TransactionRunner.cpp
@@ -11,10 +11,11 @@
     return m_transaction->hasFailed ? TransactionState::Failed : TransactionState::Open;
 }
 
-void TransactionRunner::begin(const Route& route, bool isReadOnly)
+void TransactionRunner::begin(const Route& route, std::string account, bool isReadOnly)
 {
     m_transaction.emplace();
     m_transaction->route = route;
+    m_transaction->account = std::move(account);
     m_transaction->isReadOnly = isReadOnly;
 }
 
@@ -70,7 +71,7 @@
 {
     const auto route = m_transaction->route;
     const bool onReplica = m_transaction->isReadOnly && route.policy != ReadPolicy::Primary;
-    auto lease = co_await m_context.acquire(route, onReplica ? Eligibility::Any : Eligibility::PrimaryOnly, excluded, until, answer);
+    auto lease = co_await m_context.acquire(route, m_transaction->account, onReplica ? Eligibility::Any : Eligibility::PrimaryOnly, excluded, until, answer);
     if (!lease)
         co_return AttemptResult::Done;
     auto& endpoint = lease->endpoint();
--- a/packages/pooler/src/TransactionRunner.h
+++ b/packages/pooler/src/TransactionRunner.h
@@ -7,6 +7,7 @@
 /// State of an open transaction.
 struct Transaction {
     Route route;
+    std::string account; ///< Empty for clients without one.
     bool isReadOnly = false;
     std::optional<ConnectionLease> lease;
     bool hasWritten = false;
@@ -26,7 +27,7 @@
     bool isOpen() const { return m_transaction.has_value(); }
     TransactionState state() const;
 
-    void begin(const Route& route, bool isReadOnly);
+    void begin(const Route& route, std::string account, bool isReadOnly);
     /// Runs a read or write in the open transaction.
     Task<StatementAnswer> run(const std::string& id, const Statement& statement);
     Task<StatementAnswer> commit(const std::string& id, const Statement& statement);
--- a/packages/routing/include/kumquatbank/routing/RoutingConfig.h
+++ b/packages/routing/include/kumquatbank/routing/RoutingConfig.h
@@ -1,11 +1,14 @@
 #pragma once
 
+#include "kumquatbank/routing/ClientAccount.h"
+
 #include <chrono>
 #include <cstdint>
 #include <map>
 #include <optional>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 
 namespace kumquatbank {
 
@@ -28,6 +31,7 @@
     std::chrono::milliseconds targetLatency { 1000 }; ///< Target duration of a whole operation.
     std::chrono::milliseconds maxStaleness { 0 }; ///< Staleness bound of Bounded and ReadYourWrites.
     int priority = 0; ///< 0 is the most urgent.
+    bool isPublic = false; ///< Clients without a known key are allowed.
 };
 
 /// Limits of one group of endpoints.
@@ -44,8 +48,22 @@
     std::map<std::string, ServiceLimits, std::less<>> services;
     std::optional<std::chrono::milliseconds> transactionIdle; ///< Idle time after which an open transaction is ended.
 
+    bool hasAccounts = false; ///< Whether clients identify themselves by keys.
+    std::map<std::string, ClientAccount, std::less<>> accounts; ///< By name.
+    std::vector<std::string> rejectedAccounts; ///< Why entries of accounts or keys were left out.
+
+    /// Adds an account. A name or a key that an earlier account has is left out and recorded as rejected; nobody is
+    /// identified by such a key.
+    void addAccount(ClientAccount account);
+
+    /// Identifies a client that opened its session with @p key. Without accounts in the configuration, everybody is allowed.
+    ClientIdentity identify(const Route& route, const std::optional<KeyDigest>& key) const;
+
     /// Returns the route of @p database, or null.
     const Route* findRoute(std::string_view database) const;
+
+private:
+    std::unordered_map<KeyDigest, std::string, KeyDigest::Hash> m_accountByKey; ///< An empty name: the key is ambiguous.
 };
 
 } // namespace kumquatbank
