--- a/packages/pooler/include/kumquatbank/pooler/PoolerSettings.h
+++ b/packages/pooler/include/kumquatbank/pooler/PoolerSettings.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "kumquatbank/core/HostAddress.h"
+#include "kumquatbank/routing/LimitTerms.h"
 
 #include <chrono>
 #include <optional>
@@ -29,6 +30,7 @@
     /// An endpoint that disappeared counts as one that may hold acknowledged commits for this time. Covers the time after
     /// which crashed databases are usually back with their logs.
     std::chrono::milliseconds memberRetention { 10'000 };
+    LimitBound limitBound {}; ///< Promise on the operations of each account that has a limit.
     unsigned logLinesPerSecond = 100; ///< For served requests; failures have a separate limit.
     unsigned failureLinesPerSecond = 500;
 
--- a/packages/pooler/src/ConnectionLender.cpp
+++ b/packages/pooler/src/ConnectionLender.cpp
@@ -1,5 +1,7 @@
 #include "ConnectionLender.h"
 
+#include "LimitMessage.h"
+#include "LimitService.h"
 #include "Loan.h"
 #include "kumquatbank/engine/EventLog.h"
 
@@ -30,8 +32,9 @@
 
 } // namespace
 
-ConnectionLender::ConnectionLender(ServiceRegistry& registry, PoolerMetrics& metrics)
+ConnectionLender::ConnectionLender(ServiceRegistry& registry, LimitService& limits, PoolerMetrics& metrics)
     : m_registry(registry)
+    , m_limits(limits)
     , m_metrics(metrics)
 {
 }
@@ -46,6 +49,14 @@
 {
     std::string_view line;
     while (co_await channel.readLine(line, BootClock::now() + channelIdleTime) == ChannelStatus::Ok) {
+        if (LimitMessage::isRequest(line)) {
+            const auto reply = m_limits.answer(line);
+            if (!reply.empty()) {
+                if (!co_await send(channel, reply))
+                    break;
+                continue;
+            }
+        }
         auto loanRequest = LoanMessage::parseRequest(line);
         if (!loanRequest) {
             EventLog::warn("loan_request_unreadable", { { "bytes", line.size() } });
--- a/packages/pooler/src/ConnectionLender.h
+++ b/packages/pooler/src/ConnectionLender.h
@@ -8,11 +8,14 @@
 
 class Loan;
 
+class LimitService;
+
 /// Lends database connections of this host to other hosts. A line channel carries one loan at a time. Requests of other
-/// hosts wait in the same queue as requests of this host's own clients.
+/// hosts wait in the same queue as requests of this host's own clients. Requests for limits arrive at the same address and
+/// are passed on.
 class ConnectionLender {
 public:
-    ConnectionLender(ServiceRegistry& registry, PoolerMetrics& metrics);
+    ConnectionLender(ServiceRegistry& registry, LimitService& limits, PoolerMetrics& metrics);
 
     /// Serves the channel of one borrower until it closes.
     Task<void> serve(LineChannel channel);
@@ -28,6 +31,7 @@
     Task<bool> lend(LineChannel& channel, LoanRequest loanRequest);
 
     ServiceRegistry& m_registry;
+    LimitService& m_limits;
     PoolerMetrics& m_metrics;
     std::optional<StopSchedule> m_stop;
     std::set<Loan*> m_loans;
--- a/packages/pooler/src/PoolerMetrics.cpp
+++ b/packages/pooler/src/PoolerMetrics.cpp
@@ -30,6 +30,10 @@
     , m_storeCalls(family(m_registry, prometheus::BuildCounter(), "kumquatbank_store_calls_total", "Calls to the platform's store"))
     , m_promotions(family(m_registry, prometheus::BuildCounter(), "kumquatbank_promotions_total", "Promotion calls by outcome"))
     , m_retries(family(m_registry, prometheus::BuildCounter(), "kumquatbank_retries_total", "Statements that were sent again after nothing ran"))
+    , m_limitDecisions(family(m_registry, prometheus::BuildCounter(), "kumquatbank_limit_decisions_total", "Operations of limited accounts by outcome"))
+    , m_limitRequests(family(m_registry, prometheus::BuildCounter(), "kumquatbank_limit_requests_total", "Requests to the coordinator of limits by outcome"))
+    , m_limitExchanges(family(m_registry, prometheus::BuildCounter(), "kumquatbank_limit_exchanges_total", "Requests of this coordinator to others by outcome"))
+    , m_limitTokens(family(m_registry, prometheus::BuildCounter(), "kumquatbank_limit_tokens_total", "Tokens that this coordinator granted, by receiver"))
     , m_primarySilence(family(m_registry, prometheus::BuildGauge(), "kumquatbank_primary_silence_seconds", "Time since the primary last answered"))
     , m_waiting(family(m_registry, prometheus::BuildGauge(), "kumquatbank_waiting_requests", "Requests that wait for a connection"))
     , m_sessions(family(m_registry, prometheus::BuildGauge(), "kumquatbank_sessions", "Open client sessions").Add({}))
@@ -75,6 +79,10 @@
 
 void PoolerMetrics::promotionCompleted(std::string_view outcome) { m_promotions.Add({ { "outcome", std::string(outcome) } }).Increment(); }
 void PoolerMetrics::statementRetried(std::string_view reason) { m_retries.Add({ { "reason", std::string(reason) } }).Increment(); }
+void PoolerMetrics::limitDecided(std::string_view outcome) { m_limitDecisions.Add({ { "outcome", std::string(outcome) } }).Increment(); }
+void PoolerMetrics::limitRequestCompleted(std::string_view outcome) { m_limitRequests.Add({ { "outcome", std::string(outcome) } }).Increment(); }
+void PoolerMetrics::limitExchangeCompleted(std::string_view outcome) { m_limitExchanges.Add({ { "outcome", std::string(outcome) } }).Increment(); }
+void PoolerMetrics::limitTokensGranted(std::string_view receiver, double tokens) { m_limitTokens.Add({ { "receiver", std::string(receiver) } }).Increment(tokens); }
 void PoolerMetrics::sessionOpened() { m_sessions.Increment(); }
 void PoolerMetrics::sessionClosed() { m_sessions.Decrement(); }
 void PoolerMetrics::setConfigVersion(std::int64_t version) { m_configVersion.Set(static_cast<double>(version)); }
--- a/packages/pooler/src/PoolerMetrics.h
+++ b/packages/pooler/src/PoolerMetrics.h
@@ -31,6 +31,14 @@
     void sessionOpened();
     void sessionClosed();
     void statementRetried(std::string_view reason);
+    /// Records whether an operation of a limited account was admitted. @p outcome: "admitted" or the reason of the refusal.
+    void limitDecided(std::string_view outcome);
+    /// Records the outcome of a request to the coordinator of limits.
+    void limitRequestCompleted(std::string_view outcome);
+    /// Records the outcome of a request of this coordinator to that of another region.
+    void limitExchangeCompleted(std::string_view outcome);
+    /// Records tokens that this coordinator granted. @p receiver: "host" or "exchange".
+    void limitTokensGranted(std::string_view receiver, double tokens);
     void setConfigVersion(std::int64_t version);
     void setStoreEra(std::uint64_t era);
     void setPrimarySilence(const std::string& service, double seconds);
@@ -50,6 +58,10 @@
     prometheus::Family<prometheus::Counter>& m_storeCalls;
     prometheus::Family<prometheus::Counter>& m_promotions;
     prometheus::Family<prometheus::Counter>& m_retries;
+    prometheus::Family<prometheus::Counter>& m_limitDecisions;
+    prometheus::Family<prometheus::Counter>& m_limitRequests;
+    prometheus::Family<prometheus::Counter>& m_limitExchanges;
+    prometheus::Family<prometheus::Counter>& m_limitTokens;
     prometheus::Family<prometheus::Gauge>& m_primarySilence;
     prometheus::Family<prometheus::Gauge>& m_waiting;
     prometheus::Gauge& m_sessions;
--- a/packages/pooler/src/PoolerProcess.cpp
+++ b/packages/pooler/src/PoolerProcess.cpp
@@ -4,6 +4,7 @@
 #include "ConnectionBorrower.h"
 #include "ConnectionLender.h"
 #include "HostDirectory.h"
+#include "LimitService.h"
 #include "PeerService.h"
 #include "PromotionController.h"
 #include "SettingsFile.h"
@@ -41,7 +42,8 @@
         , m_hosts(m_io, m_store, m_settings, m_registry, m_metrics)
         , m_peers(m_io, m_hosts, m_registry, m_sync)
         , m_borrower(m_io, m_hosts, m_settings, m_metrics)
-        , m_lender(m_registry, m_metrics)
+        , m_limits(m_io, m_hosts, m_settings, m_registry, m_metrics)
+        , m_lender(m_registry, m_limits, m_metrics)
         , m_promotions(m_io, m_store, m_settings, m_registry, m_peers, m_metrics)
         , m_signals(m_io, SIGTERM, SIGINT, SIGHUP)
     {
@@ -61,6 +63,8 @@
             m_registry.setBorrower(m_borrower);
             m_loanListener.emplace(m_io, *m_settings.loanAddress, [this](asio::ip::tcp::socket socket) { acceptBorrower(std::move(socket)); });
         }
+        m_registry.setLimits(m_limits);
+        m_limits.start();
         m_sync.start();
         m_hosts.start();
         m_peers.start();
@@ -155,8 +159,11 @@
     {
         if (request.target == "/metrics")
             co_return HttpResponse { 200, m_metrics.serialize(), "text/plain; version=0.0.4" };
-        if (request.target == "/state")
-            co_return HttpResponse { 200, m_peers.describeState().dump() };
+        if (request.target == "/state") {
+            auto state = m_peers.describeState();
+            state["limits"] = m_limits.describe();
+            co_return HttpResponse { 200, state.dump() };
+        }
         co_return HttpResponse { 404, R"({"error":"unknown path"})" };
     }
 
@@ -174,6 +181,7 @@
             const auto era = std::max(m_store->era(), m_sync.endpointRevision().era);
             m_metrics.setStoreEra(era);
             m_hosts.recordEra(era);
+            m_limits.refresh();
             for (const auto& [name, service] : m_registry.services()) {
                 asio::co_spawn(m_io, service->runMaintenance(), LogFailure("service_maintenance"));
                 if (const auto primary = service->primary())
@@ -250,6 +258,7 @@
     HostDirectory m_hosts;
     PeerService m_peers;
     ConnectionBorrower m_borrower;
+    LimitService m_limits;
     ConnectionLender m_lender;
     PromotionController m_promotions;
     asio::signal_set m_signals;
--- a/packages/pooler/src/PoolerSettings.cpp
+++ b/packages/pooler/src/PoolerSettings.cpp
@@ -40,19 +40,28 @@
   // Milliseconds for which a database that disappeared counts as one that may hold the newest commits, where commits are
   // confirmed by replicas. No primary is replaced in this time without the proof that none is lost. Optional.
   "memberRetentionMs": 10000,
+  // Where accounts have a limit: in any window of so many seconds, the operations of an account that arrive at databases
+  // are at most (rate x window + burst) x (1 + overage) + slack, over all hosts. Optional.
+  "limitWindowSeconds": 5,
+  "limitOverage": 0.1,
+  "limitSlack": 20,
   // Log lines a second: of served statements, and of everything else.
   "logLinesPerSecond": 100,
   "failureLinesPerSecond": 500
 }
 )";
 
-    constexpr std::array<std::string_view, 18> knownKeys { "host", "dataCentre", "region", "processorShare", "processorSpeed", "clientAddress", "readyAddress",
+    constexpr std::array<std::string_view, 21> knownKeys { "host", "dataCentre", "region", "processorShare", "processorSpeed", "clientAddress", "readyAddress",
         "peerAddress", "loanAddress", "metricsAddress", "storeAddress", "promotionAddress", "seeds", "graceSeconds", "databaseDrainMs", "memberRetentionMs",
+        "limitWindowSeconds", "limitOverage", "limitSlack",
         "logLinesPerSecond", "failureLinesPerSecond" };
 
     constexpr int maxGraceSeconds = 3600;
     constexpr int maxDatabaseDrainMs = 3'600'000;
     constexpr int maxMemberRetentionMs = 3'600'000;
+    constexpr int maxLimitWindowSeconds = 3600;
+    constexpr double maxLimitOverage = 10;
+    constexpr double maxLimitSlack = 1e6;
     constexpr int maxLogLines = 1'000'000;
     constexpr double maxProcessorShare = 1024;
     constexpr int maxProcessorSpeed = 1024;
@@ -111,6 +120,18 @@
             return fallback;
         }
 
+        /// A number from 0 on.
+        double nonNegative(const char* key, double maximum, double fallback)
+        {
+            const auto it = m_json.find(key);
+            if (it == m_json.end())
+                return fallback;
+            if (it->is_number() && it->get<double>() >= 0 && it->get<double>() <= maximum)
+                return *it;
+            recordError(key, "must be a number from 0 to " + std::to_string(maximum));
+            return fallback;
+        }
+
         /// A number above 0.
         double positive(const char* key, double maximum, double fallback)
         {
@@ -176,6 +197,9 @@
     settings.grace = std::chrono::seconds(reader.number("graceSeconds", 1, maxGraceSeconds, static_cast<int>(settings.grace.count())));
     settings.databaseDrainTime = std::chrono::milliseconds(reader.number("databaseDrainMs", 0, maxDatabaseDrainMs, static_cast<int>(settings.databaseDrainTime.count())));
     settings.memberRetention = std::chrono::milliseconds(reader.number("memberRetentionMs", 0, maxMemberRetentionMs, static_cast<int>(settings.memberRetention.count())));
+    settings.limitBound.window = std::chrono::seconds(reader.number("limitWindowSeconds", 1, maxLimitWindowSeconds, static_cast<int>(settings.limitBound.window.count())));
+    settings.limitBound.overage = reader.nonNegative("limitOverage", maxLimitOverage, settings.limitBound.overage);
+    settings.limitBound.slack = reader.nonNegative("limitSlack", maxLimitSlack, settings.limitBound.slack);
     settings.logLinesPerSecond = static_cast<unsigned>(reader.number("logLinesPerSecond", 0, maxLogLines, static_cast<int>(settings.logLinesPerSecond)));
     settings.failureLinesPerSecond = static_cast<unsigned>(reader.number("failureLinesPerSecond", 0, maxLogLines, static_cast<int>(settings.failureLinesPerSecond)));
     if (!reader.error().empty())
--- a/packages/pooler/src/ServiceRegistry.h
+++ b/packages/pooler/src/ServiceRegistry.h
@@ -4,6 +4,8 @@
 
 namespace kumquatbank {
 
+class LimitService;
+
 /// The current configuration and endpoints of this process. Neither returns to an older version.
 class ServiceRegistry {
 public:
@@ -26,6 +28,11 @@
     /// Lets services borrow connections. @p borrower must outlive this object.
     void setBorrower(ConnectionBorrower& borrower);
 
+    /// Counts operations of accounts against their limits. @p limits must outlive this object.
+    void setLimits(LimitService& limits) { m_limits = &limits; }
+    /// Null if no operation is counted.
+    LimitService* limits() const { return m_limits; }
+
     /// Null if neither an endpoint nor the configuration has named the service.
     std::shared_ptr<DatabaseService> find(const std::string& service) const;
     const std::map<std::string, std::shared_ptr<DatabaseService>>& services() const { return m_services; }
@@ -54,6 +61,7 @@
     int m_hosts = ConnectionSharing::unknownHostCount;
     int m_lenders = 0;
     ConnectionBorrower* m_borrower = nullptr;
+    LimitService* m_limits = nullptr;
     std::chrono::milliseconds m_drainTime { 0 };
     std::chrono::milliseconds m_memberRetention { 0 };
     std::map<std::string, std::shared_ptr<DatabaseService>> m_services;
--- a/packages/pooler/src/SessionContext.cpp
+++ b/packages/pooler/src/SessionContext.cpp
@@ -1,5 +1,7 @@
 #include "SessionContext.h"
 
+#include "LimitService.h"
+
 namespace kumquatbank {
 
 namespace {
@@ -55,6 +57,35 @@
     return service.currentFloor(route.maxStaleness, ownCommit(route));
 }
 
+Task<bool> SessionContext::admitOperation(std::string account, StatementAnswer& answer)
+{
+    m_sendUntil = BootTime::max();
+    m_admissionWait = {};
+    auto* const limits = m_registry.limits();
+    if (account.empty() || limits == nullptr)
+        co_return true;
+    const auto requestedAt = BootClock::now();
+    const auto decision = co_await limits->admit(std::move(account));
+    m_admissionWait = BootClock::now() - requestedAt;
+    m_sendUntil = decision.sendUntil;
+    if (!decision.isAdmitted)
+        answer.setError(ErrorCode::Busy, decision.reason, decision.retryAfter);
+    co_return decision.isAdmitted;
+}
+
+Task<bool> SessionContext::confirmAdmission(const std::string& account, StatementAnswer& answer)
+{
+    if (m_sendUntil < BootClock::now()) {
+        const bool isAdmitted = co_await admitOperation(account, answer);
+        if (!isAdmitted)
+            co_return false;
+    }
+    // The statement is counted if it arrives at a database, so that sending it again needs another decision.
+    if (m_sendUntil != BootTime::max())
+        m_sendUntil = BootTime::min();
+    co_return true;
+}
+
 Task<std::optional<ConnectionLease>> SessionContext::acquire(Route route, std::string account, Eligibility eligibility, std::set<std::string> excluded, BootTime until, StatementAnswer& answer)
 {
     const auto service = m_registry.find(route.service);
@@ -64,7 +95,7 @@
     }
     const auto requestedAt = BootClock::now();
     ConnectionRequest request;
-    request.account = std::move(account);
+    request.account = account;
     if (eligibility == Eligibility::Any) {
         request.freshness = ReadFreshness { route.maxStaleness, ownCommit(route) };
         excluded.merge(service->laggingEndpoints());
@@ -78,6 +109,9 @@
     auto lease = co_await service->acquire(std::move(request), m_state);
     answer.queued += BootClock::now() - requestedAt;
     if (lease) {
+        const bool isAdmitted = co_await confirmAdmission(account, answer);
+        if (!isAdmitted)
+            co_return std::nullopt;
         answer.endpoint = lease->endpointId();
         answer.lender = lease->lender();
         co_return std::move(*lease);
--- a/packages/pooler/src/SessionContext.h
+++ b/packages/pooler/src/SessionContext.h
@@ -53,6 +53,12 @@
     std::optional<bool> writes(const Statement& statement) const;
     void recordCommit(std::optional<LogPosition> position);
 
+    /// Decides whether an operation of @p account may begin: a statement outside a transaction, or BEGIN. Waits for a short
+    /// time if the account is near its limit. Sets @p answer to an error if it may not.
+    Task<bool> admitOperation(std::string account, StatementAnswer& answer);
+    /// Time that the last admitOperation() has waited.
+    BootClock::duration admissionWait() const { return m_admissionWait; }
+
     /// Acquires a connection for a statement on @p route. A read that any endpoint may serve first waits until its
     /// minimum position is known, and avoids lagging endpoints. On failure, @p answer is set to an error.
     Task<std::optional<ConnectionLease>> acquire(Route route, std::string account, Eligibility eligibility, std::set<std::string> excluded, BootTime until, StatementAnswer& answer);
@@ -61,6 +67,8 @@
     std::optional<LogPosition> currentFloor(DatabaseService& service, const Route& route) const;
 
 private:
+    /// Decides again on an operation that is sent long after its admission, or for another time.
+    Task<bool> confirmAdmission(const std::string& account, StatementAnswer& answer);
     DatabaseService::Floor::SessionCommit ownCommit(const Route& route) const;
 
     asio::io_context& m_io;
@@ -70,6 +78,8 @@
     SessionState m_state;
     std::optional<KeyDigest> m_key;
     BootTime m_lastCommitAt {};
+    BootTime m_sendUntil = BootTime::max(); ///< Until when the admitted operation may be sent; past once it was sent.
+    BootClock::duration m_admissionWait { 0 };
 };
 
 } // namespace kumquatbank
--- a/packages/pooler/src/StatementRunner.cpp
+++ b/packages/pooler/src/StatementRunner.cpp
@@ -82,7 +82,10 @@
         answer.setError(ErrorCode::Malformed, "a transaction is already open");
     else if (!m_context.admits(begins ? RequestKind::Begin : RequestKind::Single, route->statementTimeout))
         co_return refuseAsStopping();
-    else if (begins) {
+    else if (const bool isAdmitted = co_await m_context.admitOperation(answer.account, answer); !isAdmitted) {
+        answer.state = transactionState();
+        co_return answer;
+    } else if (begins) {
         m_transaction.begin(*route, answer.account, statement.kind == StatementKind::BeginReadOnly);
         answer.body = WireDialect::done();
     } else {
@@ -145,7 +148,7 @@
         answer.setError(ErrorCode::UnknownStatement, "no such prepared statement");
         co_return answer;
     }
-    const auto until = m_context.deadline(route);
+    const auto until = m_context.deadline(route) - m_context.admissionWait();
     std::set<std::string> excluded;
     while (true) {
         ++answer.attempts;
--- /dev/null
+++ b/packages/routing/include/kumquatbank/routing/TokenStock.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "kumquatbank/core/BootClock.h"
+
+#include <deque>
+#include <optional>
+
+namespace kumquatbank {
+
+/// Tokens of one account that were received from another host and expire.
+class TokenStock {
+public:
+    /// @p requestedAt: when this host asked for them; not before that of earlier ones.
+    void add(double count, BootTime requestedAt, std::chrono::milliseconds validity);
+    double count(BootTime now);
+    /// Removes up to @p wanted tokens, the oldest first, and returns how many.
+    double take(double wanted, BootTime now);
+    /// Removes one token, the oldest, and returns when it was requested; empty if there is no whole one.
+    std::optional<BootTime> takeOne(BootTime now);
+    void clear() { m_lots.clear(); }
+
+private:
+    struct Lot {
+        double count = 0;
+        BootTime requestedAt {};
+        BootTime expiresAt {};
+    };
+
+    void removeExpired(BootTime now);
+
+    std::deque<Lot> m_lots;
+};
+
+} // namespace kumquatbank
--- a/packages/routing/include/kumquatbank/routing/routing.h
+++ b/packages/routing/include/kumquatbank/routing/routing.h
@@ -10,6 +10,8 @@
 #include "kumquatbank/routing/EndpointTable.h"
 #include "kumquatbank/routing/FencingToken.h"
 #include "kumquatbank/routing/KeyDigest.h"
+#include "kumquatbank/routing/LimitPool.h"
+#include "kumquatbank/routing/LimitShare.h"
 #include "kumquatbank/routing/PromotionPolicy.h"
 #include "kumquatbank/routing/ReadFloor.h"
 #include "kumquatbank/routing/RoutingConfig.h"
--- /dev/null
+++ b/packages/routing/src/LimitPool.cpp
@@ -0,0 +1,193 @@
+#include "kumquatbank/routing/LimitPool.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace kumquatbank {
+
+using std::chrono::milliseconds;
+using Seconds = std::chrono::duration<double>;
+
+namespace {
+
+    /// Tokens that a coordinator keeps for its own hosts, in seconds of their demand.
+    constexpr Seconds reservedDemandTime { 0.25 };
+    /// An account whose demand is below this rate needs no tokens in advance.
+    constexpr double minDemandPerSecond = 0.01;
+    /// Requests to several coordinators together exceed what is needed by this factor, because some give less.
+    constexpr double exchangeFactor = 1.5;
+    /// Absorbs rounding when fractions of tokens add up to a whole one.
+    constexpr double roundingTolerance = 1e-6;
+    /// Until tokens of other coordinators may arrive.
+    constexpr milliseconds exchangeRetryAfter { 40 };
+    constexpr milliseconds minRetryAfter { 20 };
+    constexpr milliseconds maxRetryAfter { 2000 };
+    /// Upper bound on the number of tokens in one request, against values that do not come from this program.
+    constexpr double maxWanted = 1e6;
+
+} // namespace
+
+LimitPool::LimitPool(std::uint64_t run, BootTime now)
+    : m_run(run)
+    , m_buckets(now)
+{
+}
+
+void LimitPool::setTerms(const LimitTermsByAccount& terms, BootTime now)
+{
+    advance(now);
+    m_buckets.setTerms(terms, now);
+    std::erase_if(m_accounts, [&](const auto& item) { return !terms.contains(item.first); });
+    for (const auto& [name, accountTerms] : terms)
+        m_accounts.try_emplace(name);
+}
+
+void LimitPool::recordHostCount(int hosts, BootTime now)
+{
+    advance(now);
+    if (hosts > 0)
+        m_hostCounts.record(hosts, now);
+    updateFraction(now);
+}
+
+void LimitPool::updateFraction(BootTime now)
+{
+    const int hosts = std::max<int>(hostCount(now), static_cast<int>(m_leases.size()));
+    m_buckets.setFraction(hosts == 0 ? 0 : static_cast<double>(m_leases.size()) / hosts, now);
+}
+
+void LimitPool::advance(BootTime now)
+{
+    while (true) {
+        const auto first = std::ranges::min_element(m_leases, {}, [](const auto& item) { return item.second; });
+        if (first == m_leases.end() || first->second > now)
+            return;
+        const auto endedAt = first->second;
+        std::erase_if(m_leases, [endedAt](const auto& item) { return item.second <= endedAt; });
+        updateFraction(endedAt);
+    }
+}
+
+LimitReply LimitPool::handle(const LimitRequest& request, BootTime now)
+{
+    advance(now);
+    if (request.hosts > 0)
+        (request.isExchange ? m_otherHostCounts : m_hostCounts).record(request.hosts, now);
+    if (request.stamp && !request.isExchange && request.stamp->run == m_run && request.stamp->time <= now) {
+        const auto leaseEnd = request.stamp->time + LimitTimes::lease;
+        if (leaseEnd > now) {
+            auto& lease = m_leases[request.host];
+            lease = std::max(lease, leaseEnd);
+        }
+    }
+    updateFraction(now);
+    LimitReply reply;
+    reply.stamp = { m_run, now };
+    reply.hosts = request.isExchange ? ownHostCount(now) : hostCount(now);
+    for (const auto& [name, wants] : request.wants) {
+        const auto it = m_accounts.find(name);
+        if (it == m_accounts.end())
+            continue;
+        const double wanted = std::clamp(wants, 0.0, maxWanted);
+        if (request.isExchange) {
+            if (const double given = takeForOthers(name, it->second, wanted, now); given > 0)
+                reply.grants[name] = given;
+            continue;
+        }
+        it->second.requested.add(wanted, now);
+        const double granted = takeForHost(name, it->second, wanted, now);
+        it->second.granted.add(granted, now);
+        if (granted > 0)
+            reply.grants[name] = granted;
+        if (granted < std::floor(wanted))
+            reply.retryAfter[name] = retryAfter(name, it->second, wanted - granted, now);
+    }
+    return reply;
+}
+
+double LimitPool::takeForHost(const std::string& name, Account& account, double wanted, BootTime now)
+{
+    const double available = account.received.count(now) + m_buckets.level(name, now);
+    const double granted = std::floor(std::min(wanted, available + roundingTolerance));
+    // Tokens that expire are used first.
+    const double fromReceived = account.received.take(granted, now);
+    m_buckets.take(name, granted - fromReceived, now);
+    return granted;
+}
+
+double LimitPool::takeForOthers(const std::string& name, Account& account, double wanted, BootTime now)
+{
+    const double demand = account.requested.perSecond(now);
+    const double reserved = demand < minDemandPerSecond ? 0 : 1 + demand * reservedDemandTime.count();
+    const double spare = m_buckets.level(name, now) - reserved;
+    return m_buckets.take(name, std::min(wanted, std::max(0.0, spare)), now);
+}
+
+milliseconds LimitPool::retryAfter(const std::string& name, const Account& account, double missing, BootTime now)
+{
+    if (!account.areOthersExhausted && account.requested.perSecond(now) < 2 * m_buckets.find(name)->perSecond)
+        return exchangeRetryAfter;
+    const double production = m_buckets.find(name)->perSecond * m_buckets.fraction();
+    const double needed = std::max(0.0, missing - m_buckets.level(name, now));
+    if (production <= 0 || Seconds(needed / production) >= Seconds(maxRetryAfter))
+        return maxRetryAfter;
+    return std::max(minRetryAfter, std::chrono::ceil<milliseconds>(Seconds(needed / production)));
+}
+
+std::map<std::string, double, std::less<>> LimitPool::wantedFromOthers(std::size_t others, BootTime now)
+{
+    std::map<std::string, double, std::less<>> wanted;
+    advance(now);
+    if (others == 0)
+        return wanted;
+    for (auto& [name, account] : m_accounts) {
+        const double demand = account.requested.perSecond(now);
+        if (demand < minDemandPerSecond)
+            continue;
+        const double needed = 1 + demand * reservedDemandTime.count();
+        const double available = m_buckets.level(name, now) + account.received.count(now);
+        if (available < needed)
+            wanted[name] = (needed - available) * (others > 1 ? exchangeFactor : 1) / static_cast<double>(others);
+    }
+    return wanted;
+}
+
+void LimitPool::applyExchange(const LimitRequest& request, const LimitReply& reply, BootTime sentAt, BootTime now)
+{
+    advance(now);
+    if (reply.hosts > 0)
+        m_otherHostCounts.record(reply.hosts, now);
+    updateFraction(now);
+    for (const auto& [name, wanted] : request.wants) {
+        const auto it = m_accounts.find(name);
+        if (it == m_accounts.end())
+            continue;
+        const auto grant = reply.grants.find(name);
+        const double given = grant == reply.grants.end() ? 0 : std::clamp(grant->second, 0.0, wanted);
+        it->second.areOthersExhausted = given < wanted / 2;
+        if (now >= sentAt + LimitTimes::exchangeValidity)
+            continue;
+        const double added = m_buckets.put(name, given, now);
+        it->second.received.add(given - added, sentAt, LimitTimes::exchangeValidity);
+    }
+}
+
+bool LimitPool::isInUse(BootTime now) { return lenders(now) > 0; }
+
+std::size_t LimitPool::lenders(BootTime now)
+{
+    advance(now);
+    return m_leases.size();
+}
+
+std::vector<LimitUse> LimitPool::describe(BootTime now)
+{
+    advance(now);
+    std::vector<LimitUse> uses;
+    std::ranges::transform(m_accounts, std::back_inserter(uses), [&](const auto& item) {
+        return LimitUse { item.first, *m_buckets.find(item.first), m_buckets.level(item.first, now), item.second.requested.perSecond(now), item.second.granted.perSecond(now) };
+    });
+    return uses;
+}
+
+} // namespace kumquatbank
--- /dev/null
+++ b/packages/routing/src/LimitTerms.cpp
@@ -0,0 +1,36 @@
+#include "kumquatbank/routing/LimitTerms.h"
+
+#include <algorithm>
+
+namespace kumquatbank {
+
+using Seconds = std::chrono::duration<double>;
+
+namespace {
+
+    /// Additional length of the window: the way from a host to a database, and hosts that do not know of a new host yet.
+    constexpr Seconds windowMargin { 0.1 };
+    /// Least capacity, in seconds of production. Covers the time between two requests of a busy host.
+    constexpr Seconds minCapacityTime { 0.1 };
+
+} // namespace
+
+double LimitBound::operationsPerWindow(const RateLimit& limit) const
+{
+    return (limit.perSecond * Seconds(window).count() + limit.burst) * (1 + overage) + slack;
+}
+
+LimitTerms LimitTerms::of(const RateLimit& limit, const LimitBound& bound)
+{
+    const Seconds span = Seconds(bound.window) + LimitTimes::sendAfterGrant + LimitTimes::exchangeValidity + windowMargin;
+    // Half of the slack lets accounts below one operation per second gather whole tokens; the other half stays in reserve.
+    const double reserve = bound.slack / 2;
+    const double budget = bound.operationsPerWindow(limit) - reserve;
+    const double minCapacity = std::min(budget, bound.slack / 2 + limit.perSecond * minCapacityTime.count());
+    LimitTerms terms;
+    terms.capacity = std::max(minCapacity, std::min(budget - limit.perSecond * span.count(), limit.burst + bound.slack / 2));
+    terms.perSecond = std::min(limit.perSecond, (budget - terms.capacity) / span.count());
+    return terms;
+}
+
+} // namespace kumquatbank
