--- a/packages/pooler/src/LimitMessage.cpp
+++ b/packages/pooler/src/LimitMessage.cpp
@@ -89,8 +89,8 @@
         reply.hosts = json.at("hosts").get<int>();
         reply.grants = parseTokens(json, "grants");
         if (json.contains("retryAfterMs")) {
-            for (const auto& [account, ms] : json["retryAfterMs"].items())
-                reply.retryAfter[account] = durationOfMessage(ms.get<std::int64_t>());
+            for (const auto& [account, ms] : json["retryAfterMs"].get<std::map<std::string, std::int64_t>>())
+                reply.retryAfter[account] = durationOfMessage(ms);
         }
         return reply;
     } catch (const Json::exception&) {
--- a/packages/routing/include/kumquatbank/routing/LimitPool.h
+++ b/packages/routing/include/kumquatbank/routing/LimitPool.h
@@ -51,7 +51,8 @@
         EventRate requested;
         EventRate granted;
         TokenStock received; ///< Tokens of other coordinators, beyond the capacity of the own bucket.
-        bool areOthersExhausted = false; ///< The last request to the other coordinators brought nothing.
+        BootTime othersGaveAt {}; ///< When another coordinator last gave at least half of what was requested.
+        BootTime othersLackedAt {}; ///< When another coordinator last gave less.
     };
 
     /// Ends leases that are over, at the times at which they ended.
@@ -60,11 +61,14 @@
     double takeForHost(const std::string& name, Account& account, double wanted, BootTime now);
     double takeForOthers(const std::string& name, Account& account, double wanted, BootTime now);
     std::chrono::milliseconds retryAfter(const std::string& name, const Account& account, double missing, BootTime now);
+    /// True if tokens of other coordinators may arrive within the time for which an operation waits.
+    bool mayOthersGive(const Account& account, BootTime now) const;
 
     std::uint64_t m_run;
     LimitBuckets m_buckets;
     std::map<std::string, Account, std::less<>> m_accounts;
     std::map<std::string, BootTime> m_leases; ///< End of the lease, by host.
+    bool m_hasOthers = false; ///< There are other coordinators.
     RecentMaximum m_hostCounts { LimitTimes::hostCountRetention };
     RecentMaximum m_otherHostCounts { LimitTimes::hostCountRetention }; ///< Told by other coordinators.
 };
--- a/packages/routing/src/LimitPool.cpp
+++ b/packages/routing/src/LimitPool.cpp
@@ -20,6 +20,8 @@
     constexpr double roundingTolerance = 1e-6;
     /// Until tokens of other coordinators may arrive.
     constexpr milliseconds exchangeRetryAfter { 40 };
+    /// For which a coordinator is taken to have no tokens to spare. Exceeds the interval of the requests to it.
+    constexpr milliseconds shortageMemory { 300 };
     constexpr milliseconds minRetryAfter { 20 };
     constexpr milliseconds maxRetryAfter { 2000 };
     /// Upper bound on the number of tokens in one request, against values that do not come from this program.
@@ -123,9 +125,16 @@
     return m_buckets.take(name, std::min(wanted, std::max(0.0, spare)), now);
 }
 
+bool LimitPool::mayOthersGive(const Account& account, BootTime now) const
+{
+    const bool haveGiven = now < account.othersGaveAt + shortageMemory;
+    const bool haveLacked = now < account.othersLackedAt + shortageMemory;
+    return m_hasOthers && (haveGiven || !haveLacked);
+}
+
 milliseconds LimitPool::retryAfter(const std::string& name, const Account& account, double missing, BootTime now)
 {
-    if (!account.areOthersExhausted && account.requested.perSecond(now) < 2 * m_buckets.find(name)->perSecond)
+    if (mayOthersGive(account, now))
         return exchangeRetryAfter;
     const double production = m_buckets.find(name)->perSecond * m_buckets.fraction();
     const double needed = std::max(0.0, missing - m_buckets.level(name, now));
@@ -138,6 +147,7 @@
 {
     std::map<std::string, double, std::less<>> wanted;
     advance(now);
+    m_hasOthers = others > 0;
     if (others == 0)
         return wanted;
     for (auto& [name, account] : m_accounts) {
@@ -164,7 +174,7 @@
             continue;
         const auto grant = reply.grants.find(name);
         const double given = grant == reply.grants.end() ? 0 : std::clamp(grant->second, 0.0, wanted);
-        it->second.areOthersExhausted = given < wanted / 2;
+        (given < wanted / 2 ? it->second.othersLackedAt : it->second.othersGaveAt) = now;
         if (now >= sentAt + LimitTimes::exchangeValidity)
             continue;
         const double added = m_buckets.put(name, given, now);
--- a/packages/routing/src/LimitShare.cpp
+++ b/packages/routing/src/LimitShare.cpp
@@ -12,15 +12,15 @@
     /// Demand for which tokens are requested ahead, in seconds of it.
     constexpr std::chrono::duration<double> aheadTime { 0.25 };
     /// Accounts that are expected to use fewer tokens than this in aheadTime get none ahead, because most of them would
-    /// expire. Two correspond to 8 operations a second on one host.
-    constexpr double minTokensAhead = 2;
+    /// expire. Four correspond to 16 operations a second on one host.
+    constexpr double minTokensAhead = 4;
     /// Between two probes of a coordinator that did not answer.
     constexpr milliseconds probeInterval { 1000 };
     /// Until the request that lends the share, once its stamp is known.
     constexpr milliseconds followUpDelay { 5 };
     /// Longest time for which operations are refused without another request to the coordinator. Short, so that tokens that
     /// it produces meanwhile are used.
-    constexpr milliseconds maxShortageMemory { 100 };
+    constexpr milliseconds maxShortageMemory { 50 };
     /// Upper bound on the time that a coordinator may name.
     constexpr milliseconds maxMessageRetryAfter { 10'000 };
     /// Coordinators without an answer for this time are forgotten.
--- a/packages/routing/src/LimitTerms.cpp
+++ b/packages/routing/src/LimitTerms.cpp
@@ -11,7 +11,7 @@
     /// Additional length of the window: the way from a host to a database, and hosts that do not know of a new host yet.
     constexpr Seconds windowMargin { 0.1 };
     /// Least capacity, in seconds of production. Covers the time between two requests of a busy host.
-    constexpr Seconds minCapacityTime { 0.1 };
+    constexpr Seconds minCapacityTime { 0.15 };
 
 } // namespace
 
