Limits: steady demand may exceed the rate by the overage, and a fleet that restarts as a whole lends its shares at once

Ruled out: a counter of the window instead of a bucket, which would admit nothing for a window after each restart. Change: the production uses what the bound leaves beside a small capacity, up to the rate and the overage. A coordinator tells a host at its first contact whether an earlier lease can still be counted elsewhere.

--- a/packages/pooler/src/LimitMessage.cpp
+++ b/packages/pooler/src/LimitMessage.cpp
@@ -71,6 +71,8 @@
 std::string LimitMessage::formatReply(const LimitReply& reply)
 {
     Json json { { "stamp", formatStamp(reply.stamp) }, { "hosts", reply.hosts } };
+    if (reply.mayLendAtOnce)
+        json["mayLendAtOnce"] = true;
     if (!reply.grants.empty())
         json["grants"] = reply.grants;
     for (const auto& [account, retryAfter] : reply.retryAfter)
@@ -87,6 +89,7 @@
         LimitReply reply;
         reply.stamp = parseStamp(json.at("stamp"));
         reply.hosts = json.at("hosts").get<int>();
+        reply.mayLendAtOnce = json.value("mayLendAtOnce", false);
         reply.grants = parseTokens(json, "grants");
         if (json.contains("retryAfterMs")) {
             for (const auto& [account, ms] : json["retryAfterMs"].get<std::map<std::string, std::int64_t>>())
--- a/packages/routing/include/kumquatbank/routing/LimitMessages.h
+++ b/packages/routing/include/kumquatbank/routing/LimitMessages.h
@@ -29,6 +29,8 @@
 struct LimitReply {
     LimitStamp stamp;
     int hosts = 0; ///< Size of the fleet as far as the coordinator knows.
+    /// No other process can still count the share of the host from an earlier run of it, as far as the coordinator knows.
+    bool mayLendAtOnce = false;
     std::map<std::string, double, std::less<>> grants {}; ///< Tokens, by account.
     /// Accounts that got less than they wanted: when the next token is expected.
     std::map<std::string, std::chrono::milliseconds, std::less<>> retryAfter {};
--- a/packages/routing/include/kumquatbank/routing/LimitShare.h
+++ b/packages/routing/include/kumquatbank/routing/LimitShare.h
@@ -98,6 +98,7 @@
     std::map<std::string, Coordinator> m_coordinators;
     std::string m_firstCoordinator; ///< The best usable one at the last choice; the only one that the share is lent to.
     std::string m_lentTo;
+    std::string m_firstLender; ///< Coordinator to which the share may be lent before the lease time after the start.
     BootTime m_lentUntil = BootTime::max(); ///< Before this, the share produces nothing here.
     BootTime m_nextRequestAt {};
     RecentMaximum m_listedHosts { LimitTimes::hostCountRetention };
--- a/packages/routing/src/LimitShare.cpp
+++ b/packages/routing/src/LimitShare.cpp
@@ -141,7 +141,7 @@
     request.host = m_host;
     request.hosts = m_listedHosts.at(now);
     const auto& stamp = m_coordinators[coordinator].stamp;
-    const bool mayLend = now >= m_lentUntil || m_lentTo == coordinator;
+    const bool mayLend = now >= m_lentUntil || m_lentTo == coordinator || (m_lentTo.empty() && m_firstLender == coordinator);
     if (stamp && mayLend && coordinator == m_firstCoordinator && now < stamp->receivedAt + LimitTimes::lease) {
         request.stamp = stamp->stamp;
         m_lentTo = coordinator;
@@ -166,6 +166,8 @@
     state.stamp = Stamp { reply.stamp, now };
     if (reply.hosts > 0)
         m_toldHosts.record(reply.hosts, now);
+    if (reply.mayLendAtOnce && m_lentTo.empty())
+        m_firstLender = coordinator;
     updateOwnShare(now);
     for (const auto& [name, tokens] : reply.grants) {
         if (const auto it = m_accounts.find(name); it != m_accounts.end())
@@ -176,7 +178,7 @@
             it->second.recordShortage(retryAfter, now);
     }
     // The stamp lends the share with the next request, which need not wait.
-    if (now >= m_lentUntil && coordinator == m_firstCoordinator)
+    if ((now >= m_lentUntil || (m_lentTo.empty() && m_firstLender == coordinator)) && coordinator == m_firstCoordinator)
         m_nextRequestAt = now + followUpDelay;
     std::erase_if(m_coordinators, [&](const auto& item) {
         const auto& stamp = item.second.stamp;
--- a/packages/routing/src/LimitTerms.cpp
+++ b/packages/routing/src/LimitTerms.cpp
@@ -10,8 +10,9 @@
 
     /// Additional length of the window: the way from a host to a database, and hosts that do not know of a new host yet.
     constexpr Seconds windowMargin { 0.1 };
-    /// Least capacity, in seconds of production. Covers the time between two requests of a busy host.
-    constexpr Seconds minCapacityTime { 0.15 };
+    /// Least capacity beside the half of the slack, in seconds of the limited rate. Covers the time between two requests of
+    /// a busy host and its deviation.
+    constexpr Seconds capacityTime { 0.15 };
 
 } // namespace
 
@@ -26,10 +27,11 @@
     // Half of the slack lets accounts below one operation per second gather whole tokens; the other half stays in reserve.
     const double reserve = bound.slack / 2;
     const double budget = bound.operationsPerWindow(limit) - reserve;
-    const double minCapacity = std::min(budget, bound.slack / 2 + limit.perSecond * minCapacityTime.count());
+    const double leastCapacity = std::min(budget, bound.slack / 2 + limit.perSecond * capacityTime.count());
     LimitTerms terms;
-    terms.capacity = std::max(minCapacity, std::min(budget - limit.perSecond * span.count(), limit.burst + bound.slack / 2));
-    terms.perSecond = std::min(limit.perSecond, (budget - terms.capacity) / span.count());
+    // The bound allows the burst in every window, so steady demand may exceed the rate by the overage.
+    terms.perSecond = std::min((budget - leastCapacity) / span.count(), limit.perSecond * (1 + bound.overage));
+    terms.capacity = std::max(leastCapacity, std::min(budget - terms.perSecond * span.count(), limit.burst + bound.slack / 2));
     return terms;
 }
 
