Connections by account: which idle one is closed, shares, expiry, endpoint of reads

Ruled out: waiting for a connection of the own account while a permit is held (idle capacity); a cost of opening of 60 ms (reads on slow replicas and the primary); rates without regard to silence (a former large account keeps its connections).

Change: ConnectionCache (packages/routing) closes the connection that is needed least often, by the account's decaying rate and load, accounts above their share first. ServiceScheduler adds the cost of opening by account, and passes over an account that uses half of an endpoint's permits while another one waits that could have the next. ConnectionPool (packages/pooler) takes over opening, taking, returning and closing from DatabaseService; connections being opened count against the share. Lenders keep idle connections of accounts for 60 s.

Without accounts all connections belong to the empty name and the decisions are as before.

The whole deployment has not been measured.

--- a/packages/pooler/src/DatabaseService.cpp
+++ b/packages/pooler/src/DatabaseService.cpp
@@ -2,11 +2,11 @@
 
 #include "ConnectionBorrower.h"
 #include "kumquatbank/engine/EventLog.h"
-#include "kumquatbank/engine/Random.h"
 #include "kumquatbank/routing/PromotionPolicy.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <numeric>
 
 namespace kumquatbank {
 
@@ -14,7 +14,6 @@
 
 namespace {
 
-    constexpr milliseconds connectTimeout { 500 };
     constexpr milliseconds probeTimeout { 400 };
     constexpr milliseconds rollbackTimeout { 1000 };
     /// An endpoint receives no requests for this time after a failed connect, so that others are tried first. The pause
@@ -26,8 +25,6 @@
     constexpr milliseconds connectionLimitPause { 250 };
     /// The same pause where connections are scarce and move between hosts; well below the time that a request may wait.
     constexpr milliseconds scarceConnectionLimitPause { 60 };
-    /// Idle connections beyond the first are closed after this time, so that starting hosts find free connections.
-    constexpr milliseconds spareIdleTime { 2000 };
     constexpr milliseconds minLagBackoff { 50 };
     constexpr milliseconds maxLagBackoff { 400 };
     /// While reads need a position, the primary is probed if the newest position is older than this.
@@ -55,7 +52,6 @@
     /// Consecutive failures after which the primary is suspected.
     constexpr int suspectAfterFailures = 2;
     constexpr int roundTripSmoothing = 8;
-    constexpr int connectTimeSmoothing = 8;
     /// Minimum interval between two searches for the primary, which probe all endpoints.
     constexpr milliseconds primarySearchInterval { 150 };
     /// Commits count as stalled if so many in a row were not answered, the first of them sent this long ago.
@@ -67,10 +63,13 @@
 DatabaseService::DatabaseService(asio::io_context& io, std::string name, std::string hostName, PoolerMetrics& metrics, ConnectionBorrower* borrower)
     : m_io(io)
     , m_name(std::move(name))
-    , m_hostName(std::move(hostName))
-    , m_metrics(metrics)
     , m_borrower(borrower)
+    , m_pool(io, m_name, std::move(hostName), metrics)
 {
+    m_scheduler.setAccountOpeningCost([this](const std::string& id, const std::string& account) {
+        const auto endpoint = find(id);
+        return endpoint ? endpoint->cache.openingCost(account, sharing().share(), endpoint->connectTime) : std::chrono::microseconds(0);
+    });
 }
 
 void DatabaseService::setLimits(const ServiceLimits& limits, int hostCount, int lenderCount)
@@ -80,7 +79,7 @@
     m_lenderCount = lenderCount;
     for (const auto& [id, endpoint] : m_endpoints) {
         if (isLent() && !isHolder())
-            closeAllIdle(*endpoint);
+            m_pool.closeAllIdle(*endpoint, "lent");
         refreshScheduler(*endpoint);
     }
 }
@@ -97,7 +96,7 @@
     if (!isLent())
         return;
     for (const auto& [id, endpoint] : m_endpoints)
-        closeAllIdle(*endpoint);
+        m_pool.closeAllIdle(*endpoint, "stop");
 }
 
 void DatabaseService::refreshScheduler(const Endpoint& endpoint)
@@ -143,7 +142,7 @@
         const bool hasRestarted = !isNew && (previousEntry.startedAtMs != entry.startedAtMs || previousEntry.address != entry.address);
         if (hasRestarted) {
             // The server restarted under the same id and lost its state, so the recorded state is invalid.
-            closeAllIdle(*endpoint);
+            m_pool.closeAllIdle(*endpoint, "restarted");
             endpoint->unusableUntil = {};
             if (m_primary == entry.id)
                 setPrimary("", "restarted");
@@ -156,7 +155,7 @@
             EventLog::info("endpoint_draining", { { "service", m_name }, { "endpoint", entry.id }, { "serves_ms", toMs(endpoint->servesUntil - now) }, { "known_ready_ms", isNew ? -1 : toMs(now - previousAnswerAt) } });
         }
         if (entry.isDraining && !previousEntry.isDraining && entry.id != m_primary)
-            closeAllIdle(*endpoint);
+            m_pool.closeAllIdle(*endpoint, "draining");
         if (isNew || previousEntry != entry)
             EventLog::info("endpoint_changed", { { "service", m_name }, { "endpoint", entry.id }, { "data_centre", entry.dataCentre }, { "role", entry.role == EndpointRole::Primary ? "primary" : "replica" }, { "draining", entry.isDraining }, { "address", entry.address.toString() }, { "is_new", isNew }, { "evidence", "store" } });
         if (entry.role == EndpointRole::Primary && (isNew || previousEntry.role != EndpointRole::Primary || m_primary.empty()))
@@ -363,87 +362,18 @@
     }
 }
 
-std::unique_ptr<DatabaseConnection> DatabaseService::take(Endpoint& endpoint, std::vector<IdleConnection>::iterator it)
-{
-    auto connection = std::move(it->connection);
-    endpoint.idle.erase(it);
-    updateOpeningCost(endpoint);
-    if (!connection->hasClosed())
-        return connection;
-    --endpoint.open;
-    return nullptr;
-}
+ConnectionPool::Rules DatabaseService::poolRules() const { return { sharing(), isLent(), isHolder(), m_scheduler.waiting() > 0 }; }
 
-std::unique_ptr<DatabaseConnection> DatabaseService::takeIdle(Endpoint& endpoint, std::string_view account, const SessionState& session)
+std::size_t DatabaseService::idleConnections() const
 {
-    const auto isOfAccount = [&](const IdleConnection& idle) { return idle.connection->account() == account; };
-    while (true) {
-        auto it = std::ranges::find_if(endpoint.idle, [&](const IdleConnection& idle) { return isOfAccount(idle) && idle.connection->state().hasSameValuesAs(session); });
-        if (it == endpoint.idle.end()) {
-            const auto newest = std::ranges::find_if(endpoint.idle.rbegin(), endpoint.idle.rend(), isOfAccount);
-            if (newest == endpoint.idle.rend())
-                return nullptr;
-            it = std::prev(newest.base());
-        }
-        if (auto connection = take(endpoint, it))
-            return connection;
-    }
-}
-
-std::unique_ptr<DatabaseConnection> DatabaseService::takeIdleForProbe(Endpoint& endpoint)
-{
-    while (!endpoint.idle.empty()) {
-        if (auto connection = take(endpoint, std::prev(endpoint.idle.end())))
-            return connection;
-    }
-    return nullptr;
-}
-
-void DatabaseService::makeRoomForAnother(Endpoint& endpoint)
-{
-    if (endpoint.idle.empty() || endpoint.open < sharing().share())
-        return;
-    endpoint.idle.erase(endpoint.idle.begin());
-    --endpoint.open;
-}
-
-void DatabaseService::closeAllIdle(Endpoint& endpoint)
-{
-    endpoint.open -= static_cast<int>(endpoint.idle.size());
-    endpoint.idle.clear();
-}
-
-void DatabaseService::closeExpiredIdle(Endpoint& endpoint, BootTime now)
-{
-    const std::size_t idleToKeep = sharing().isScarce() && !isHolder() ? 0 : 1;
-    // The front connection has been idle for the longest time.
-    while (endpoint.idle.size() > idleToKeep && now - endpoint.idle.front().since >= spareIdleTime) {
-        endpoint.idle.erase(endpoint.idle.begin());
-        --endpoint.open;
-    }
-}
-
-bool DatabaseService::shouldKeepIdle(const Endpoint& endpoint) const
-{
-    if (!sharing().isScarce() || isHolder())
-        return true;
-    // If it were closed, the next request in the queue would have to open another one.
-    if (m_scheduler.waiting() > 0)
-        return true;
-    // The connections are left to the holders, which need all of them.
-    if (isLent())
-        return false;
-    return endpoint.idle.empty() && std::bernoulli_distribution(sharing().keepProbability())(randomEngine());
+    return std::accumulate(m_endpoints.begin(), m_endpoints.end(), std::size_t { 0 }, [](std::size_t sum, const auto& item) { return sum + item.second->idle.size(); });
 }
 
 Task<tl::expected<std::unique_ptr<DatabaseConnection>, ErrorCode>> DatabaseService::open(std::shared_ptr<Endpoint> endpoint, std::string account, milliseconds timeout)
 {
     const auto sentAt = BootClock::now();
-    auto opened = co_await DatabaseConnection::open(m_io, endpoint->entry, std::move(account), m_hostName, std::min(timeout, connectTimeout));
-    m_metrics.connectionOpened(m_name, opened.connection != nullptr);
+    auto opened = co_await m_pool.open(endpoint, std::move(account), timeout);
     if (opened.connection) {
-        ++endpoint->open;
-        endpoint->connectTime += (std::chrono::duration_cast<std::chrono::microseconds>(BootClock::now() - sentAt) - endpoint->connectTime) / connectTimeSmoothing;
         recordAnswer(*endpoint, sentAt);
         endpoint->roundTrip += endpoint->roundTrip.count() == 0 ? opened.roundTrip : (opened.roundTrip - endpoint->roundTrip) / roundTripSmoothing;
         refreshScheduler(*endpoint);
@@ -526,6 +456,7 @@
             co_return tl::unexpected(AcquireFailure { ErrorCode::Busy, "no recent log position of the primary is known", failurePause });
     }
     auto permitRequest = std::move(request.permit);
+    permitRequest.account = request.account;
     const auto until = request.deadline;
     while (true) {
         auto granted = m_scheduler.tryAcquire(permitRequest);
@@ -552,12 +483,13 @@
             m_scheduler.removeEndpoint(*granted);
             continue;
         }
-        auto connection = takeIdle(*endpoint, request.account, session);
+        auto connection = m_pool.take(*endpoint, request.account, session);
+        updateOpeningCost(*endpoint);
         if (!connection) {
-            makeRoomForAnother(*endpoint);
+            m_pool.makeRoom(*endpoint, request.account, sharing().share());
             auto opened = co_await open(endpoint, request.account, std::chrono::duration_cast<milliseconds>(until - since));
             if (!opened) {
-                m_scheduler.release(*granted, {});
+                m_scheduler.release(*granted, {}, request.account);
                 // A write has only one endpoint and waits until it can be tried again; a read tries another endpoint.
                 if (permitRequest.eligibility == Eligibility::Any)
                     permitRequest.excluded.insert(*granted);
@@ -574,14 +506,15 @@
 Task<std::optional<ConnectionLease>> DatabaseService::acquireProbe(std::shared_ptr<Endpoint> endpoint, milliseconds timeout)
 {
     const auto since = BootClock::now();
-    auto connection = takeIdleForProbe(*endpoint);
+    auto connection = m_pool.takeForProbe(*endpoint);
+    updateOpeningCost(*endpoint);
     if (!connection) {
         auto opened = co_await open(endpoint, {}, timeout);
         if (!opened)
             co_return std::nullopt;
         connection = std::move(*opened);
     }
-    m_scheduler.acquireUnqueued(endpoint->entry.id);
+    m_scheduler.acquireUnqueued(endpoint->entry.id, connection->account());
     co_return ConnectionLease(shared_from_this(), endpoint, std::move(connection), since);
 }
 
@@ -592,14 +525,14 @@
         asio::co_spawn(m_io, rollBack(endpoint, std::move(connection), since), asio::detached);
         return;
     }
-    const bool shouldKeep = endpoint && (!endpoint->entry.isDraining || id == m_primary) && connection->isReusable() && shouldKeepIdle(*endpoint);
-    if (shouldKeep)
-        endpoint->idle.push_back({ std::move(connection), BootClock::now() });
-    else if (endpoint)
-        --endpoint->open;
-    if (endpoint)
+    const auto held = BootClock::now() - since;
+    const std::string account = connection->account();
+    if (endpoint) {
+        const bool isServing = !endpoint->entry.isDraining || id == m_primary;
+        m_pool.putBack(*endpoint, std::move(connection), isServing, held, poolRules());
         updateOpeningCost(*endpoint);
-    m_scheduler.release(id, std::chrono::duration_cast<std::chrono::microseconds>(BootClock::now() - since));
+    }
+    m_scheduler.release(id, std::chrono::duration_cast<std::chrono::microseconds>(held), account);
 }
 
 Task<void> DatabaseService::rollBack(std::shared_ptr<Endpoint> endpoint, std::unique_ptr<DatabaseConnection> connection, BootTime since)
@@ -656,7 +589,7 @@
     removeMissingEndpoints(now);
     std::erase_if(m_departed, [this, now](const auto& item) { return now - item.second.at >= m_memberRetention; });
     for (const auto& [id, endpoint] : m_endpoints) {
-        closeExpiredIdle(*endpoint, now);
+        m_pool.closeExpiredIdle(*endpoint, poolRules(), now);
         refreshScheduler(*endpoint);
     }
     const auto currentPrimary = primary();
--- a/packages/pooler/src/DatabaseService.h
+++ b/packages/pooler/src/DatabaseService.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "ConnectionLease.h"
+#include "ConnectionPool.h"
 #include "ConnectionRequest.h"
 #include "Endpoint.h"
 #include "PoolerMetrics.h"
@@ -118,6 +119,7 @@
     /// Refuses requests for the primary at once until then, because no endpoint can become primary before.
     void refuseWritesUntil(BootTime until) { m_writesRefusedUntil = until; }
     ServiceScheduler& scheduler() { return m_scheduler; }
+    std::size_t idleConnections() const;
     const Floor& floorSamples() const { return m_floor; }
 
     /// Performs periodic maintenance: probes the primary if no recent answer confirms it, searches for a new one, and
@@ -138,17 +140,7 @@
 
     Task<tl::expected<std::unique_ptr<DatabaseConnection>, ErrorCode>> open(std::shared_ptr<Endpoint> endpoint, std::string account, std::chrono::milliseconds timeout);
     Task<void> rollBack(std::shared_ptr<Endpoint> endpoint, std::unique_ptr<DatabaseConnection> connection, BootTime since);
-    /// Takes an idle connection of @p account, preferably one with the values of @p session.
-    std::unique_ptr<DatabaseConnection> takeIdle(Endpoint& endpoint, std::string_view account, const SessionState& session);
-    /// Takes any idle connection, for a probe.
-    std::unique_ptr<DatabaseConnection> takeIdleForProbe(Endpoint& endpoint);
-    std::unique_ptr<DatabaseConnection> take(Endpoint& endpoint, std::vector<IdleConnection>::iterator it);
-    /// Closes an idle connection of another account if this host has no connection left of its share.
-    void makeRoomForAnother(Endpoint& endpoint);
-    static void closeAllIdle(Endpoint& endpoint);
-    void closeExpiredIdle(Endpoint& endpoint, BootTime now);
-    /// Returns whether a returned connection is kept open.
-    bool shouldKeepIdle(const Endpoint& endpoint) const;
+    ConnectionPool::Rules poolRules() const;
     void refreshScheduler(const Endpoint& endpoint);
     /// Updates the scheduler's cost of a new connection. It is above 0 only if connections are scarce, this host is not
     /// a holder and no idle connection is available.
@@ -165,8 +157,6 @@
 
     asio::io_context& m_io;
     std::string m_name;
-    std::string m_hostName;
-    PoolerMetrics& m_metrics;
     ServiceLimits m_limits;
     ConnectionBorrower* m_borrower;
     int m_hostCount = ConnectionSharing::unknownHostCount;
@@ -175,6 +165,7 @@
     bool m_hasStoppedHolding = false;
     BootTime m_lastOwnUse {}; ///< When a connection of this host was last requested.
     std::map<std::string, std::shared_ptr<Endpoint>> m_endpoints;
+    ConnectionPool m_pool;
     ServiceScheduler m_scheduler;
     Floor m_floor;
     std::string m_primary; ///< Recorded primary; empty while none is known.
--- a/packages/pooler/src/Endpoint.h
+++ b/packages/pooler/src/Endpoint.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "DatabaseConnection.h"
+#include "kumquatbank/routing/ConnectionCache.h"
 #include "kumquatbank/routing/DecayingAverage.h"
 
 #include <vector>
@@ -21,6 +22,7 @@
     EndpointEntry entry;
     std::vector<IdleConnection> idle; ///< Most recently used last.
     int open = 0; ///< Connections of this host, idle or in use.
+    ConnectionCache cache; ///< Connections and recent use by account.
 
     BootTime lastAnswer {}; ///< Send time of the newest answered request, of this host or reported by a peer.
     BootTime lastOwnAnswer {}; ///< Send time of the newest answered request of this host.
--- a/packages/pooler/src/PoolerMetrics.cpp
+++ b/packages/pooler/src/PoolerMetrics.cpp
@@ -25,6 +25,9 @@
     , m_statementSeconds(family(m_registry, prometheus::BuildHistogram(), "kumquatbank_statement_seconds", "Time to the final answer"))
     , m_queueSeconds(family(m_registry, prometheus::BuildHistogram(), "kumquatbank_queue_seconds", "Time waited for a connection"))
     , m_connections(family(m_registry, prometheus::BuildCounter(), "kumquatbank_connections_total", "Connection attempts to endpoints"))
+    , m_connectionsNeeded(family(m_registry, prometheus::BuildCounter(), "kumquatbank_connections_needed_total", "New connections that requests needed, by reason"))
+    , m_connectionsClosed(family(m_registry, prometheus::BuildCounter(), "kumquatbank_connections_closed_total", "Connections to endpoints that were closed, by reason"))
+    , m_idleConnections(family(m_registry, prometheus::BuildGauge(), "kumquatbank_idle_connections", "Idle connections to endpoints, by service"))
     , m_loans(family(m_registry, prometheus::BuildCounter(), "kumquatbank_loans_total", "Connections that other hosts asked for, by service and outcome"))
     , m_borrowed(family(m_registry, prometheus::BuildCounter(), "kumquatbank_borrowed_connections_total", "Connections that other hosts were asked for, by outcome"))
     , m_storeCalls(family(m_registry, prometheus::BuildCounter(), "kumquatbank_store_calls_total", "Calls to the platform's store"))
@@ -61,6 +64,21 @@
     m_connections.Add({ { "service", service }, { "outcome", succeeded ? "ok" : "failed" } }).Increment();
 }
 
+void PoolerMetrics::connectionNeeded(const std::string& service, std::string_view reason)
+{
+    m_connectionsNeeded.Add({ { "service", service }, { "reason", std::string(reason) } }).Increment();
+}
+
+void PoolerMetrics::connectionClosed(const std::string& service, std::string_view reason)
+{
+    m_connectionsClosed.Add({ { "service", service }, { "reason", std::string(reason) } }).Increment();
+}
+
+void PoolerMetrics::setIdleConnections(const std::string& service, std::size_t connections)
+{
+    m_idleConnections.Add({ { "service", service } }).Set(static_cast<double>(connections));
+}
+
 void PoolerMetrics::loanAnswered(const std::string& service, bool granted)
 {
     m_loans.Add({ { "service", service }, { "outcome", granted ? "granted" : "refused" } }).Increment();
--- a/packages/pooler/src/PoolerMetrics.h
+++ b/packages/pooler/src/PoolerMetrics.h
@@ -22,6 +22,11 @@
     /// Records the final answer to a statement. @p outcome: "ok" or the name of the error code.
     void statementAnswered(const std::string& route, std::string_view outcome, std::chrono::nanoseconds total, std::chrono::nanoseconds queued);
     void connectionOpened(const std::string& service, bool succeeded);
+    /// Records that a request needs a new connection. @p reason: "first" if the share had room, "replaced" if an idle
+    /// connection of another account was closed.
+    void connectionNeeded(const std::string& service, std::string_view reason);
+    void connectionClosed(const std::string& service, std::string_view reason);
+    void setIdleConnections(const std::string& service, std::size_t connections);
     /// Records the answer to a loan request of another host.
     void loanAnswered(const std::string& service, bool granted);
     /// Records the outcome of a loan request to another host.
@@ -45,6 +50,9 @@
     prometheus::Family<prometheus::Histogram>& m_statementSeconds;
     prometheus::Family<prometheus::Histogram>& m_queueSeconds;
     prometheus::Family<prometheus::Counter>& m_connections;
+    prometheus::Family<prometheus::Counter>& m_connectionsNeeded;
+    prometheus::Family<prometheus::Counter>& m_connectionsClosed;
+    prometheus::Family<prometheus::Gauge>& m_idleConnections;
     prometheus::Family<prometheus::Counter>& m_loans;
     prometheus::Family<prometheus::Counter>& m_borrowed;
     prometheus::Family<prometheus::Counter>& m_storeCalls;
--- a/packages/routing/include/kumquatbank/routing/ServiceScheduler.h
+++ b/packages/routing/include/kumquatbank/routing/ServiceScheduler.h
@@ -10,6 +10,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace kumquatbank {
@@ -26,6 +27,7 @@
     int priority = 0; ///< 0 is the most urgent.
     BootTime queueDeadline; ///< The request is refused if it has no permit by then.
     std::set<std::string> excluded; ///< Endpoints on which this request has already failed.
+    std::string account; ///< Connections belong to one account; empty for clients without one.
 };
 
 /// Decides which waiting request of one service gets the next connection, and to which endpoint. Does not use the
@@ -40,16 +42,23 @@
         int inUse = 0;
         std::chrono::microseconds answerTime { 0 }; ///< Expected time between a statement and its answer.
         std::chrono::microseconds openingCost { 0 }; ///< Time to open a connection; 0 while an idle one is available.
+        std::map<std::string, int, std::less<>> inUseByAccount; ///< Without clients that have no account.
     };
 
     /// Called with the id of the endpoint for which a waiting request got a permit.
     using GrantCallback = std::function<void(const std::string& endpoint)>;
 
+    /// Returns the time to open a connection of an account to an endpoint; 0 while an idle one of that account is
+    /// available.
+    using AccountOpeningCost = std::function<std::chrono::microseconds(const std::string& endpoint, const std::string& account)>;
+
     class Ticket;
 
     void setEndpoint(const std::string& id, bool isUsable, bool isPrimary, int limit);
     void setAnswerTime(const std::string& id, std::chrono::microseconds time);
     void setOpeningCost(const std::string& id, std::chrono::microseconds cost);
+    /// Sets the opening cost for requests that have an account, which replaces that of the endpoint.
+    void setAccountOpeningCost(AccountOpeningCost cost) { m_accountOpeningCost = std::move(cost); }
     void removeEndpoint(const std::string& id);
     const std::map<std::string, EndpointView>& endpoints() const { return m_endpoints; }
 
@@ -58,14 +67,14 @@
 
     /// Takes a permit for a connection that is used outside the queue, regardless of the limit. It is returned with
     /// release() like any other.
-    void acquireUnqueued(const std::string& id);
+    void acquireUnqueued(const std::string& id, const std::string& account);
 
     /// Queues a request. @p onGranted is called from release(), setEndpoint() or removeEndpoint(). Destroying the
     /// ticket cancels the request.
     std::unique_ptr<Ticket> enqueue(PermitRequest request, BootTime now, GrantCallback onGranted);
 
-    /// Returns a permit. @p holdTime updates the estimate of later waits.
-    void release(const std::string& endpoint, std::chrono::microseconds holdTime);
+    /// Returns a permit of a request of @p account. @p holdTime updates the estimate of later waits.
+    void release(const std::string& endpoint, std::chrono::microseconds holdTime, std::string_view account = {});
 
     /// Estimated wait of a new request; max() if no endpoint can serve it now.
     std::chrono::milliseconds expectedWait(const PermitRequest& request) const;
@@ -83,6 +92,10 @@
 
     bool isEligible(const std::string& id, const EndpointView& endpoint, const PermitRequest& request) const;
     std::optional<std::string> bestEndpoint(const PermitRequest& request) const;
+    /// Returns true if the request's account uses its share of the endpoint's connections and a request of another
+    /// account waits that could have the next one.
+    bool isAboveShare(const std::string& id, const EndpointView& endpoint, const PermitRequest& request) const;
+    static void take(EndpointView& endpoint, const std::string& account);
     bool hasFreePermit() const;
     void recordGrant(int priority);
     /// Fraction of the recent grants that was available to requests of @p priority and less urgent ones.
@@ -91,6 +104,7 @@
     void grantWaiting();
 
     std::map<std::string, EndpointView> m_endpoints;
+    AccountOpeningCost m_accountOpeningCost;
     WaitingList m_waiting; ///< Ordered by priority, then by arrival.
     std::chrono::microseconds m_holdTime { 20'000 }; ///< Smoothed time for which a permit is held.
     std::map<int, double> m_grantShares; ///< Smoothed fraction of the grants, by priority.
--- a/packages/routing/include/kumquatbank/routing/routing.h
+++ b/packages/routing/include/kumquatbank/routing/routing.h
@@ -3,7 +3,10 @@
 /// Umbrella header of the routing decisions: which endpoint may serve a statement, in which order requests get
 /// connections, and which position a read requires. Nothing here uses the network; time is always an argument.
 
+#include "kumquatbank/routing/AccountShare.h"
+#include "kumquatbank/routing/AccountUse.h"
 #include "kumquatbank/routing/ClientAccount.h"
+#include "kumquatbank/routing/ConnectionCache.h"
 #include "kumquatbank/routing/ConnectionSharing.h"
 #include "kumquatbank/routing/DecayingAverage.h"
 #include "kumquatbank/routing/EndpointEntry.h"
--- a/packages/routing/src/ServiceScheduler.cpp
+++ b/packages/routing/src/ServiceScheduler.cpp
@@ -1,5 +1,7 @@
 #include "kumquatbank/routing/ServiceScheduler.h"
 
+#include "kumquatbank/routing/AccountShare.h"
+
 #include <algorithm>
 #include <numeric>
 
@@ -82,10 +84,12 @@
     for (const auto& [id, endpoint] : m_endpoints) {
         if (!isEligible(id, endpoint, request))
             continue;
-        if (endpoint.inUse >= limitFor(endpoint, request))
+        if (endpoint.inUse >= limitFor(endpoint, request) || isAboveShare(id, endpoint, request))
             continue;
         const bool isReadOnPrimary = endpoint.isPrimary && request.eligibility == Eligibility::Any;
-        const auto cost = endpoint.answerTime + endpoint.openingCost + m_holdTime * endpoint.inUse / std::max(1, endpoint.limit)
+        const bool hasAccountCost = !request.account.empty() && m_accountOpeningCost;
+        const auto openingCost = hasAccountCost ? m_accountOpeningCost(id, request.account) : endpoint.openingCost;
+        const auto cost = endpoint.answerTime + openingCost + m_holdTime * endpoint.inUse / std::max(1, endpoint.limit)
             + (isReadOnPrimary ? primaryReadPenalty : std::chrono::microseconds(0));
         if (cost < bestCost) {
             bestCost = cost;
@@ -95,6 +99,23 @@
     return best;
 }
 
+bool ServiceScheduler::isAboveShare(const std::string& id, const EndpointView& endpoint, const PermitRequest& request) const
+{
+    const auto used = endpoint.inUseByAccount.find(request.account);
+    if (used == endpoint.inUseByAccount.end() || used->second < accountShare(endpoint.limit))
+        return false;
+    return std::ranges::any_of(m_waiting, [&](const WaitingRequest& other) {
+        return other.request.account != request.account && isEligible(id, endpoint, other.request) && endpoint.inUse < limitFor(endpoint, other.request);
+    });
+}
+
+void ServiceScheduler::take(EndpointView& endpoint, const std::string& account)
+{
+    ++endpoint.inUse;
+    if (!account.empty())
+        ++endpoint.inUseByAccount[account];
+}
+
 std::optional<std::string> ServiceScheduler::tryAcquire(const PermitRequest& request)
 {
     const bool hasEarlierRequest = std::ranges::any_of(m_waiting, [&](const WaitingRequest& waiting) {
@@ -104,16 +125,16 @@
         return std::nullopt;
     auto best = bestEndpoint(request);
     if (best) {
-        ++m_endpoints[*best].inUse;
+        take(m_endpoints[*best], request.account);
         recordGrant(request.priority);
     }
     return best;
 }
 
-void ServiceScheduler::acquireUnqueued(const std::string& id)
+void ServiceScheduler::acquireUnqueued(const std::string& id, const std::string& account)
 {
     if (const auto it = m_endpoints.find(id); it != m_endpoints.end())
-        ++it->second.inUse;
+        take(it->second, account);
 }
 
 std::unique_ptr<ServiceScheduler::Ticket> ServiceScheduler::enqueue(PermitRequest request, BootTime now, GrantCallback onGranted)
@@ -125,11 +146,16 @@
     return ticket;
 }
 
-void ServiceScheduler::release(const std::string& endpoint, std::chrono::microseconds holdTime)
+void ServiceScheduler::release(const std::string& endpoint, std::chrono::microseconds holdTime, std::string_view account)
 {
     m_holdTime += (holdTime - m_holdTime) / holdTimeSmoothing;
-    if (const auto it = m_endpoints.find(endpoint); it != m_endpoints.end() && it->second.inUse > 0)
-        --it->second.inUse;
+    if (const auto it = m_endpoints.find(endpoint); it != m_endpoints.end() && it->second.inUse > 0) {
+        auto& view = it->second;
+        --view.inUse;
+        const auto used = view.inUseByAccount.find(account);
+        if (used != view.inUseByAccount.end() && --used->second == 0)
+            view.inUseByAccount.erase(used);
+    }
     grantWaiting();
 }
 
@@ -158,7 +184,7 @@
         if (it == m_waiting.end())
             return;
         const auto endpoint = *bestEndpoint(it->request);
-        ++m_endpoints[endpoint].inUse;
+        take(m_endpoints[endpoint], it->request.account);
         ++m_queuedGrants;
         recordGrant(it->request.priority);
         const auto onGranted = std::move(it->onGranted);
--- a/packages/routing/tests/ServiceSchedulerTest.cpp
+++ b/packages/routing/tests/ServiceSchedulerTest.cpp
@@ -204,3 +204,21 @@
     scheduler.setEndpoint("p", true, true, 2);
     LONGS_EQUAL(0, scheduler.endpoints().at("p").inUse);
 }
+
+// Guards against one account that uses all connections of an endpoint although another one waits, and against idle
+// connections while only that account waits.
+TEST(ServiceScheduler, AccountAboveItsShareGivesWayToAnotherThatWaits)
+{
+    auto hot = request(Eligibility::PrimaryOnly, urgent);
+    hot.account = "hot";
+    CHECK_TRUE(scheduler.tryAcquire(hot).has_value());
+    CHECK_TRUE(scheduler.tryAcquire(hot).has_value());
+    wait("hot", hot);
+    auto other = request(Eligibility::PrimaryOnly, background);
+    other.account = "other";
+    wait("other", other);
+    scheduler.release("p", milliseconds(10), "hot");
+    CHECK_TRUE(grantOrder == std::vector<std::string>({ "other" }));
+    scheduler.release("p", milliseconds(10), "other");
+    CHECK_TRUE(grantOrder == std::vector<std::string>({ "other", "hot" }));
+}
--- a/tools/emulator/EmulatedDatabase.cpp
+++ b/tools/emulator/EmulatedDatabase.cpp
@@ -145,7 +145,7 @@
 
 void EmulatedDatabase::record(const Session& session, const std::string& id, const std::string& text, BootTime receivedAt)
 {
-    m_ran.push_back({ id, text, m_entry.id, session.number, session.state == TransactionState::None ? 0 : session.transaction, session.values, receivedAt });
+    m_ran.push_back({ id, text, m_entry.id, session.number, session.state == TransactionState::None ? 0 : session.transaction, session.values, receivedAt, session.host });
 }
 
 std::string EmulatedDatabase::runOwnCommand(Session& session, std::string_view word, std::string_view rest)
