Client accounts: withdrawn keys, rejected entries, metrics, explain, keys in the emulator and the soak

Cause: the thin path let an open transaction of a withdrawn key go on without limit, answered a queued statement of one with BUSY, logged no rejected entry, lost a whole configuration to a Tenants field that is no array, and passed the configuration as the operators wrote it, with its keys, to peers. Ruled out: to count the 2 s of an open transaction from the newest version, because a version each second would prolong them; to keep the accounts of the version before where Tenants is no array, because hosts would then decide by their history; to pass formatConfig() to peers, because fields that this build does not know would be lost on the way. Change: AccessHistory (packages/routing) decides on open transactions by the versions in force in the last 2 s. Idle sessions and queued statements get NOAUTH and are closed. An entry, or a single key, that cannot be read is left out with one log line when its version takes effect. StoreSync keeps digests only for peers. Metrics by account and by place of refusal, accounts on the state page, session:N and account:NAME for kumquatctl explain. TestClient::start takes a key; its default is what it sent before.

--- a/packages/ctl/src/CommandLine.cpp
+++ b/packages/ctl/src/CommandLine.cpp
@@ -31,7 +31,8 @@
   state    state of the proxy at --host, or of every proxy with --all
   groups   every database group: holder, term, primary, positions, lag, who may promote
   explain  ID [FILE...]: the way of one request through the logs of the proxies, and what they believed then;
-           reads standard input without FILE
+           reads standard input without FILE. ID is the id of a request, session:N for a session, also one that was
+           refused, or account:NAME for the refusals of an account by host and reason
   causes   --from T [--to T]: refusals and delays by entry, owner, rank, database, place and cause
 
 Exit codes: 0 ok, 1 not found or refused, 2 usage or invalid input, 3 conflict: the object changed since it was
--- a/packages/pooler/src/ClientSession.cpp
+++ b/packages/pooler/src/ClientSession.cpp
@@ -171,6 +171,7 @@
     const auto config = m_registry.config();
     if (!config->identify(*config->findRoute(m_database), m_key).isAllowed) {
         EventLog::warn("session_refused", { { "session", m_number }, { "database", m_database }, { "reason", m_key ? "unknown key" : "no key" }, { "config_version", config->version } });
+        m_metrics.accessRefused(m_key ? AccessRefusal::UnknownKey : AccessRefusal::NoKey);
         co_await send(WireDialect::error(ErrorCode::Unauthorized, "the key is not known"));
         co_return false;
     }
@@ -257,6 +258,7 @@
     if (isLocal)
         return;
     m_metrics.statementAnswered(m_database, outcome, total, answer.queued);
+    m_metrics.accountAnswered(answer.account, !answer.code);
     const auto config = m_registry.config();
     const auto* route = config ? config->findRoute(m_database) : nullptr;
     const auto floor = answer.floor ? fmt::format("{}.{}", answer.floor->term, answer.floor->position) : std::string();
--- a/packages/pooler/src/PeerService.cpp
+++ b/packages/pooler/src/PeerService.cpp
@@ -328,7 +328,12 @@
     Json peers = Json::array();
     for (const auto& peer : m_hosts.peers())
         peers.push_back(peer.name);
-    return { { "configVersion", m_registry.config() ? m_registry.config()->version : 0 }, { "configSilenceMs", toMs(m_sync.configSilence()) }, { "endpointSilenceMs", toMs(m_sync.endpointSilence()) }, { "endpointRevision", m_sync.endpointRevision().number }, { "storeEra", m_sync.endpointRevision().era }, { "peers", std::move(peers) }, { "services", std::move(services) } };
+    Json accounts = Json::object();
+    if (const auto config = m_registry.config()) {
+        for (const auto& [name, account] : config->accounts)
+            accounts[name] = { { "keys", account.keys.size() }, { "priority", account.priority }, { "ratePerS", account.limit ? Json(account.limit->perSecond) : Json() }, { "burst", account.limit ? Json(account.limit->burst) : Json() } };
+    }
+    return { { "accounts", std::move(accounts) }, { "rejectedAccounts", m_registry.config() ? m_registry.config()->rejectedAccounts : std::vector<std::string>() }, { "configVersion", m_registry.config() ? m_registry.config()->version : 0 }, { "configSilenceMs", toMs(m_sync.configSilence()) }, { "endpointSilenceMs", toMs(m_sync.endpointSilence()) }, { "endpointRevision", m_sync.endpointRevision().number }, { "storeEra", m_sync.endpointRevision().era }, { "peers", std::move(peers) }, { "services", std::move(services) } };
 }
 
 } // namespace kumquatbank
--- a/packages/pooler/src/PoolerMetrics.cpp
+++ b/packages/pooler/src/PoolerMetrics.cpp
@@ -2,6 +2,7 @@
 
 #include "kumquatbank/engine/EventLog.h"
 
+#include <array>
 #include <prometheus/text_serializer.h>
 
 namespace kumquatbank {
@@ -16,6 +17,10 @@
 
     const prometheus::Histogram::BucketBoundaries latencyBuckets { 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3 };
 
+    /// Accounts with series of their own. Names come and go with versions of the configuration, and series stay.
+    constexpr std::size_t maxAccountSeries = 512;
+    constexpr std::string_view otherAccounts = "(others)";
+
     double seconds(std::chrono::nanoseconds duration) { return std::chrono::duration<double>(duration).count(); }
 
 } // namespace
@@ -24,6 +29,8 @@
     : m_statements(family(m_registry, prometheus::BuildCounter(), "kumquatbank_statements_total", "Statements by route and outcome"))
     , m_statementSeconds(family(m_registry, prometheus::BuildHistogram(), "kumquatbank_statement_seconds", "Time to the final answer"))
     , m_queueSeconds(family(m_registry, prometheus::BuildHistogram(), "kumquatbank_queue_seconds", "Time waited for a connection"))
+    , m_accountStatements(family(m_registry, prometheus::BuildCounter(), "kumquatbank_account_statements_total", "Statements by account, and whether they were served"))
+    , m_accessRefusals(family(m_registry, prometheus::BuildCounter(), "kumquatbank_access_refusals_total", "Clients refused because of their key, by where this was found"))
     , m_connections(family(m_registry, prometheus::BuildCounter(), "kumquatbank_connections_total", "Connection attempts to endpoints"))
     , m_loans(family(m_registry, prometheus::BuildCounter(), "kumquatbank_loans_total", "Connections that other hosts asked for, by service and outcome"))
     , m_borrowed(family(m_registry, prometheus::BuildCounter(), "kumquatbank_borrowed_connections_total", "Connections that other hosts were asked for, by outcome"))
@@ -56,6 +63,25 @@
     series.queue->Observe(seconds(queued));
 }
 
+void PoolerMetrics::accountAnswered(const std::string& account, bool isOk)
+{
+    if (account.empty())
+        return;
+    auto it = m_accounts.find(account);
+    if (it == m_accounts.end())
+        it = m_accounts.try_emplace(m_accounts.size() < maxAccountSeries ? account : std::string(otherAccounts)).first;
+    auto*& counter = isOk ? it->second.ok : it->second.notOk;
+    if (counter == nullptr)
+        counter = &m_accountStatements.Add({ { "account", it->first }, { "outcome", isOk ? "ok" : "not_served" } });
+    counter->Increment();
+}
+
+void PoolerMetrics::accessRefused(AccessRefusal refusal)
+{
+    static constexpr std::array<const char*, 6> names { "no_key", "unknown_key", "session", "queued", "account_changed", "transaction" };
+    m_accessRefusals.Add({ { "at", names.at(static_cast<std::size_t>(refusal)) } }).Increment();
+}
+
 void PoolerMetrics::connectionOpened(const std::string& service, bool succeeded)
 {
     m_connections.Add({ { "service", service }, { "outcome", succeeded ? "ok" : "failed" } }).Increment();
--- a/packages/pooler/src/PoolerMetrics.h
+++ b/packages/pooler/src/PoolerMetrics.h
@@ -14,6 +14,16 @@
 
 namespace kumquatbank {
 
+/// Where a client was refused because of its key.
+enum class AccessRefusal {
+    NoKey, ///< At START.
+    UnknownKey, ///< At START.
+    Session, ///< An operation of an open session whose key was withdrawn.
+    Queued, ///< A statement whose client's key was withdrawn while it was queued.
+    AccountChanged, ///< A statement whose client got another account while it was queued.
+    Transaction, ///< An open transaction, after the grace period.
+};
+
 /// Counters and latency histograms of one process. The series of a route are cached, so a lookup is cheap.
 class PoolerMetrics {
 public:
@@ -21,6 +31,9 @@
 
     /// Records the final answer to a statement. @p outcome: "ok" or the name of the error code.
     void statementAnswered(const std::string& route, std::string_view outcome, std::chrono::nanoseconds total, std::chrono::nanoseconds queued);
+    /// Records the final answer to a statement of @p account; nothing if that is empty.
+    void accountAnswered(const std::string& account, bool isOk);
+    void accessRefused(AccessRefusal refusal);
     void connectionOpened(const std::string& service, bool succeeded);
     /// Records the answer to a loan request of another host.
     void loanAnswered(const std::string& service, bool granted);
@@ -44,6 +57,8 @@
     prometheus::Family<prometheus::Counter>& m_statements;
     prometheus::Family<prometheus::Histogram>& m_statementSeconds;
     prometheus::Family<prometheus::Histogram>& m_queueSeconds;
+    prometheus::Family<prometheus::Counter>& m_accountStatements;
+    prometheus::Family<prometheus::Counter>& m_accessRefusals;
     prometheus::Family<prometheus::Counter>& m_connections;
     prometheus::Family<prometheus::Counter>& m_loans;
     prometheus::Family<prometheus::Counter>& m_borrowed;
@@ -63,6 +78,12 @@
         prometheus::Histogram* queue = nullptr;
     };
     std::map<std::string, RouteSeries> m_routes;
+
+    struct AccountSeries {
+        prometheus::Counter* ok = nullptr;
+        prometheus::Counter* notOk = nullptr;
+    };
+    std::map<std::string, AccountSeries, std::less<>> m_accounts;
 };
 
 } // namespace kumquatbank
--- a/packages/pooler/src/ServiceRegistry.cpp
+++ b/packages/pooler/src/ServiceRegistry.cpp
@@ -2,8 +2,17 @@
 
 #include "kumquatbank/engine/EventLog.h"
 
+#include <ranges>
+
 namespace kumquatbank {
 
+namespace {
+
+    /// Rejected entries of one version that are logged one by one; the others are counted in one line.
+    constexpr std::size_t maxRejectedAccountLines = 200;
+
+} // namespace
+
 ServiceRegistry::ServiceRegistry(asio::io_context& io, std::string hostName, PoolerMetrics& metrics)
     : m_io(io)
     , m_hostName(std::move(hostName))
@@ -25,9 +34,11 @@
 {
     if (m_config && config->version <= m_config->version)
         return false;
-    EventLog::info("config_in_force", { { "version", config->version }, { "from_version", m_config ? m_config->version : 0 }, { "routes", config->routes.size() }, { "services", config->services.size() }, { "source", source } });
+    EventLog::info("config_in_force", { { "version", config->version }, { "from_version", m_config ? m_config->version : 0 }, { "routes", config->routes.size() }, { "services", config->services.size() }, { "accounts", config->accounts.size() }, { "rejected_accounts", config->rejectedAccounts.size() }, { "source", source } });
     m_config = std::move(config);
     m_configActiveSince = BootClock::now();
+    m_access.add(m_config, m_configActiveSince);
+    logRejectedAccounts();
     m_metrics.setConfigVersion(m_config->version);
     refreshLimits();
     if (m_hasEndpoints)
@@ -37,6 +48,15 @@
     return true;
 }
 
+void ServiceRegistry::logRejectedAccounts() const
+{
+    const auto& rejected = m_config->rejectedAccounts;
+    for (const auto& reason : rejected | std::views::take(maxRejectedAccountLines))
+        EventLog::warn("account_entry_rejected", { { "version", m_config->version }, { "reason", reason } });
+    if (rejected.size() > maxRejectedAccountLines)
+        EventLog::warn("account_entries_rejected", { { "version", m_config->version }, { "not_listed", rejected.size() - maxRejectedAccountLines } });
+}
+
 void ServiceRegistry::refreshLimits()
 {
     if (!m_config)
--- a/packages/pooler/src/ServiceRegistry.h
+++ b/packages/pooler/src/ServiceRegistry.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "DatabaseService.h"
+#include "kumquatbank/routing/AccessHistory.h"
 
 namespace kumquatbank {
 
@@ -13,6 +14,7 @@
     bool apply(std::shared_ptr<const RoutingConfig> config, std::string_view source);
     std::shared_ptr<const RoutingConfig> config() const { return m_config; }
     BootTime configActiveSince() const { return m_configActiveSince; }
+    const AccessHistory& access() const { return m_access; }
 
     /// @p previousAnswerAt: time of the answer that showed the entries before this change.
     void setEndpoints(std::map<std::string, EndpointEntry> entries, bool isComplete, BootTime previousAnswerAt);
@@ -38,6 +40,7 @@
 private:
     std::shared_ptr<DatabaseService> findOrCreate(const std::string& service);
     void refreshLimits();
+    void logRejectedAccounts() const;
     /// Hands the entries to their services. An entry of a service that the configuration does not name is not used.
     void distributeEntries();
 
@@ -46,6 +49,7 @@
     PoolerMetrics& m_metrics;
     std::shared_ptr<const RoutingConfig> m_config;
     BootTime m_configActiveSince {};
+    AccessHistory m_access;
     std::map<std::string, EndpointEntry> m_entries;
     bool m_hasEndpoints = false;
     bool m_areEntriesComplete = false;
--- a/packages/pooler/src/SessionContext.h
+++ b/packages/pooler/src/SessionContext.h
@@ -47,6 +47,11 @@
     /// Identifies the client by the current configuration, which must be present.
     ClientIdentity identify(const Route& route) const { return m_registry.config()->identify(route, m_key); }
 
+    /// Returns what a transaction that begins now is allowed, for mayContinue().
+    ClientGrant grant(const Route& route, std::string account) const { return { route.database, m_key, std::move(account) }; }
+    /// Returns whether an open transaction may run another statement. Its client's access may have been withdrawn.
+    bool mayContinue(const ClientGrant& grant) const { return m_registry.access().mayContinue(grant, BootClock::now()); }
+
     /// Applies a statement that changes only the session state: a value or a prepared statement.
     void applyLocally(const Statement& statement);
     /// Returns whether the statement writes; empty if it names a prepared statement that the session does not have.
--- a/packages/pooler/src/StatementAnswer.h
+++ b/packages/pooler/src/StatementAnswer.h
@@ -24,6 +24,12 @@
 
     /// Sets an error that the proxy itself reports. The transaction state is not changed.
     void setError(ErrorCode errorCode, std::string_view message, std::optional<std::chrono::milliseconds> retryAfter = std::nullopt);
+    /// Sets the refusal of a client that is not allowed; nothing has run, and the session ends.
+    void setUnauthorized(std::string_view message)
+    {
+        setError(ErrorCode::Unauthorized, message);
+        endsSession = true;
+    }
     /// Sets the body and error code that an endpoint returned. The transaction state is not changed.
     void setFromReply(std::string replyBody, std::optional<ErrorCode> replyCode);
 };
--- a/packages/pooler/src/StatementRunner.cpp
+++ b/packages/pooler/src/StatementRunner.cpp
@@ -15,9 +15,6 @@
     /// Other hosts serve the request at once.
     constexpr milliseconds stoppingRetryAfter { 0 };
 
-    /// Empty for clients without an account.
-    std::string accountName(const ClientIdentity& identity) { return identity.account == nullptr ? std::string() : identity.account->name; }
-
     AttemptResult refuseAttempt(const ConnectionLease& lease, std::set<std::string>& excluded, StatementAnswer& answer)
     {
         excluded.insert(lease.endpointId());
@@ -44,9 +41,12 @@
 {
     const bool endsTransaction = statement.kind == StatementKind::Commit || statement.kind == StatementKind::Rollback;
     const bool begins = statement.kind == StatementKind::Begin || statement.kind == StatementKind::BeginReadOnly;
+    m_transaction.abortIfWithdrawn();
     if (transactionState() == TransactionState::Failed && !endsTransaction)
         co_return m_transaction.refuseAfterFailure();
     StatementAnswer answer;
+    if (!m_transaction.isOpen() && refuseIfWithdrawn(database, answer))
+        co_return answer;
     switch (statement.kind) {
     case StatementKind::SetValue:
     case StatementKind::Prepare:
@@ -71,14 +71,11 @@
 
     const auto config = m_registry.config();
     const auto* route = config ? config->findRoute(database) : nullptr;
-    const auto identity = route == nullptr ? ClientIdentity() : m_context.identify(*route);
-    answer.account = accountName(identity);
-    if (route == nullptr) {
+    if (route != nullptr)
+        answer.account = m_context.identify(*route).accountName();
+    if (route == nullptr)
         answer.setError(ErrorCode::UnknownDatabase, "no route for this database");
-    } else if (!identity.isAllowed) {
-        answer.setError(ErrorCode::Unauthorized, "the key is not known");
-        answer.endsSession = true;
-    } else if (begins && m_transaction.isOpen())
+    else if (begins && m_transaction.isOpen())
         answer.setError(ErrorCode::Malformed, "a transaction is already open");
     else if (!m_context.admits(begins ? RequestKind::Begin : RequestKind::Single, route->statementTimeout))
         co_return refuseAsStopping();
@@ -92,6 +89,17 @@
     co_return answer;
 }
 
+bool StatementRunner::refuseIfWithdrawn(const std::string& database, StatementAnswer& answer)
+{
+    const auto config = m_registry.config();
+    const auto* route = config && config->hasAccounts ? config->findRoute(database) : nullptr;
+    if (route == nullptr || m_context.identify(*route).isAllowed)
+        return false;
+    m_context.metrics().accessRefused(AccessRefusal::Session);
+    answer.setUnauthorized("the key of the client was withdrawn");
+    return true;
+}
+
 bool StatementRunner::abortIfStopping()
 {
     return !m_context.admits(RequestKind::InTransaction, m_transaction.statementTimeout()) && m_transaction.abort(stoppingReason);
@@ -171,7 +179,13 @@
         co_return AttemptResult::Done;
     }
     const auto identity = m_context.identify(*current);
-    if (!identity.isAllowed || accountName(identity) != account) {
+    if (!identity.isAllowed) {
+        m_context.metrics().accessRefused(AccessRefusal::Queued);
+        answer.setUnauthorized("the key of the client was withdrawn while the request was queued; nothing has run");
+        co_return AttemptResult::Done;
+    }
+    if (identity.accountName() != account) {
+        m_context.metrics().accessRefused(AccessRefusal::AccountChanged);
         answer.setError(ErrorCode::Busy, "the account of the client changed while the request was queued", milliseconds(0));
         co_return AttemptResult::Done;
     }
--- a/packages/pooler/src/StatementRunner.h
+++ b/packages/pooler/src/StatementRunner.h
@@ -38,6 +38,9 @@
     std::optional<std::chrono::milliseconds> idleLimit() const;
 
 private:
+    /// Sets @p answer to a refusal that ends the session if the client is not allowed any more. To be called outside of a
+    /// transaction.
+    bool refuseIfWithdrawn(const std::string& database, StatementAnswer& answer);
     Task<StatementAnswer> runSingle(const Route& route, const std::string& account, const std::string& id, const Statement& statement);
     Task<AttemptResult> attempt(const Route& route, const std::string& account, const std::string& id, const Statement& statement, bool writes, std::set<std::string>& excluded, BootTime until, StatementAnswer& answer);
     Task<AttemptResult> attemptOn(ConnectionLease& lease, const Route& route, const std::string& id, const Statement& statement, bool writes, std::set<std::string>& excluded, BootTime until, StatementAnswer& answer);
--- a/packages/pooler/src/StoreSync.cpp
+++ b/packages/pooler/src/StoreSync.cpp
@@ -193,8 +193,9 @@
         return;
     }
     const auto version = config->version;
+    auto shared = StoreCodec::withoutKeys(content, *config);
     if (m_registry.apply(std::make_shared<const RoutingConfig>(std::move(*config)), source))
-        m_configContent = content;
+        m_configContent = std::move(shared);
     else if (version < m_registry.config()->version)
         EventLog::warn("older_config_ignored", { { "version", version }, { "in_force", m_registry.config()->version }, { "source", source } });
 }
--- a/packages/pooler/src/StoreSync.h
+++ b/packages/pooler/src/StoreSync.h
@@ -87,7 +87,7 @@
     EndpointTable m_table;
     BootTime m_entriesKnownAt {}; ///< The entries were those of the store at this time.
     StoreRevision m_entriesRevision; ///< Revision at which the entries last changed.
-    nlohmann::json m_configContent;
+    nlohmann::json m_configContent; ///< For peers: without keys.
     std::map<std::string, std::string> m_skippedEntries; ///< Entries that cannot be read, and why, by name.
 };
 
--- a/packages/pooler/src/TransactionRunner.cpp
+++ b/packages/pooler/src/TransactionRunner.cpp
@@ -4,6 +4,12 @@
 
 namespace kumquatbank {
 
+namespace {
+
+    constexpr std::string_view withdrawnReason = "the access of the client was withdrawn during the transaction";
+
+} // namespace
+
 TransactionState TransactionRunner::state() const
 {
     if (!m_transaction)
@@ -15,7 +21,7 @@
 {
     m_transaction.emplace();
     m_transaction->route = route;
-    m_transaction->account = std::move(account);
+    m_transaction->grant = m_context.grant(route, std::move(account));
     m_transaction->isReadOnly = isReadOnly;
 }
 
@@ -29,6 +35,14 @@
     return true;
 }
 
+bool TransactionRunner::abortIfWithdrawn()
+{
+    if (!m_transaction || m_transaction->hasFailed || m_context.mayContinue(m_transaction->grant))
+        return false;
+    m_context.metrics().accessRefused(AccessRefusal::Transaction);
+    return abort(withdrawnReason);
+}
+
 StatementAnswer TransactionRunner::refuseAfterFailure()
 {
     // The first statement after the proxy aborted a transaction reports the cause; later ones are client errors.
@@ -38,6 +52,7 @@
         answer.setError(ErrorCode::Malformed, "the transaction has failed; end it with ROLLBACK");
     else
         answer.setError(ErrorCode::Aborted, abortReason);
+    answer.account = m_transaction->grant.account;
     answer.state = state();
     return answer;
 }
@@ -45,10 +60,12 @@
 StatementAnswer TransactionRunner::rollBack()
 {
     StatementAnswer answer;
-    if (m_transaction)
+    if (m_transaction) {
         answer.body = WireDialect::done();
-    else
+        answer.account = m_transaction->grant.account;
+    } else {
         answer.setError(ErrorCode::Malformed, "no transaction is open");
+    }
     m_transaction.reset();
     return answer;
 }
@@ -71,9 +88,15 @@
 {
     const auto route = m_transaction->route;
     const bool onReplica = m_transaction->isReadOnly && route.policy != ReadPolicy::Primary;
-    auto lease = co_await m_context.acquire(route, m_transaction->account, onReplica ? Eligibility::Any : Eligibility::PrimaryOnly, excluded, until, answer);
+    auto lease = co_await m_context.acquire(route, m_transaction->grant.account, onReplica ? Eligibility::Any : Eligibility::PrimaryOnly, excluded, until, answer);
     if (!lease)
         co_return AttemptResult::Done;
+    // The access may have been withdrawn while the first statement was queued.
+    if (!m_context.mayContinue(m_transaction->grant)) {
+        m_context.metrics().accessRefused(AccessRefusal::Transaction);
+        answer.setError(ErrorCode::Aborted, withdrawnReason);
+        co_return AttemptResult::Done;
+    }
     auto& endpoint = lease->endpoint();
     auto& service = lease->service();
     if (onReplica) {
@@ -138,6 +161,7 @@
 Task<StatementAnswer> TransactionRunner::run(const std::string& id, const Statement& statement)
 {
     StatementAnswer answer;
+    answer.account = m_transaction->grant.account;
     const auto writeFlag = m_context.writes(statement);
     if (!writeFlag) {
         answer.setError(ErrorCode::UnknownStatement, "no such prepared statement");
@@ -179,6 +203,7 @@
         answer.setError(ErrorCode::Malformed, "no transaction is open");
         co_return answer;
     }
+    answer.account = m_transaction->grant.account;
     const auto until = deadline();
     m_isCommittingWrites = false;
     bool isPinned = false;
--- a/packages/pooler/src/TransactionRunner.h
+++ b/packages/pooler/src/TransactionRunner.h
@@ -7,7 +7,7 @@
 /// State of an open transaction.
 struct Transaction {
     Route route;
-    std::string account; ///< Empty for clients without one.
+    ClientGrant grant; ///< The transaction runs for this account to its end.
     bool isReadOnly = false;
     std::optional<ConnectionLease> lease;
     bool hasWritten = false;
@@ -36,6 +36,9 @@
     /// Aborts the transaction between two statements; the next one reports the reason. Returns false if none is open, or if
     /// it has failed before.
     bool abort(std::string_view reason);
+    /// Aborts the transaction if its client's access was withdrawn and the grace period is over. Returns false if it goes on,
+    /// if none is open, or if it has failed before.
+    bool abortIfWithdrawn();
     /// Time limit of a statement of the open transaction; 0 if none is open.
     std::chrono::milliseconds statementTimeout() const { return m_transaction ? m_transaction->route.statementTimeout : std::chrono::milliseconds(0); }
     /// True from the moment at which the last COMMIT may have been sent, if its transaction has written.
--- a/packages/pooler/tests/PoolerFixture.cpp
+++ b/packages/pooler/tests/PoolerFixture.cpp
@@ -45,13 +45,13 @@
     co_return answer;
 }
 
-Task<TestClient::Answer> TestClient::start(HostAddress address, std::string database)
+Task<TestClient::Answer> TestClient::start(HostAddress address, std::string database, std::string key)
 {
     auto channel = co_await LineChannel::connect(m_io, address, WireDialect::maxMessageBytes, std::chrono::milliseconds(1000), std::chrono::milliseconds(3000));
     if (!channel)
         co_return Answer {};
     m_channel.emplace(std::move(*channel));
-    const auto line = fmt::format("START {} client\r\n", database);
+    const auto line = fmt::format("START {} {}\r\n", database, key);
     co_return co_await sendRaw(line);
 }
 
--- a/packages/pooler/tests/PoolerFixture.h
+++ b/packages/pooler/tests/PoolerFixture.h
@@ -26,7 +26,7 @@
     }
 
     /// Connects and starts a session.
-    Task<Answer> start(HostAddress address, std::string database);
+    Task<Answer> start(HostAddress address, std::string database, std::string key = "client");
     /// Runs one statement under a new id.
     Task<Answer> query(std::string text);
     Task<Answer> sendRaw(std::string bytes);
--- a/packages/routing/include/kumquatbank/routing/ClientAccount.h
+++ b/packages/routing/include/kumquatbank/routing/ClientAccount.h
@@ -4,6 +4,7 @@
 
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace kumquatbank {
@@ -28,6 +29,9 @@
 struct ClientIdentity {
     bool isAllowed = false;
     const ClientAccount* account = nullptr; ///< Null if the client is not allowed or has no account.
+
+    /// Empty without an account.
+    std::string_view accountName() const { return account == nullptr ? std::string_view() : std::string_view(account->name); }
 };
 
 } // namespace kumquatbank
--- a/packages/routing/include/kumquatbank/routing/RoutingConfig.h
+++ b/packages/routing/include/kumquatbank/routing/RoutingConfig.h
@@ -9,6 +9,7 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <vector>
 
 namespace kumquatbank {
 
--- a/packages/routing/include/kumquatbank/routing/routing.h
+++ b/packages/routing/include/kumquatbank/routing/routing.h
@@ -3,6 +3,7 @@
 /// Umbrella header of the routing decisions: which endpoint may serve a statement, in which order requests get
 /// connections, and which position a read requires. Nothing here uses the network; time is always an argument.
 
+#include "kumquatbank/routing/AccessHistory.h"
 #include "kumquatbank/routing/ClientAccount.h"
 #include "kumquatbank/routing/ConnectionSharing.h"
 #include "kumquatbank/routing/DecayingAverage.h"
--- a/scripts/pooler_soak.sh
+++ b/scripts/pooler_soak.sh
@@ -8,8 +8,10 @@
 # --orders: --planned with further orders of events: several signals to one host, stops of a whole region, stops before the
 # first configuration, changes of the settings files and of routes, databases that leave in turn.
 # --max-connections N: of each database; with fewer than hosts, hosts lend each other connections. --regions N: of hosts.
+# --accounts N: clients send the keys of N accounts, which the operator takes away and gives back. With --planned, where no
+# host is cut off from the store, a withdrawn key must be refused 5 s after the store's acknowledgement at the latest.
 # Usage: scripts/pooler_soak.sh [--seed N] [--seconds N] [--hosts N] [--sync N] [--odd] [--planned | --orders]
-#            [--max-connections N] [--regions N]
+#            [--max-connections N] [--regions N] [--accounts N]
 set -euo pipefail
 cd "$(dirname "$0")/.."
 seed=1
@@ -21,6 +23,7 @@
 orders=
 max_connections=21
 regions=1
+accounts=0
 while [ $# -gt 0 ]; do
     case $1 in
     --seed) seed=$2 ;;
@@ -32,6 +35,7 @@
     --orders) planned=--planned orders=--orders; shift; continue ;;
     --max-connections) max_connections=$2 ;;
     --regions) regions=$2 ;;
+    --accounts) accounts=$2 ;;
     *) echo "unknown option $1" >&2; exit 2 ;;
     esac
     shift 2
@@ -53,7 +57,7 @@
 [ -n "$planned" ] || fault_proxy_start "$hosts" --trouble-ms 700 --trouble-s "$trouble_seconds" --seed "$seed"
 emulator_start --trouble-ms 1500 --trouble-s "$trouble_seconds" --seed "$seed" --sync-replicas "$sync" $odd $planned \
     --max-connections "$max_connections" ${orders:+--orders --second-store-port $((emulator_port + second_store_offset)) --absent-file "$pooler_dir/absent.txt"} \
-    --ran-file "$pooler_dir/ran.txt"
+    --ran-file "$pooler_dir/ran.txt" --accounts "$accounts" --withdrawn-file "$pooler_dir/withdrawn.txt"
 addresses=
 host_state=() due_tick=()
 for ((n = 0; n < hosts; n++)); do
@@ -66,6 +70,7 @@
 "$bin/tools/emulator/session_load" --proxies "$addresses" --clients 5 --seconds "$seconds" --seed "$seed" \
     --transaction-writes "$((1 + seed % 4))" ${planned:+--planned-work-clients 6} \
     ${orders:+--extra-databases 2} --unknown-file "$pooler_dir/unknown.txt" --unanswered-file "$pooler_dir/unanswered.txt" \
+    --accounts "$accounts" --key-file "$pooler_dir/keys.txt" \
     >"$pooler_dir/load.txt" &
 load_pid=$!
 
@@ -130,6 +135,14 @@
 fi
 # Without changes of routes, no answer may be NODB.
 if ! awk -v apply_ms=3000 -f scripts/unknown_databases.awk <(cat "$pooler_dir/absent.txt" 2>/dev/null) "$pooler_dir/unknown.txt"; then status=1; fi
+if [ "$accounts" -gt 0 ] && [ -n "$planned" ]; then
+    awk -v apply_ms=5000 -v grace_ms=2000 -f scripts/withdrawn_keys.awk "$pooler_dir/withdrawn.txt" "$pooler_dir/keys.txt" || status=1
+fi
+# No key is written to a log.
+if [ "$accounts" -gt 0 ] && grep -hE 'key-[0-9]|unknown-key' "$pooler_dir"/host-*.log | head -n 3 | grep .; then
+    echo "violation: a log contains a key"
+    status=1
+fi
 cat "$pooler_dir/load.txt"
 grep -hsE '^(trouble|violation)' "$pooler_dir/platform.log" "$pooler_dir/faults.log" || true
 if [ "$status" = 0 ]; then
--- a/tools/emulator/EmulatedDatabase.cpp
+++ b/tools/emulator/EmulatedDatabase.cpp
@@ -145,7 +145,7 @@
 
 void EmulatedDatabase::record(const Session& session, const std::string& id, const std::string& text, BootTime receivedAt)
 {
-    m_ran.push_back({ id, text, m_entry.id, session.number, session.state == TransactionState::None ? 0 : session.transaction, session.values, receivedAt });
+    m_ran.push_back({ id, text, m_entry.id, session.number, session.state == TransactionState::None ? 0 : session.transaction, session.values, receivedAt, session.host });
 }
 
 std::string EmulatedDatabase::runOwnCommand(Session& session, std::string_view word, std::string_view rest)
@@ -317,10 +317,12 @@
     const auto word = takeWord(rest);
     if (!session.isStarted) {
         const std::string service(takeWord(rest));
-        takeWord(rest);
+        const auto client = takeWord(rest);
         const auto id = takeWord(rest);
         std::string refusal;
-        if (word != "START" || service != m_service->name() || (!id.empty() && id != m_entry.id))
+        if (client.empty())
+            refusal = "ERR NOAUTH\r\n";
+        else if (word != "START" || service != m_service->name() || (!id.empty() && id != m_entry.id))
             refusal = "ERR MISROUTED\r\n";
         else if (m_connections > m_behaviour.maxConnections)
             refusal = "ERR TOOMANY\r\n";
--- a/tools/emulator/EmulatedDatabase.h
+++ b/tools/emulator/EmulatedDatabase.h
@@ -34,6 +34,7 @@
     std::uint64_t transaction = 0; ///< 0 outside a transaction.
     std::map<std::string, std::string> values; ///< Of the session, at that moment.
     BootTime at {}; ///< When it was received.
+    std::string account; ///< As the START of the connection named its client: an account or a host.
 };
 
 /// One database server: the wire protocol, slots, session values, prepared statements and transactions.
--- a/tools/emulator/EmulatedPlatform.cpp
+++ b/tools/emulator/EmulatedPlatform.cpp
@@ -97,6 +97,7 @@
         }
     }
     std::ranges::copy(lateStatements(), std::back_inserter(found));
+    std::ranges::copy(foreignStatements(), std::back_inserter(found));
     std::map<std::pair<std::string, std::uint64_t>, std::uint64_t> connections;
     for (const auto& statement : ran()) {
         if (statement.transaction == 0)
@@ -125,6 +126,19 @@
     return found;
 }
 
+std::vector<std::string> EmulatedPlatform::foreignStatements() const
+{
+    std::vector<std::string> found;
+    for (const auto& statement : ran()) {
+        const std::string_view text = statement.text;
+        const auto item = text.substr(std::min(text.find(' ') + 1, text.size()));
+        const auto account = item.substr(0, item.substr(0, item.find(' ')).find(accountSeparator));
+        if (account.size() < item.size() && item[account.size()] == accountSeparator && account != statement.account)
+            found.push_back(fmt::format("statement {} of account {} ran at {} for {}", statement.id, account, statement.database, statement.account));
+    }
+    return found;
+}
+
 void EmulatedPlatform::announceEntries()
 {
     writeConfig();
@@ -140,7 +154,11 @@
 
 void EmulatedPlatform::writeConfig()
 {
-    m_store.put(std::string(StoreCodec::configKind), std::string(StoreCodec::configName), StoreCodec::formatConfig(m_config));
+    m_config.hasAccounts = m_config.hasAccounts || !m_accountKeys.empty();
+    auto content = StoreCodec::formatConfig(m_config);
+    for (const auto& [account, keys] : m_accountKeys)
+        content["Tenants"].push_back({ { "Name", account }, { "ApiKeys", keys }, { "Priority", 1 } });
+    m_store.put(std::string(StoreCodec::configKind), std::string(StoreCodec::configName), content);
 }
 
 void EmulatedPlatform::announce(EmulatedDatabase& database, bool isDraining)
--- a/tools/emulator/EmulatedPlatform.h
+++ b/tools/emulator/EmulatedPlatform.h
@@ -61,10 +61,16 @@
     /// Writes the next version of the configuration.
     void putConfig();
     RoutingConfig& config() { return m_config; }
+    /// Keys by account, as the operator writes them. While there has never been one, the configuration has no accounts.
+    std::map<std::string, std::set<std::string>>& accountKeys() { return m_accountKeys; }
+    /// Name of an item that only clients of @p account use; violations() checks this.
+    static std::string itemOf(const std::string& account, const std::string& item) { return account + accountSeparator + item; }
     /// Writes the entry of a database again after a change of its state or role.
     void announce(EmulatedDatabase& database, bool isDraining);
 
 private:
+    static constexpr char accountSeparator = '/';
+
     Task<HttpResponse> promote(HttpRequest request);
     Task<void> takeEffect(std::shared_ptr<EmulatedService> service, std::string id);
     /// A time in which a database was leaving.
@@ -76,6 +82,8 @@
 
     /// Statements at databases that had been leaving for longer than they serve.
     std::vector<std::string> lateStatements() const;
+    /// Statements on items of an account that ran on a connection of another one.
+    std::vector<std::string> foreignStatements() const;
     void announceAll(const EmulatedService& service);
     void writeConfig();
 
@@ -90,6 +98,7 @@
     std::map<std::string, std::int64_t> m_sequences; ///< Entries written so far, by database.
     std::vector<OrderedPromotion> m_promotions;
     RoutingConfig m_config;
+    std::map<std::string, std::set<std::string>> m_accountKeys;
     HttpListener m_promotionListener;
 };
 
--- a/tools/emulator/LoadClient.cpp
+++ b/tools/emulator/LoadClient.cpp
@@ -1,5 +1,7 @@
 #include "LoadClient.h"
 
+#include "EmulatedPlatform.h"
+
 #include <charconv>
 #include <fmt/format.h>
 
@@ -17,7 +19,7 @@
 
     bool promisesNothingKept(const std::string& code)
     {
-        static const std::set<std::string, std::less<>> promises { "BUSY", "ABORTED", "LAGGING", "READONLY", "MISROUTED", "TOOMANY", "NODB" };
+        static const std::set<std::string, std::less<>> promises { "BUSY", "ABORTED", "LAGGING", "READONLY", "MISROUTED", "TOOMANY", "NODB", "NOAUTH" };
         return promises.contains(code);
     }
 
@@ -35,14 +37,32 @@
     changeItem();
 }
 
+void LoadClient::useAccount(const std::string& account, std::string key)
+{
+    m_key = std::move(key);
+    m_name = EmulatedPlatform::itemOf(account, m_name);
+    changeItem();
+}
+
+void LoadClient::noteKey(BootTime sentAt, const std::string& code)
+{
+    if (!m_key)
+        return;
+    if (code == "NOAUTH")
+        m_report.keyAnswered(*m_key, sentAt, LoadReport::KeyOutcome::Refused);
+    else if (code.empty())
+        m_report.keyAnswered(*m_key, sentAt, m_isInTransaction ? LoadReport::KeyOutcome::InTransaction : LoadReport::KeyOutcome::Served);
+}
+
 Task<bool> LoadClient::connect()
 {
+    m_isInTransaction = false;
     const auto proxy = m_proxies[m_random() % m_proxies.size()];
     auto channel = co_await LineChannel::connect(m_io, proxy, WireDialect::maxMessageBytes, connectTimeout, answerTimeout);
     if (!channel)
         co_return false;
     m_channel.emplace(std::move(*channel));
-    const auto line = fmt::format("START {} load\r\n", m_database);
+    const auto line = fmt::format("START {} {}\r\n", m_database, m_key.value_or("load"));
     const auto sentAt = BootClock::now();
     const auto until = sentAt + answerTimeout;
     std::string_view answer;
@@ -52,6 +72,8 @@
     m_ownSession = 0;
     if (status == ChannelStatus::Ok && answer.starts_with("ERR NODB"))
         m_report.unknownDatabase(m_database, sentAt);
+    if (status == ChannelStatus::Ok && answer.starts_with("ERR NOAUTH"))
+        noteKey(sentAt, "NOAUTH");
     co_return status == ChannelStatus::Ok&& answer.starts_with("READY I");
 }
 
@@ -83,6 +105,10 @@
     }
     if (answer.code == "NODB")
         m_report.unknownDatabase(m_database, from);
+    noteKey(from, answer.code);
+    // The session ends with this answer.
+    if (answer.code == "NOAUTH")
+        m_channel.reset();
     m_report.answered(m_database, std::chrono::duration_cast<std::chrono::microseconds>(BootClock::now() - from), answer.code);
     co_return answer;
 }
@@ -120,6 +146,7 @@
     const auto begun = co_await query("BEGIN");
     if (!begun.code.empty())
         co_return;
+    m_isInTransaction = true;
     std::uint64_t value = 0;
     for (int n = 0; n < statements; ++n) {
         if (n > 0)
@@ -131,10 +158,12 @@
         if (!written.code.empty()) {
             noteWrite(written, value);
             co_await query("ROLLBACK");
+            m_isInTransaction = false;
             co_return;
         }
     }
     const auto committed = co_await query("COMMIT");
+    m_isInTransaction = false;
     noteWrite(committed, value);
 }
 
--- a/tools/emulator/LoadClient.h
+++ b/tools/emulator/LoadClient.h
@@ -17,6 +17,9 @@
 public:
     LoadClient(asio::io_context& io, std::string database, ReadPolicy policy, std::vector<HostAddress> proxies, unsigned seed, LoadReport& report);
 
+    /// Sends the key of an account, and uses items of that account only.
+    void useAccount(const std::string& account, std::string key);
+
     /// @p statements: writes of a transaction, each after a pause.
     Task<void> run(BootTime until, std::chrono::milliseconds pause, int statements = 1);
 
@@ -36,6 +39,8 @@
     Task<void> write();
     Task<void> read();
     Task<void> runTransaction(std::chrono::milliseconds pause, int statements);
+    /// Records an answer for the judgement of keys.
+    void noteKey(BootTime sentAt, const std::string& code);
     void noteWrite(const Answer& answer, std::uint64_t value);
     void changeItem();
     /// The smallest number that a read may return now.
@@ -49,6 +54,8 @@
     std::mt19937 m_random;
     LoadReport& m_report;
     std::optional<LineChannel> m_channel;
+    std::optional<std::string> m_key;
+    bool m_isInTransaction = false;
     std::string m_name;
     std::string m_item;
     int m_items = 0;
--- a/tools/emulator/LoadReport.cpp
+++ b/tools/emulator/LoadReport.cpp
@@ -1,6 +1,7 @@
 #include "LoadReport.h"
 
 #include <algorithm>
+#include <array>
 #include <fmt/format.h>
 #include <numeric>
 
@@ -41,6 +42,12 @@
     m_unknownDatabases.push_back(fmt::format("{} {} {}", database, toMs(sentAt.time_since_epoch()), toMs(BootClock::now().time_since_epoch())));
 }
 
+void LoadReport::keyAnswered(const std::string& key, BootTime sentAt, KeyOutcome outcome)
+{
+    static constexpr std::array<std::string_view, 3> names { "served", "transaction", "refused" };
+    m_keyAnswers.push_back(fmt::format("{} {} {} {}", key, toMs(sentAt.time_since_epoch()), toMs(BootClock::now().time_since_epoch()), names.at(static_cast<std::size_t>(outcome))));
+}
+
 void LoadReport::delayed(std::chrono::milliseconds delay)
 {
     const auto now = BootClock::now();
--- a/tools/emulator/LoadReport.h
+++ b/tools/emulator/LoadReport.h
@@ -25,6 +25,15 @@
     void unknownDatabase(const std::string& database, BootTime sentAt);
     /// One line for each such answer: the database, and when it was asked for and answered, in ms since the machine started.
     const std::vector<std::string>& unknownDatabases() const { return m_unknownDatabases; }
+    enum class KeyOutcome { Served,
+        InTransaction,
+        Refused };
+    /// Records that a client with @p key was served, or refused with NOAUTH.
+    void keyAnswered(const std::string& key, BootTime sentAt, KeyOutcome outcome);
+    /// One line for each such answer: the key, when it was asked for and answered in ms since the machine started, and how.
+    const std::vector<std::string>& keyAnswers() const { return m_keyAnswers; }
+    void unknownKeyRefused() { ++m_refusedUnknownKeys; }
+    int refusedUnknownKeys() const { return m_refusedUnknownKeys; }
     void violation(std::string what) { m_violations.push_back(std::move(what)); }
 
     /// Records that the load's event loop ran a timer so late, by which the clients may see an end too late.
@@ -49,6 +58,8 @@
     std::vector<std::string> m_violations;
     std::vector<std::string> m_unanswered;
     std::vector<std::string> m_unknownDatabases;
+    std::vector<std::string> m_keyAnswers;
+    int m_refusedUnknownKeys = 0;
 };
 
 } // namespace kumquatbank
--- a/tools/emulator/platform_emulator.cpp
+++ b/tools/emulator/platform_emulator.cpp
@@ -1,4 +1,5 @@
 #include "EmulatedPlatform.h"
+#include "KeyWithdrawals.h"
 #include "OddEntries.h"
 #include "RouteChanges.h"
 #include "kumquatbank/adapter/StoreCodec.h"
@@ -48,6 +49,14 @@
         m_routes.emplace(m_io, m_platform, m_random());
     }
 
+    /// Also draws keys of @p accounts accounts that are taken away and given back.
+    void addWithdrawals(int accounts)
+    {
+        m_kinds.insert(m_kinds.end(), { withdrawsKey, withdrawsKey });
+        m_withdrawals.emplace(m_io, m_platform, accounts, m_random());
+    }
+
+    const std::optional<KeyWithdrawals>& withdrawals() const { return m_withdrawals; }
     const std::optional<RouteChanges>& routes() const { return m_routes; }
 
     /// One trouble each @p interval. They overlap, and the last one begins before @p until.
@@ -97,6 +106,9 @@
             case changesRoutes:
                 asio::co_spawn(m_io, m_routes->changeInSuccession(), asio::detached);
                 break;
+            case withdrawsKey:
+                asio::co_spawn(m_io, m_withdrawals->withdrawOne(), asio::detached);
+                break;
             case leavesInTurn:
                 asio::co_spawn(m_io, leaveInTurn(), asio::detached);
                 break;
@@ -127,6 +139,7 @@
     static constexpr unsigned writesOddEntry = 12;
     static constexpr unsigned changesRoutes = 13;
     static constexpr unsigned leavesInTurn = 14;
+    static constexpr unsigned withdrawsKey = 15;
 
     int anyService() { return static_cast<int>(m_random() % static_cast<unsigned>(m_shape.services)); }
     int anyDatabase() { return static_cast<int>(m_random() % static_cast<unsigned>(m_shape.databasesPerService)); }
@@ -273,6 +286,7 @@
     std::vector<unsigned> m_kinds { 0, 1, 2, movesPrimary, 4, 5, 6, 7, 8, changesConfig };
     milliseconds m_stay { 5000 }; ///< Of a database that leaves.
     std::optional<RouteChanges> m_routes;
+    std::optional<KeyWithdrawals> m_withdrawals;
     int m_outages = 0; ///< Outages of the store that have not ended.
 };
 
@@ -307,6 +321,8 @@
         "odd-entries", "Draw entries of another writer among the troubles")(
         "planned", "Draw planned work only")(
         "orders", "Draw changes of routes as well, and databases that leave in turn")(
+        "accounts", "Accounts whose keys are taken away and given back; 0: the configuration has no accounts", cxxopts::value<int>()->default_value("0"))(
+        "withdrawn-file", "Write the times in which a key belonged to no account to this file", cxxopts::value<std::string>())(
         "absent-file", "Write the times without a route, by database, to this file", cxxopts::value<std::string>())(
         "second-store-port", "The store answers at this port as well, and 700 ms late at the next one", cxxopts::value<std::uint16_t>())(
         "ran-file", "Write the ids of all statements that ran to this file", cxxopts::value<std::string>())(
@@ -337,6 +353,8 @@
         troubles.addOddEntries();
     if (arguments.count("orders"))
         troubles.addOrders();
+    if (arguments["accounts"].as<int>() > 0)
+        troubles.addWithdrawals(arguments["accounts"].as<int>());
     if (arguments.count("second-store-port")) {
         const auto port = arguments["second-store-port"].as<std::uint16_t>();
         platform.store().listenAlso({ shape.ip, port });
@@ -364,6 +382,11 @@
         for (const auto& absence : troubles.routes()->absences())
             absentFile << absence << '\n';
     }
+    if (arguments.count("withdrawn-file") && troubles.withdrawals()) {
+        std::ofstream withdrawnFile(arguments["withdrawn-file"].as<std::string>());
+        for (const auto& withdrawal : troubles.withdrawals()->withdrawals())
+            withdrawnFile << withdrawal << '\n';
+    }
     const auto violations = platform.violations();
     for (const auto& what : violations)
         std::cout << "violation: " << what << '\n';
--- a/tools/emulator/session_load.cpp
+++ b/tools/emulator/session_load.cpp
@@ -1,6 +1,8 @@
 #include "EmulatedPlatform.h"
+#include "KeyWithdrawals.h"
 #include "LoadClient.h"
 #include "PlannedWorkClient.h"
+#include "UnknownKeyClient.h"
 
 #include <cxxopts.hpp>
 #include <fstream>
@@ -16,6 +18,7 @@
 constexpr int exitInvalidInput = 2;
 
 using LoadClients = std::vector<std::unique_ptr<LoadClient>>;
+using UnknownKeyClients = std::vector<std::unique_ptr<UnknownKeyClient>>;
 using PlannedWorkClients = std::vector<std::unique_ptr<PlannedWorkClient>>;
 
 /// Records how late the event loop runs.
@@ -29,10 +32,10 @@
     }
 }
 
-Task<void> runAll(asio::io_context& io, const LoadClients& clients, const PlannedWorkClients& plannedWorkClients, seconds duration, milliseconds pause, int statements)
+Task<void> runAll(asio::io_context& io, const LoadClients& clients, const PlannedWorkClients& plannedWorkClients, const UnknownKeyClients& unknownKeyClients, seconds duration, milliseconds pause, int statements)
 {
     const auto until = BootClock::now() + duration;
-    auto left = clients.size() + plannedWorkClients.size();
+    auto left = clients.size() + plannedWorkClients.size() + unknownKeyClients.size();
     const auto runOne = [&](LoadClient& client) -> Task<void> {
         co_await client.run(until, pause, statements);
         --left;
@@ -41,6 +44,12 @@
         co_await client.run(until);
         --left;
     };
+    const auto runUnknown = [&](UnknownKeyClient& client) -> Task<void> {
+        co_await client.run(until);
+        --left;
+    };
+    for (const auto& client : unknownKeyClients)
+        asio::co_spawn(io, runUnknown(*client), asio::detached);
     for (const auto& client : clients)
         asio::co_spawn(io, runOne(*client), asio::detached);
     for (const auto& client : plannedWorkClients)
@@ -62,6 +71,8 @@
         "extra-databases", "Databases extra-0, extra-1 and so on, with two clients of planned work each", cxxopts::value<int>()->default_value("0"))(
         "seconds", "Duration", cxxopts::value<int>()->default_value("20"))(
         "transaction-writes", "Writes of a transaction, with pauses between them", cxxopts::value<int>()->default_value("1"))(
+        "accounts", "Accounts of the emulated platform whose keys the clients send in turn; 0: none has accounts", cxxopts::value<int>()->default_value("0"))(
+        "key-file", "Write the answers to clients with a key, with their times, to this file", cxxopts::value<std::string>())(
         "unanswered-file", "Write the ids of statements without an answer to this file", cxxopts::value<std::string>())(
         "unknown-file", "Write the answers NODB, with their times, to this file", cxxopts::value<std::string>())(
         "pause-ms", "Mean pause of a client", cxxopts::value<int>()->default_value("50"))(
@@ -84,11 +95,18 @@
     LoadReport report;
     LoadClients clients;
     PlannedWorkClients plannedWorkClients;
+    UnknownKeyClients unknownKeyClients;
+    const auto accounts = arguments["accounts"].as<int>();
     auto seed = arguments["seed"].as<unsigned>() * 100'000;
     for (int service = 0; service < arguments["services"].as<int>(); ++service) {
         for (const auto policy : { ReadPolicy::Primary, ReadPolicy::Bounded, ReadPolicy::ReadYourWrites }) {
-            for (int n = 0; n < arguments["clients"].as<int>(); ++n)
+            for (int n = 0; n < arguments["clients"].as<int>(); ++n) {
                 clients.push_back(std::make_unique<LoadClient>(io, EmulatedPlatform::databaseName(service, policy), policy, proxies, ++seed, report));
+                if (accounts > 0)
+                    clients.back()->useAccount(KeyWithdrawals::accountName(n % accounts), KeyWithdrawals::keyName(n % accounts));
+            }
+            if (accounts > 0)
+                unknownKeyClients.push_back(std::make_unique<UnknownKeyClient>(io, EmulatedPlatform::databaseName(service, policy), proxies, ++seed, report));
             for (int n = 0; n < arguments["planned-work-clients"].as<int>(); ++n)
                 plannedWorkClients.push_back(std::make_unique<PlannedWorkClient>(io, EmulatedPlatform::databaseName(service, policy), proxies, ++seed, report));
         }
@@ -97,7 +115,7 @@
         plannedWorkClients.push_back(std::make_unique<PlannedWorkClient>(io, EmulatedPlatform::extraDatabaseName(n / 2), proxies, ++seed, report));
     asio::co_spawn(io, watchDelays(io, report), asio::detached);
     const seconds duration(arguments["seconds"].as<int>());
-    asio::co_spawn(io, runAll(io, clients, plannedWorkClients, duration, milliseconds(arguments["pause-ms"].as<int>()), arguments["transaction-writes"].as<int>()), asio::detached);
+    asio::co_spawn(io, runAll(io, clients, plannedWorkClients, unknownKeyClients, duration, milliseconds(arguments["pause-ms"].as<int>()), arguments["transaction-writes"].as<int>()), asio::detached);
     io.run();
     report.print(std::cout, duration);
     if (arguments.count("unanswered-file")) {
@@ -110,6 +128,17 @@
         for (const auto& line : report.unknownDatabases())
             file << line << '\n';
     }
+    if (arguments.count("key-file")) {
+        std::ofstream file(arguments["key-file"].as<std::string>());
+        for (const auto& line : report.keyAnswers())
+            file << line << '\n';
+    }
+    if (accounts > 0)
+        std::cout << "sessions refused to keys of no account: " << report.refusedUnknownKeys() << '\n';
+    if (accounts > 0 && report.refusedUnknownKeys() == 0) {
+        std::cout << "no key of no account was refused\n";
+        return exitViolation;
+    }
     if (report.served() == 0)
         std::cout << "nothing was served\n";
     return report.hasViolations() || report.served() == 0 ? exitViolation : 0;
