--- a/packages/pooler/src/ServiceRegistry.cpp
+++ b/packages/pooler/src/ServiceRegistry.cpp
@@ -2,7 +2,8 @@
 
 #include "kumquatbank/engine/EventLog.h"
 
-#include <ranges>
+#include <algorithm>
+#include <span>
 
 namespace kumquatbank {
 
@@ -51,7 +52,7 @@
 void ServiceRegistry::logRejectedAccounts() const
 {
     const auto& rejected = m_config->rejectedAccounts;
-    for (const auto& reason : rejected | std::views::take(maxRejectedAccountLines))
+    for (const auto& reason : std::span(rejected).first(std::min(rejected.size(), maxRejectedAccountLines)))
         EventLog::warn("account_entry_rejected", { { "version", m_config->version }, { "reason", reason } });
     if (rejected.size() > maxRejectedAccountLines)
         EventLog::warn("account_entries_rejected", { { "version", m_config->version }, { "not_listed", rejected.size() - maxRejectedAccountLines } });
--- a/packages/pooler/src/StoreSync.cpp
+++ b/packages/pooler/src/StoreSync.cpp
@@ -282,7 +282,7 @@
         if (object.error.empty())
             applyConfig(object.content, "store");
         else
-            EventLog::error("config_unreadable", { { "error", object.error }, { "source", "store" }, { "revision", object.revision.number } });
+            EventLog::error("config_unreadable", { { "error", StoreCodec::errorWithoutContent(object) }, { "source", "store" }, { "revision", object.revision.number } });
         return;
     }
     if (change.isRemoved)
--- a/scripts/pooler_soak.sh
+++ b/scripts/pooler_soak.sh
@@ -139,7 +139,7 @@
     awk -v apply_ms=5000 -v grace_ms=2000 -f scripts/withdrawn_keys.awk "$pooler_dir/withdrawn.txt" "$pooler_dir/keys.txt" || status=1
 fi
 # No key is written to a log.
-if [ "$accounts" -gt 0 ] && grep -hE 'key-[0-9]|unknown-key' "$pooler_dir"/host-*.log | head -n 3 | grep .; then
+if [ "$accounts" -gt 0 ] && grep -hE 'key-[0-9]|(unknown|shared)-key' "$pooler_dir"/host-*.log | head -n 3 | grep .; then
     echo "violation: a log contains a key"
     status=1
 fi
--- a/tools/emulator/KeyWithdrawals.cpp
+++ b/tools/emulator/KeyWithdrawals.cpp
@@ -23,7 +23,7 @@
 {
     // The key that clients without an account of their own send is the name of their kind.
     for (const auto* kind : { "load", "planned" })
-        platform.accountKeys()[kind] = { kind };
+        platform.accountKeys()[kind] = { kind, sharedKey };
     for (int n = 0; n < accounts; ++n)
         platform.accountKeys()[accountName(n)] = { keyName(n) };
     platform.putConfig();
--- a/tools/emulator/KeyWithdrawals.h
+++ b/tools/emulator/KeyWithdrawals.h
@@ -12,6 +12,9 @@
     /// Writes a configuration with @p accounts accounts for withdrawals, and one for each other kind of client of the load.
     KeyWithdrawals(asio::io_context& io, EmulatedPlatform& platform, int accounts, unsigned seed);
 
+    /// Key of two accounts, which therefore belongs to neither.
+    static constexpr const char* sharedKey = "shared-key";
+
     /// Name of account @p n, and its key.
     static std::string accountName(int n);
     static std::string keyName(int n);
--- a/tools/emulator/UnknownKeyClient.cpp
+++ b/tools/emulator/UnknownKeyClient.cpp
@@ -1,5 +1,6 @@
 #include "UnknownKeyClient.h"
 
+#include "KeyWithdrawals.h"
 #include "kumquatbank/adapter/WireDialect.h"
 
 #include <fmt/format.h>
@@ -27,8 +28,8 @@
 
 Task<void> UnknownKeyClient::run(BootTime until)
 {
-    const auto line = fmt::format("START {} unknown-key\r\n", m_database);
     while (BootClock::now() < until) {
+        const auto line = fmt::format("START {} {}\r\n", m_database, m_random() % 2 == 0 ? "unknown-key" : KeyWithdrawals::sharedKey);
         co_await sleepFor(m_io, pause);
         const auto& proxy = m_proxies[m_random() % m_proxies.size()];
         auto channel = co_await LineChannel::connect(m_io, proxy, WireDialect::maxMessageBytes, connectTimeout, answerTimeout);
--- a/tools/emulator/UnknownKeyClient.h
+++ b/tools/emulator/UnknownKeyClient.h
@@ -7,7 +7,7 @@
 
 namespace kumquatbank {
 
-/// A client with a key that no account has ever had. Every session that it gets is a violation.
+/// A client with a key that no account has ever had, or that two accounts have. Every session that it gets is a violation.
 class UnknownKeyClient {
 public:
     UnknownKeyClient(asio::io_context& io, std::string database, std::vector<HostAddress> proxies, unsigned seed, LoadReport& report);
