--- a/tools/emulator/EmulatedDatabase.cpp
+++ b/tools/emulator/EmulatedDatabase.cpp
@@ -317,10 +317,12 @@
     const auto word = takeWord(rest);
     if (!session.isStarted) {
         const std::string service(takeWord(rest));
-        takeWord(rest);
+        const auto client = takeWord(rest);
         const auto id = takeWord(rest);
         std::string refusal;
-        if (word != "START" || service != m_service->name() || (!id.empty() && id != m_entry.id))
+        if (client.empty())
+            refusal = "ERR NOAUTH\r\n";
+        else if (word != "START" || service != m_service->name() || (!id.empty() && id != m_entry.id))
             refusal = "ERR MISROUTED\r\n";
         else if (m_connections > m_behaviour.maxConnections)
             refusal = "ERR TOOMANY\r\n";
