Limits: exchange at once when hosts wait, no whole token held back, retry times that count the backlog

Cause: in the model, accounts of 1/s were refused below their limit (2 of 56 at 87 hosts, 16 of 55 at 3,000): the tokens of the other regions came later than operations wait, or each region kept a part of one. At 3 times the demand, hosts asked again every 20 ms, because the time to retry did not count what others had requested in vain. Tested: routing_tests LimitFleet, pooler_tests group Limit.

--- a/packages/pooler/src/LimitService.cpp
+++ b/packages/pooler/src/LimitService.cpp
@@ -19,6 +19,8 @@
     constexpr milliseconds requestTimeout { 150 };
     /// Between two requests of a coordinator to the others for accounts that are short.
     constexpr milliseconds exchangeInterval { 100 };
+    /// Between two requests if hosts wait for tokens.
+    constexpr milliseconds minExchangeInterval { 50 };
     /// Between two requests to the others if no account is short; they carry the number of hosts.
     constexpr milliseconds exchangeIdleInterval { 500 };
     /// Between two rounds while there is no coordinator to ask.
@@ -229,6 +231,8 @@
     std::optional<LimitReply> reply;
     if (coordinator == m_settings.host) {
         reply = m_pool.handle(request, sentAt);
+        if (!reply->retryAfter.empty())
+            m_wakeExchange.wake();
     } else if (const auto target = link(coordinator)) {
         const auto deadline = sentAt + requestTimeout;
         reply = co_await target->ask(std::move(request), deadline);
@@ -298,6 +302,8 @@
     if (!request)
         return {};
     const auto reply = m_pool.handle(*request, BootClock::now());
+    if (!reply.retryAfter.empty())
+        m_wakeExchange.wake();
     for (const auto& [account, tokens] : reply.grants)
         m_metrics.limitTokensGranted(request->isExchange ? "exchange" : "host", tokens);
     return LimitMessage::formatReply(reply);
@@ -319,6 +325,7 @@
             for (const auto& coordinator : m_otherCoordinators)
                 asio::co_spawn(m_io, exchangeWith(coordinator, wants), LogFailure("limit_exchange"));
         }
+        co_await sleepFor(m_io, minExchangeInterval);
         const auto until = now + exchangeInterval;
         co_await m_wakeExchange.wait(until);
     }
--- a/packages/routing/src/LimitPool.cpp
+++ b/packages/routing/src/LimitPool.cpp
@@ -16,6 +16,8 @@
     constexpr double minDemandPerSecond = 0.01;
     /// Requests to several coordinators together exceed what is needed by this factor, because some give less.
     constexpr double exchangeFactor = 1.5;
+    /// Requests of this time that were not granted count as those that ask again.
+    constexpr Seconds backlogTime { 0.5 };
     /// Absorbs rounding when fractions of tokens add up to a whole one.
     constexpr double roundingTolerance = 1e-6;
     /// Until tokens of other coordinators may arrive.
@@ -119,9 +121,9 @@
 
 double LimitPool::takeForOthers(const std::string& name, Account& account, double wanted, BootTime now)
 {
-    const double demand = account.requested.perSecond(now);
-    const double reserved = demand < minDemandPerSecond ? 0 : 1 + demand * reservedDemandTime.count();
-    const double spare = m_buckets.level(name, now) - reserved;
+    // No whole token is reserved: the pools of an account with a low rate could each keep one, or a part of one, and nobody
+    // could use them.
+    const double spare = m_buckets.level(name, now) - account.requested.perSecond(now) * reservedDemandTime.count();
     return m_buckets.take(name, std::min(wanted, std::max(0.0, spare)), now);
 }
 
@@ -137,7 +139,9 @@
     if (mayOthersGive(account, now))
         return exchangeRetryAfter;
     const double production = m_buckets.find(name)->perSecond * m_buckets.fraction();
-    const double needed = std::max(0.0, missing - m_buckets.level(name, now));
+    // Other hosts have requested in vain as well, and most of them will ask again.
+    const double backlog = std::max(0.0, account.requested.perSecond(now) - account.granted.perSecond(now)) * backlogTime.count();
+    const double needed = std::max(missing, backlog) - m_buckets.level(name, now);
     if (production <= 0 || Seconds(needed / production) >= Seconds(maxRetryAfter))
         return maxRetryAfter;
     return std::max(minRetryAfter, std::chrono::ceil<milliseconds>(Seconds(needed / production)));
--- a/packages/routing/tests/LimitFleet.cpp
+++ b/packages/routing/tests/LimitFleet.cpp
@@ -12,6 +12,7 @@
 
     constexpr milliseconds requestTimeout { 150 };
     constexpr milliseconds exchangeInterval { 100 };
+    constexpr milliseconds minExchangeInterval { 50 };
     constexpr milliseconds exchangeIdleInterval { 500 };
     constexpr milliseconds minAskInterval { 10 };
     constexpr milliseconds maxLateness { 3000 };
@@ -103,7 +104,7 @@
     host.wakeAt = BootTime::max();
     applyTerms(host, m_limits);
     wake(host, uniform(milliseconds(300)));
-    schedule(host, uniform(exchangeInterval), [this, &host] { exchange(host); });
+    schedule(host, uniform(exchangeInterval), [this, &host] { exchangePeriodically(host); });
 }
 
 void LimitFleet::applyTerms(Host& host, const std::map<std::string, RateLimit>& limits)
@@ -275,6 +276,8 @@
             received.stamp = LimitStamp { target.run, clock(target) };
         target.pool->recordHostCount(target.listedHosts, clock(target));
         const auto reply = target.pool->handle(received, clock(target));
+        if (!reply.retryAfter.empty())
+            exchange(target);
         if (&target == &asking)
             done(reply);
         else
@@ -313,10 +316,18 @@
     wake(host, std::max<Duration>(next - now, coordinator.empty() ? Duration(milliseconds(100)) : Duration(0)));
 }
 
+void LimitFleet::exchangePeriodically(Host& host)
+{
+    schedule(host, exchangeInterval, [this, &host] { exchangePeriodically(host); });
+    exchange(host);
+}
+
 void LimitFleet::exchange(Host& host)
 {
-    schedule(host, exchangeInterval, [this, &host] { exchange(host); });
     const auto now = clock(host);
+    if (now < host.exchangedAt + minExchangeInterval)
+        return;
+    host.exchangedAt = now;
     if (!host.pool->isInUse(now))
         return;
     std::vector<int> others;
--- a/packages/routing/tests/LimitFleet.h
+++ b/packages/routing/tests/LimitFleet.h
@@ -84,7 +84,7 @@
         int requestNumber = 0; ///< Of the request in flight, or of the last one.
         bool hasRequest = false;
         BootTime wakeAt = BootTime::max();
-        bool isExchangeScheduled = false;
+        BootTime exchangedAt {};
     };
 
     struct Event {
@@ -115,6 +115,7 @@
     void ask(Host& host, int coordinator);
     void ask(Host& host, int coordinator, const LimitRequest& request, std::function<void(const LimitReply&)> done);
     void finishRequest(Host& host, const std::string& coordinator, const LimitReply* reply, BootTime sentAt);
+    void exchangePeriodically(Host& host);
     void exchange(Host& host);
     void applyTerms(Host& host, const std::map<std::string, RateLimit>& limits);
 
