--- a/packages/pooler/src/LimitService.cpp
+++ b/packages/pooler/src/LimitService.cpp
@@ -19,6 +19,8 @@
     constexpr milliseconds requestTimeout { 150 };
     /// Between two requests of a coordinator to the others for accounts that are short.
     constexpr milliseconds exchangeInterval { 100 };
+    /// Between two requests if hosts wait for tokens.
+    constexpr milliseconds minExchangeInterval { 50 };
     /// Between two requests to the others if no account is short; they carry the number of hosts.
     constexpr milliseconds exchangeIdleInterval { 500 };
     /// Between two rounds while there is no coordinator to ask.
@@ -141,6 +143,11 @@
     return { false, retryAfter, reason, {} };
 }
 
+LimitDecision LimitService::refuseWithoutCoordinator(const std::string& account, BootTime now)
+{
+    return refuse(account, std::max(defaultRetryAfter, m_share.untilReturn(now)), noCoordinator);
+}
+
 Task<LimitDecision> LimitService::admit(std::string account)
 {
     refresh();
@@ -167,10 +174,12 @@
     m_waiters.erase(it);
     if (decision)
         co_return *decision;
-    const auto sendUntil = m_share.take(account, BootClock::now());
-    if (sendUntil)
+    const auto end = BootClock::now();
+    if (const auto sendUntil = m_share.take(account, end))
         co_return admitted(*sendUntil);
-    co_return refuse(account, defaultRetryAfter, m_coordinator.empty() ? noCoordinator : limitReached);
+    if (m_isCoordinatorSilent)
+        co_return refuseWithoutCoordinator(account, end);
+    co_return refuse(account, defaultRetryAfter, limitReached);
 }
 
 BootTime LimitService::nextRequestAt() const
@@ -198,6 +207,7 @@
         const auto coordinator = m_share.chooseCoordinator(m_ranking, BootClock::now());
         recordCoordinator(coordinator, BootClock::now());
         if (coordinator.empty()) {
+            m_isCoordinatorSilent = true;
             decideWaiters(nullptr, BootClock::now());
             const auto until = BootClock::now() + idleInterval;
             co_await m_wakeRequests.wait(until);
@@ -221,6 +231,8 @@
     std::optional<LimitReply> reply;
     if (coordinator == m_settings.host) {
         reply = m_pool.handle(request, sentAt);
+        if (!reply->retryAfter.empty())
+            m_wakeExchange.wake();
     } else if (const auto target = link(coordinator)) {
         const auto deadline = sentAt + requestTimeout;
         reply = co_await target->ask(std::move(request), deadline);
@@ -230,6 +242,7 @@
         m_share.applyReply(coordinator, *reply, sentAt, now);
     else
         m_share.recordFailure(coordinator, now);
+    m_isCoordinatorSilent = !reply;
     m_metrics.limitRequestCompleted(reply ? "ok" : "failed");
     decideWaiters(reply ? &*reply : nullptr, now);
 }
@@ -258,7 +271,7 @@
             waiter.decision = admitted(*sendUntil);
         } else if (reply == nullptr) {
             if (m_share.usesOwnShare(now))
-                waiter.decision = refuse(waiter.account, defaultRetryAfter, noCoordinator);
+                waiter.decision = refuseWithoutCoordinator(waiter.account, now);
         } else if (const auto it = reply->retryAfter.find(waiter.account); it != reply->retryAfter.end()) {
             if (now + it->second >= waiter.deadline)
                 waiter.decision = refuse(waiter.account, it->second, limitReached);
@@ -289,6 +302,8 @@
     if (!request)
         return {};
     const auto reply = m_pool.handle(*request, BootClock::now());
+    if (!reply.retryAfter.empty())
+        m_wakeExchange.wake();
     for (const auto& [account, tokens] : reply.grants)
         m_metrics.limitTokensGranted(request->isExchange ? "exchange" : "host", tokens);
     return LimitMessage::formatReply(reply);
@@ -310,6 +325,7 @@
             for (const auto& coordinator : m_otherCoordinators)
                 asio::co_spawn(m_io, exchangeWith(coordinator, wants), LogFailure("limit_exchange"));
         }
+        co_await sleepFor(m_io, minExchangeInterval);
         const auto until = now + exchangeInterval;
         co_await m_wakeExchange.wait(until);
     }
