Pace and health of endpoints, on with the setting endpointPacing

Cause: an endpoint that is back after a failure got the full share of every host at once, and nothing was learnt from refused, failed or missing answers across requests. Change: EndpointPace (concurrency limit from the endpoint's answers against its peers'), EndpointHealth (ejection of an endpoint that fails far more than its peers; reads reach it as probes), ServicePacing (both for one service) in routing; EndpointPacer applies them to the scheduler of DatabaseService. A loan request carries whether the read is repeatable. Metrics, log lines, state page. Without the setting no decision changes. Ruled out: a floor below the host's part of the slots for slow answers (slots would be free while requests wait); growth from failed answers (they may be quicker than good ones).

--- a/packages/pooler/src/ConnectionBorrower.cpp
+++ b/packages/pooler/src/ConnectionBorrower.cpp
@@ -75,6 +75,7 @@
     loanRequest.answerTimeout = request.answerTimeout;
     loanRequest.excluded = request.permit.excluded;
     loanRequest.waitsForEndpoint = waitsForEndpoint;
+    loanRequest.isRepeatable = request.permit.isRepeatable;
     if (request.freshness)
         loanRequest.maxStaleness = request.freshness->maxStaleness;
     auto loan = co_await link->requestLoan(std::move(loanRequest), request.permit.queueDeadline);
--- a/packages/pooler/src/ConnectionLease.cpp
+++ b/packages/pooler/src/ConnectionLease.cpp
@@ -45,6 +45,12 @@
         m_service->recordFailure(*m_endpoint, description);
 }
 
+void ConnectionLease::recordOutcome(StatementOutcome outcome, std::optional<BootTime> sentAt)
+{
+    if (!isBorrowed())
+        m_service->recordOutcome(*m_endpoint, outcome, sentAt);
+}
+
 void ConnectionLease::returnConnection()
 {
     if (m_connection && m_lender)
--- a/packages/pooler/src/ConnectionLease.h
+++ b/packages/pooler/src/ConnectionLease.h
@@ -2,6 +2,7 @@
 
 #include "DatabaseConnection.h"
 #include "Endpoint.h"
+#include "kumquatbank/routing/StatementOutcome.h"
 
 #include <memory>
 
@@ -27,6 +28,7 @@
     DatabaseService& service() { return *m_service; }
     /// Host that holds the connection; empty if it is this host.
     std::string lender() const;
+    bool isBorrowed() const { return m_lender != nullptr; }
 
     /// Records an answer of the endpoint. Answers over a borrowed connection are ignored: they do not show whether this
     /// host can reach the endpoint.
@@ -34,6 +36,9 @@
     /// Records that the connection gave no answer. For a borrowed connection the failure is not counted against the
     /// endpoint, because the lender may have caused it.
     void recordFailure(std::string_view description);
+    /// Records the end of a statement as evidence about the endpoint. Ignored for a borrowed connection, because its lender
+    /// records it.
+    void recordOutcome(StatementOutcome outcome, std::optional<BootTime> sentAt);
 
 private:
     void returnConnection();
--- a/packages/pooler/src/ConnectionLender.cpp
+++ b/packages/pooler/src/ConnectionLender.cpp
@@ -77,6 +77,7 @@
     request.permit.priority = loanRequest.priority;
     request.permit.queueDeadline = now + std::clamp(loanRequest.maxWait, milliseconds(0), maxWait);
     request.permit.excluded = std::move(loanRequest.excluded);
+    request.permit.isRepeatable = loanRequest.isRepeatable;
     request.deadline = request.permit.queueDeadline;
     if (loanRequest.maxStaleness) {
         request.freshness = ReadFreshness { *loanRequest.maxStaleness, {} };
--- a/packages/pooler/src/DatabaseService.cpp
+++ b/packages/pooler/src/DatabaseService.cpp
@@ -114,7 +114,10 @@
     const bool isServing = !endpoint.entry.isDraining || (isPrimary && now < endpoint.servesUntil);
     const bool isUsable = isServing && now >= endpoint.unusableUntil && (!isFull || endpoint.open > 0) && !(isPrimary && isSuspect(endpoint, now));
     const int share = sharing().share();
-    m_scheduler.setEndpoint(endpoint.entry.id, isUsable, isPrimary, isFull ? std::min(share, endpoint.open) : share);
+    const int limit = m_pacer ? m_pacer->limit(endpoint, isUsable, share, m_limits.maxConnections) : share;
+    m_scheduler.setEndpoint(endpoint.entry.id, isUsable, isPrimary, isFull ? std::min(limit, endpoint.open) : limit);
+    if (m_pacer)
+        m_pacer->applyEjection(endpoint.entry.id);
     m_scheduler.setAnswerTime(endpoint.entry.id, endpoint.expectedAnswerTime(now));
     updateOpeningCost(endpoint);
 }
@@ -145,6 +148,8 @@
             // The server restarted under the same id and lost its state, so the recorded state is invalid.
             closeAllIdle(*endpoint);
             endpoint->unusableUntil = {};
+            if (m_pacer)
+                m_pacer->restart(entry.id);
             if (m_primary == entry.id)
                 setPrimary("", "restarted");
         }
@@ -187,6 +192,8 @@
         if (m_primary == it->first)
             setPrimary("", "entry removed");
         m_scheduler.removeEndpoint(it->first);
+        if (m_pacer)
+            m_pacer->removeEndpoint(it->first);
         it = m_endpoints.erase(it);
     }
 }
@@ -198,6 +205,8 @@
     EventLog::info("primary_changed", { { "service", m_name }, { "from", m_primary }, { "to", id }, { "evidence", evidence }, { "believed_for_ms", toMs(BootClock::now() - m_primarySince) } });
     const auto previous = std::exchange(m_primary, id);
     m_primarySince = BootClock::now();
+    if (m_pacer && !id.empty() && id != m_lastPrimary)
+        m_pacer->restart(id);
     if (!id.empty())
         m_lastPrimary = id;
     if (const auto endpoint = find(id)) {
@@ -309,6 +318,8 @@
 {
     const auto now = BootClock::now();
     ++endpoint.failures;
+    if (m_pacer && m_pacer->recordMissingAnswer(endpoint))
+        refreshScheduler(endpoint);
     EventLog::warn("endpoint_failure", { { "service", m_name }, { "endpoint", endpoint.entry.id }, { "what", description }, { "failures", endpoint.failures }, { "last_answer_ms", toMs(now - endpoint.lastAnswer) } });
 }
 
@@ -331,6 +342,12 @@
     m_scheduler.setAnswerTime(endpoint.entry.id, endpoint.expectedAnswerTime(now));
 }
 
+void DatabaseService::recordOutcome(Endpoint& endpoint, StatementOutcome outcome, std::optional<BootTime> sentAt)
+{
+    if (m_pacer && m_pacer->record(endpoint, outcome, sentAt))
+        refreshScheduler(endpoint);
+}
+
 std::set<std::string> DatabaseService::laggingEndpoints() const
 {
     const auto now = BootClock::now();
@@ -450,6 +467,8 @@
         co_return std::move(opened.connection);
     }
     if (!opened.refusal) {
+        if (m_pacer)
+            m_pacer->restart(endpoint->entry.id);
         recordFailure(*endpoint, "connect");
         endpoint->unusableUntil = BootClock::now() + std::min(failurePause * endpoint->failures, maxFailurePause);
         refreshScheduler(*endpoint);
@@ -460,6 +479,8 @@
         endpoint->fullUntil = BootClock::now() + (sharing().isScarce() ? scarceConnectionLimitPause : connectionLimitPause);
     else
         endpoint->unusableUntil = BootClock::now() + failurePause;
+    if (m_pacer && *opened.refusal == ErrorCode::Busy)
+        m_pacer->recordRefusal(*endpoint, sentAt);
     EventLog::warn("connection_refused", { { "service", m_name }, { "endpoint", endpoint->entry.id }, { "code", errorCodeName(*opened.refusal) }, { "open", endpoint->open }, { "share", sharing().share() }, { "hosts", m_hostCount } });
     refreshScheduler(*endpoint);
     co_return tl::unexpected(*opened.refusal);
@@ -655,6 +676,8 @@
     const auto now = BootClock::now();
     removeMissingEndpoints(now);
     std::erase_if(m_departed, [this, now](const auto& item) { return now - item.second.at >= m_memberRetention; });
+    if (m_pacer)
+        m_pacer->compare(m_endpoints);
     for (const auto& [id, endpoint] : m_endpoints) {
         closeExpiredIdle(*endpoint, now);
         refreshScheduler(*endpoint);
--- a/packages/pooler/src/DatabaseService.h
+++ b/packages/pooler/src/DatabaseService.h
@@ -3,6 +3,7 @@
 #include "ConnectionLease.h"
 #include "ConnectionRequest.h"
 #include "Endpoint.h"
+#include "EndpointPacer.h"
 #include "PoolerMetrics.h"
 #include "PositionSample.h"
 #include "kumquatbank/engine/AutoResetEvent.h"
@@ -38,6 +39,10 @@
     /// @p lenderCount: hosts that hold the connections where these are scarce; 0 if each host has its own.
     void setLimits(const ServiceLimits& limits, int hostCount, int lenderCount);
     void setBorrower(ConnectionBorrower& borrower) { m_borrower = &borrower; }
+    /// Limits the use of each endpoint by its answers, and ejects endpoints that fail more than their peers from reads.
+    void enablePacing() { m_pacer = std::make_unique<EndpointPacer>(m_name, m_scheduler, m_metrics); }
+    /// Null without pacing.
+    const ServicePacing* pacing() const { return m_pacer ? &m_pacer->pacing() : nullptr; }
     /// @p drainTime: for which an endpoint serves clients after it has reported that it is draining. @p memberRetention:
     /// for which an endpoint that disappeared counts as one that may hold acknowledged commits.
     void setEndpointTimes(std::chrono::milliseconds drainTime, std::chrono::milliseconds memberRetention);
@@ -91,6 +96,9 @@
     void recordAnswer(Endpoint& endpoint, BootTime sentAt);
     /// Records the duration of a client's statement. @p wasRefused: the endpoint refused it because it was full.
     void recordStatement(Endpoint& endpoint, BootTime sentAt, bool wasRefused);
+    /// Records the end of a statement for the endpoint's pace and health. @p sentAt: empty if the time of its own answer is
+    /// unknown.
+    void recordOutcome(Endpoint& endpoint, StatementOutcome outcome, std::optional<BootTime> sentAt);
 
     /// Returns the endpoints to exclude from reads with a minimum position, because they recently lagged.
     std::set<std::string> laggingEndpoints() const;
@@ -176,6 +184,7 @@
     BootTime m_lastOwnUse {}; ///< When a connection of this host was last requested.
     std::map<std::string, std::shared_ptr<Endpoint>> m_endpoints;
     ServiceScheduler m_scheduler;
+    std::unique_ptr<EndpointPacer> m_pacer; ///< Null without pacing.
     Floor m_floor;
     std::string m_primary; ///< Recorded primary; empty while none is known.
     std::string m_lastPrimary;
--- a/packages/pooler/src/Loan.cpp
+++ b/packages/pooler/src/Loan.cpp
@@ -86,6 +86,7 @@
     // The answer time of a single statement is known only if it was sent alone.
     if (m_batch.size() == 1)
         service.recordStatement(endpoint, sentAt, reply.code == ErrorCode::Busy);
+    m_lease.recordOutcome(outcomeOf(reply.code), m_batch.size() == 1 ? std::optional(sentAt) : std::nullopt);
 }
 
 Task<bool> Loan::exchangeBatch()
@@ -115,6 +116,8 @@
             status = co_await connection.receive(reply, until);
         if (status != ExchangeStatus::Ok) {
             m_lease.recordFailure(status == ExchangeStatus::TimedOut ? "no answer" : "connection broke");
+            if (status != ExchangeStatus::NotSent)
+                m_lease.recordOutcome(StatementOutcome::Unanswered, sentAt);
             break;
         }
         if (!command.valueName.empty() && reply.isSuccess())
--- a/packages/pooler/src/LoanMessage.cpp
+++ b/packages/pooler/src/LoanMessage.cpp
@@ -32,6 +32,8 @@
     Json json { { "service", request.service }, { "primary", request.eligibility == Eligibility::PrimaryOnly }, { "priority", request.priority }, { "maxWaitMs", request.maxWait.count() }, { "answerTimeoutMs", request.answerTimeout.count() }, { "excluded", request.excluded }, { "waitsForEndpoint", request.waitsForEndpoint } };
     if (!request.account.empty())
         json["account"] = request.account;
+    if (request.isRepeatable)
+        json["repeatable"] = true;
     if (request.maxStaleness)
         json["maxStalenessMs"] = request.maxStaleness->count();
     return frame(requestPrefix, json);
@@ -52,6 +54,7 @@
         request.excluded = json.at("excluded").get<std::set<std::string>>();
         request.waitsForEndpoint = json.at("waitsForEndpoint").get<bool>();
         request.account = json.value("account", std::string());
+        request.isRepeatable = json.value("repeatable", false);
         if (json.contains("maxStalenessMs"))
             request.maxStaleness = durationOfMessage(json["maxStalenessMs"].get<std::int64_t>());
         return request;
--- a/packages/pooler/src/LoanMessage.h
+++ b/packages/pooler/src/LoanMessage.h
@@ -24,6 +24,7 @@
     std::optional<std::chrono::milliseconds> maxStaleness {};
     /// Whether to wait for an endpoint if the lender can reach none. Otherwise it replies with Unreachable at once.
     bool waitsForEndpoint = true;
+    bool isRepeatable = false; ///< A read that can still be repeated on another endpoint.
 };
 
 /// Reply of a lender to a loan request.
--- a/packages/pooler/src/PeerService.cpp
+++ b/packages/pooler/src/PeerService.cpp
@@ -321,6 +321,12 @@
             const auto views = service->scheduler().endpoints();
             const auto view = views.find(id);
             endpoints[id] = { { "address", endpoint->entry.address.toString() }, { "dataCentre", endpoint->entry.dataCentre }, { "draining", endpoint->entry.isDraining }, { "idle", endpoint->idle.size() }, { "inUse", view == views.end() ? 0 : view->second.inUse }, { "limit", view == views.end() ? 0 : view->second.limit }, { "silenceMs", toMs(now - endpoint->lastAnswer) }, { "failures", endpoint->failures }, { "lagging", endpoint->laggingUntil > now } };
+            const auto* pacing = service->pacing();
+            if (const auto* pace = pacing == nullptr ? nullptr : pacing->pace(id)) {
+                endpoints[id]["pace"] = pace->limit();
+                endpoints[id]["fullPace"] = pace->full();
+                endpoints[id]["ejected"] = pacing->isEjected(id);
+            }
         }
         const auto* sample = service->floorSamples().newest();
         services[name] = { { "primary", service->primary() ? service->lastPrimary() : "" }, { "endpoints", std::move(endpoints) }, { "waiting", service->scheduler().waiting() }, { "positionAgeMs", sample == nullptr ? -1 : toMs(now - sample->takenAt) } };
--- a/packages/pooler/src/PoolerMetrics.cpp
+++ b/packages/pooler/src/PoolerMetrics.cpp
@@ -32,6 +32,9 @@
     , m_retries(family(m_registry, prometheus::BuildCounter(), "kumquatbank_retries_total", "Statements that were sent again after nothing ran"))
     , m_primarySilence(family(m_registry, prometheus::BuildGauge(), "kumquatbank_primary_silence_seconds", "Time since the primary last answered"))
     , m_waiting(family(m_registry, prometheus::BuildGauge(), "kumquatbank_waiting_requests", "Requests that wait for a connection"))
+    , m_pace(family(m_registry, prometheus::BuildGauge(), "kumquatbank_endpoint_pace", "Concurrent uses of an endpoint that its answers allow this host"))
+    , m_fullPace(family(m_registry, prometheus::BuildGauge(), "kumquatbank_endpoint_pace_full", "Share of an endpoint's connections of this host"))
+    , m_ejected(family(m_registry, prometheus::BuildGauge(), "kumquatbank_ejected_endpoints", "Endpoints that get no reads because they fail more than their peers"))
     , m_sessions(family(m_registry, prometheus::BuildGauge(), "kumquatbank_sessions", "Open client sessions").Add({}))
     , m_configVersion(family(m_registry, prometheus::BuildGauge(), "kumquatbank_config_version", "Version of the configuration in force").Add({}))
     , m_storeEra(family(m_registry, prometheus::BuildGauge(), "kumquatbank_store_era", "Era of the newest answer of the store; rises when it comes back from an older copy").Add({}))
@@ -82,6 +85,21 @@
 void PoolerMetrics::setPrimarySilence(const std::string& service, double age) { m_primarySilence.Add({ { "service", service } }).Set(age); }
 void PoolerMetrics::setWaiting(const std::string& service, double requests) { m_waiting.Add({ { "service", service } }).Set(requests); }
 
+void PoolerMetrics::setEjectedEndpoints(const std::string& service, int endpoints) { m_ejected.Add({ { "service", service } }).Set(endpoints); }
+
+void PoolerMetrics::setEndpointPace(const std::string& service, const std::string& endpoint, int limit, int full)
+{
+    m_pace.Add({ { "service", service }, { "endpoint", endpoint } }).Set(limit);
+    m_fullPace.Add({ { "service", service }, { "endpoint", endpoint } }).Set(full);
+}
+
+void PoolerMetrics::removeEndpointPace(const std::string& service, const std::string& endpoint)
+{
+    // Add() returns the existing series if there is one.
+    m_pace.Remove(&m_pace.Add({ { "service", service }, { "endpoint", endpoint } }));
+    m_fullPace.Remove(&m_fullPace.Add({ { "service", service }, { "endpoint", endpoint } }));
+}
+
 std::string PoolerMetrics::serialize()
 {
     m_droppedLogLines.Set(static_cast<double>(EventLog::droppedLines()));
--- a/packages/pooler/src/PoolerMetrics.h
+++ b/packages/pooler/src/PoolerMetrics.h
@@ -35,6 +35,11 @@
     void setStoreEra(std::uint64_t era);
     void setPrimarySilence(const std::string& service, double seconds);
     void setWaiting(const std::string& service, double requests);
+    /// Sets the number of concurrent uses that this host allows itself on an endpoint, and its full value.
+    void setEndpointPace(const std::string& service, const std::string& endpoint, int limit, int full);
+    void removeEndpointPace(const std::string& service, const std::string& endpoint);
+    /// Sets the number of endpoints that get no reads because they fail more than their peers.
+    void setEjectedEndpoints(const std::string& service, int endpoints);
 
     /// Returns all metrics in the Prometheus text format.
     std::string serialize();
@@ -52,6 +57,9 @@
     prometheus::Family<prometheus::Counter>& m_retries;
     prometheus::Family<prometheus::Gauge>& m_primarySilence;
     prometheus::Family<prometheus::Gauge>& m_waiting;
+    prometheus::Family<prometheus::Gauge>& m_pace;
+    prometheus::Family<prometheus::Gauge>& m_fullPace;
+    prometheus::Family<prometheus::Gauge>& m_ejected;
     prometheus::Gauge& m_sessions;
     prometheus::Gauge& m_configVersion;
     prometheus::Gauge& m_storeEra;
--- a/packages/pooler/src/ServiceRegistry.cpp
+++ b/packages/pooler/src/ServiceRegistry.cpp
@@ -18,6 +18,8 @@
         return databaseService;
     databaseService = std::make_shared<DatabaseService>(m_io, service, m_hostName, m_metrics, m_borrower);
     databaseService->setEndpointTimes(m_drainTime, m_memberRetention);
+    if (m_isPaced)
+        databaseService->enablePacing();
     return databaseService;
 }
 
--- a/packages/pooler/src/ServiceRegistry.h
+++ b/packages/pooler/src/ServiceRegistry.h
@@ -18,6 +18,8 @@
     void setEndpoints(std::map<std::string, EndpointEntry> entries, bool isComplete, BootTime previousAnswerAt);
     /// Passes the times on to all services, also to those that become known later.
     void setEndpointTimes(std::chrono::milliseconds drainTime, std::chrono::milliseconds memberRetention);
+    /// Switches pacing on for all services that become known later.
+    void enablePacing() { m_isPaced = true; }
     const std::map<std::string, EndpointEntry>& endpoints() const { return m_entries; }
     bool hasEndpoints() const { return m_hasEndpoints; }
 
@@ -53,6 +55,7 @@
     std::set<std::string> m_unknownServices; ///< Named by entries only.
     int m_hosts = ConnectionSharing::unknownHostCount;
     int m_lenders = 0;
+    bool m_isPaced = false;
     ConnectionBorrower* m_borrower = nullptr;
     std::chrono::milliseconds m_drainTime { 0 };
     std::chrono::milliseconds m_memberRetention { 0 };
--- a/packages/pooler/src/SessionContext.cpp
+++ b/packages/pooler/src/SessionContext.cpp
@@ -55,7 +55,7 @@
     return service.currentFloor(route.maxStaleness, ownCommit(route));
 }
 
-Task<std::optional<ConnectionLease>> SessionContext::acquire(Route route, std::string account, Eligibility eligibility, std::set<std::string> excluded, BootTime until, StatementAnswer& answer)
+Task<std::optional<ConnectionLease>> SessionContext::acquire(Route route, std::string account, Eligibility eligibility, std::set<std::string> excluded, BootTime until, StatementAnswer& answer, bool isRepeatable)
 {
     const auto service = m_registry.find(route.service);
     if (!service) {
@@ -73,6 +73,7 @@
     request.permit.priority = route.priority;
     request.permit.queueDeadline = std::min<BootTime>(until - RetryPolicy::minRemainingTime, requestedAt + route.targetLatency * queueSharePercent / 100);
     request.permit.excluded = std::move(excluded);
+    request.permit.isRepeatable = isRepeatable;
     request.deadline = until - RetryPolicy::minRemainingTime;
     request.answerTimeout = route.statementTimeout;
     auto lease = co_await service->acquire(std::move(request), m_state);
--- a/packages/pooler/src/SessionContext.h
+++ b/packages/pooler/src/SessionContext.h
@@ -55,7 +55,7 @@
 
     /// Acquires a connection for a statement on @p route. A read that any endpoint may serve first waits until its
     /// minimum position is known, and avoids lagging endpoints. On failure, @p answer is set to an error.
-    Task<std::optional<ConnectionLease>> acquire(Route route, std::string account, Eligibility eligibility, std::set<std::string> excluded, BootTime until, StatementAnswer& answer);
+    Task<std::optional<ConnectionLease>> acquire(Route route, std::string account, Eligibility eligibility, std::set<std::string> excluded, BootTime until, StatementAnswer& answer, bool isRepeatable = false);
 
     /// Returns the minimum position for a read on @p route; empty if no known position is recent enough.
     std::optional<LogPosition> currentFloor(DatabaseService& service, const Route& route) const;
--- a/packages/pooler/src/StatementExchange.cpp
+++ b/packages/pooler/src/StatementExchange.cpp
@@ -70,6 +70,8 @@
         exchange.status = co_await connection.receive(exchange.reply, until);
     if (exchange.status != ExchangeStatus::Ok) {
         lease.recordFailure(exchange.status == ExchangeStatus::TimedOut ? "no answer" : "connection broke");
+        if (exchange.wasSent())
+            lease.recordOutcome(StatementOutcome::Unanswered, exchange.sentAt);
         co_return exchange;
     }
     if (rollsBack) {
@@ -80,6 +82,7 @@
     }
     lease.recordAnswer(exchange.sentAt);
     lease.service().recordStatement(lease.endpoint(), exchange.sentAt, exchange.reply.code == ErrorCode::Busy);
+    lease.recordOutcome(outcomeOf(exchange.reply.code), exchange.sentAt);
     if (!prepared.connectionName.empty() && exchange.reply.code != ErrorCode::UnknownStatement)
         connection.state().recordPrepared(prepared.connectionName);
     co_return exchange;
--- a/packages/pooler/src/StatementRunner.cpp
+++ b/packages/pooler/src/StatementRunner.cpp
@@ -161,7 +161,10 @@
 Task<AttemptResult> StatementRunner::attempt(const Route& route, const std::string& account, const std::string& id, const Statement& statement, bool writes, std::set<std::string>& excluded, BootTime until, StatementAnswer& answer)
 {
     const bool needsPrimary = writes || route.policy == ReadPolicy::Primary;
-    auto lease = co_await m_context.acquire(route, account, needsPrimary ? Eligibility::PrimaryOnly : Eligibility::Any, excluded, until, answer);
+    const auto eligibility = needsPrimary ? Eligibility::PrimaryOnly : Eligibility::Any;
+    // The time must suffice for this attempt and for one on another endpoint.
+    const bool isRepeatable = !needsPrimary && answer.attempts == 1 && until - BootClock::now() >= 2 * minAttemptTimeout;
+    auto lease = co_await m_context.acquire(route, account, eligibility, excluded, until, answer, isRepeatable);
     if (!lease)
         co_return AttemptResult::Done;
     // The configuration may have changed while the request was queued.
--- a/packages/routing/include/kumquatbank/routing/ServiceScheduler.h
+++ b/packages/routing/include/kumquatbank/routing/ServiceScheduler.h
@@ -26,6 +26,7 @@
     int priority = 0; ///< 0 is the most urgent.
     BootTime queueDeadline; ///< The request is refused if it has no permit by then.
     std::set<std::string> excluded; ///< Endpoints on which this request has already failed.
+    bool isRepeatable = false; ///< A read that can still be repeated on another endpoint; may be sent as a probe.
 };
 
 /// Decides which waiting request of one service gets the next connection, and to which endpoint. Does not use the
@@ -38,6 +39,8 @@
         bool isPrimary = false;
         int limit = 1; ///< Maximum number of concurrent connections of this host.
         int inUse = 0;
+        bool isEjected = false; ///< Reads go to other endpoints, except for probes.
+        bool isProbeDue = false; ///< While ejected: the next repeatable read goes here.
         std::chrono::microseconds answerTime { 0 }; ///< Expected time between a statement and its answer.
         std::chrono::microseconds openingCost { 0 }; ///< Time to open a connection; 0 while an idle one is available.
     };
@@ -50,6 +53,8 @@
     void setEndpoint(const std::string& id, bool isUsable, bool isPrimary, int limit);
     void setAnswerTime(const std::string& id, std::chrono::microseconds time);
     void setOpeningCost(const std::string& id, std::chrono::microseconds cost);
+    /// @p isProbeDue: one repeatable read may go to the ejected endpoint; stays in force until a read has been sent.
+    void setEjected(const std::string& id, bool isEjected, bool isProbeDue);
     void removeEndpoint(const std::string& id);
     const std::map<std::string, EndpointView>& endpoints() const { return m_endpoints; }
 
--- a/packages/routing/src/ServiceScheduler.cpp
+++ b/packages/routing/src/ServiceScheduler.cpp
@@ -31,6 +31,13 @@
         return isReadOnPrimary ? std::max(1, endpoint.limit - reservedForWrites(endpoint.limit)) : endpoint.limit;
     }
 
+    void takePermit(ServiceScheduler::EndpointView& endpoint, const PermitRequest& request)
+    {
+        ++endpoint.inUse;
+        if (request.eligibility == Eligibility::Any)
+            endpoint.isProbeDue = false;
+    }
+
 } // namespace
 
 ServiceScheduler::Ticket::~Ticket()
@@ -62,6 +69,19 @@
         it->second.openingCost = cost;
 }
 
+void ServiceScheduler::setEjected(const std::string& id, bool isEjected, bool isProbeDue)
+{
+    const auto it = m_endpoints.find(id);
+    if (it == m_endpoints.end())
+        return;
+    auto& endpoint = it->second;
+    const bool isBetter = (endpoint.isEjected && !isEjected) || (isProbeDue && !endpoint.isProbeDue);
+    endpoint.isEjected = isEjected;
+    endpoint.isProbeDue = isEjected && (isProbeDue || endpoint.isProbeDue);
+    if (isBetter)
+        grantWaiting();
+}
+
 void ServiceScheduler::removeEndpoint(const std::string& id)
 {
     // Its permits may still be in use; release() ignores them.
@@ -72,6 +92,8 @@
 {
     if (!endpoint.isUsable || request.excluded.contains(id))
         return false;
+    if (endpoint.isEjected && request.eligibility == Eligibility::Any)
+        return endpoint.isProbeDue && request.isRepeatable;
     return request.eligibility == Eligibility::Any || endpoint.isPrimary;
 }
 
@@ -84,7 +106,10 @@
             continue;
         if (endpoint.inUse >= limitFor(endpoint, request))
             continue;
-        const bool isReadOnPrimary = endpoint.isPrimary && request.eligibility == Eligibility::Any;
+        const bool isRead = request.eligibility == Eligibility::Any;
+        if (isRead && endpoint.isEjected)
+            return id; // A probe is due.
+        const bool isReadOnPrimary = endpoint.isPrimary && isRead;
         const auto cost = endpoint.answerTime + endpoint.openingCost + m_holdTime * endpoint.inUse / std::max(1, endpoint.limit)
             + (isReadOnPrimary ? primaryReadPenalty : std::chrono::microseconds(0));
         if (cost < bestCost) {
@@ -104,7 +129,7 @@
         return std::nullopt;
     auto best = bestEndpoint(request);
     if (best) {
-        ++m_endpoints[*best].inUse;
+        takePermit(m_endpoints[*best], request);
         recordGrant(request.priority);
     }
     return best;
@@ -158,7 +183,7 @@
         if (it == m_waiting.end())
             return;
         const auto endpoint = *bestEndpoint(it->request);
-        ++m_endpoints[endpoint].inUse;
+        takePermit(m_endpoints[endpoint], it->request);
         ++m_queuedGrants;
         recordGrant(it->request.priority);
         const auto onGranted = std::move(it->onGranted);
