EndpointPace: starts with one and a half uses for each slot of this host's part

Cause: with one use on a primary a read could hold the only one, and the slots stood free while answers were on the way. Change: EndpointPace::slotShare(); a lender of three regions starts with 2 uses instead of 1. Test: an endpoint that goes on failing stays ejected mostly, so that lucky probes do not bring it back.

--- a/packages/pooler/src/EndpointPacer.cpp
+++ b/packages/pooler/src/EndpointPacer.cpp
@@ -23,8 +23,7 @@
 int EndpointPacer::limit(const Endpoint& endpoint, bool isUsable, int share, int maxConnections)
 {
     const auto& id = endpoint.entry.id;
-    const int slotShare = endpoint.entry.slots * share / std::max(1, maxConnections);
-    m_pacing.setEndpoint(id, isUsable, share, slotShare);
+    m_pacing.setEndpoint(id, isUsable, share, EndpointPace::slotShare(endpoint.entry.slots, share, maxConnections));
     return m_pacing.pace(id)->limit();
 }
 
--- a/packages/routing/include/kumquatbank/routing/EndpointPace.h
+++ b/packages/routing/include/kumquatbank/routing/EndpointPace.h
@@ -22,9 +22,12 @@
         Missing,
     };
 
-    /// @p full: this host's share of the endpoint's connections. @p slotShare: this host's part of the endpoint's slots,
-    /// from 1 to @p full. The pace starts with it, and slow answers alone do not reduce the pace below it, because that
-    /// would leave slots idle.
+    /// Returns the number of uses with which this host keeps its part of the endpoint's slots busy; half as many more than
+    /// slots, for the time on the network. @p share: of the @p maxConnections connections that the endpoint accepts.
+    static int slotShare(int slots, int share, int maxConnections);
+
+    /// @p full: this host's share of the endpoint's connections. @p slotShare: from 1 to @p full. The pace starts with it,
+    /// and slow answers alone do not reduce the pace below it, because that would leave slots idle.
     void setBounds(int full, int slotShare);
     /// Starts low again: the endpoint has started, come back or become primary.
     void restart();
--- a/packages/routing/src/EndpointPace.cpp
+++ b/packages/routing/src/EndpointPace.cpp
@@ -1,6 +1,7 @@
 #include "kumquatbank/routing/EndpointPace.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace kumquatbank {
 
@@ -26,6 +27,7 @@
     /// Beyond the last reduction the pace grows from any value to the full one in so many rounds of answers.
     constexpr double roundsToFull = 8;
     constexpr double halving = 0.5;
+    constexpr double usesPerSlot = 1.5;
     /// Answers that are missing at the same time, as after a crash, count once.
     constexpr milliseconds missingInterval { 250 };
     /// With waiting requests and neither answers nor failures for this time, one more use is allowed.
@@ -33,6 +35,12 @@
 
 } // namespace
 
+int EndpointPace::slotShare(int slots, int share, int maxConnections)
+{
+    const double part = static_cast<double>(share) / std::max(1, maxConnections);
+    return std::max(1, static_cast<int>(std::ceil(usesPerSlot * slots * part)));
+}
+
 void EndpointPace::setBounds(int full, int slotShare)
 {
     m_full = std::max(1, full);
--- a/packages/routing/tests/EndpointHealthTest.cpp
+++ b/packages/routing/tests/EndpointHealthTest.cpp
@@ -106,6 +106,24 @@
     LONGS_EQUAL(1, pacing.pace("a")->limit());
 }
 
+// Guards against an endpoint that goes on failing and gets the reads back again and again by a few lucky probes.
+TEST(EndpointHealth, AnEndpointThatGoesOnFailingStaysEjectedMostly)
+{
+    constexpr int perSecond = 30;
+    constexpr int seconds = 120;
+    int sent = 0;
+    for (int n = 0; n < perSecond * seconds; ++n) {
+        if (!pacing.isEjected("a") || pacing.takeProbe("a", now)) {
+            record("a", !std::bernoulli_distribution(0.4)(random));
+            ++sent;
+        }
+        record("b", true);
+        record("c", true);
+        pacing.compare(now += milliseconds(1000 / perSecond));
+    }
+    CHECK_TRUE(sent < perSecond * seconds / 5);
+}
+
 // Guards against client requests that all suffer from an ejected endpoint, transactions that are sent there, and writes
 // that are diverted from the only endpoint that can run them.
 TEST(EndpointHealth, OnlyRepeatableReadsProbeAnEjectedEndpoint)
