--- a/packages/pooler/tests/EndpointPacingTest.cpp
+++ b/packages/pooler/tests/EndpointPacingTest.cpp
@@ -3,6 +3,7 @@
 #include <CppUTest/TestHarness.h>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <limits>
 
 using namespace kumquatbank;
 using std::chrono::milliseconds;
@@ -22,15 +23,27 @@
 /// Far above the 1,000 ms that are tested without a network, because the machine may be busy with other tests.
 constexpr milliseconds fullPaceLimit { 8000 };
 
+constexpr int fewClients = 12;
+constexpr milliseconds ejectionLimit { 12'000 };
+
 void usePacing(PoolerSettings& settings) { settings.endpointPacing = true; }
 
-Task<void> readUntil(PoolerFixture& fixture, std::shared_ptr<bool> isDone)
+/// What the clients of a test share.
+struct Load {
+    bool isDone = false;
+    int succeeded = 0;
+    int failed = 0;
+};
+
+Task<void> readUntilDone(PoolerFixture& fixture, int host, std::shared_ptr<Load> load)
 {
-    while (!*isDone) {
+    while (!load->isDone) {
         TestClient client(fixture.io());
-        auto answer = co_await client.start(fixture.clientAddress(), boundedDb);
-        while (!answer.ready.empty() && !*isDone)
+        auto answer = co_await client.start(fixture.clientAddress(host), boundedDb);
+        while (!answer.ready.empty() && !load->isDone) {
             answer = co_await client.query("READ k");
+            ++(answer.isSuccess() ? load->succeeded : load->failed);
+        }
         co_await fixture.sleep(milliseconds(10));
     }
 }
@@ -56,9 +69,9 @@
 {
     auto& platform = fixture.platform();
     auto& replica = platform.database(0, 1);
-    const auto isDone = std::make_shared<bool>(false);
+    const auto load = std::make_shared<Load>();
     for (int n = 0; n < clients; ++n)
-        asio::co_spawn(fixture.io(), readUntil(fixture, isDone), asio::detached);
+        asio::co_spawn(fixture.io(), readUntilDone(fixture, 0, load), asio::detached);
     co_await fixture.sleep(milliseconds(1000));
     replica.crash();
     co_await fixture.sleep(milliseconds(1000));
@@ -76,7 +89,52 @@
         reached = co_await pace(fixture, replica.entry().id);
     }
     LONGS_EQUAL(connectionLimit, reached);
-    *isDone = true;
+    load->isDone = true;
+    co_await fixture.sleep(milliseconds(500));
+}
+
+Task<bool> isEjected(PoolerFixture& fixture, int host, std::string endpoint)
+{
+    const auto state = co_await fixture.state(host);
+    co_return state["services"].front()["endpoints"][endpoint]["ejected"].get<bool>();
+}
+
+/// Waits until the ejection of an endpoint on a host is as expected.
+Task<void> expectEjected(PoolerFixture& fixture, int host, std::string endpoint, bool expected)
+{
+    const auto until = BootClock::now() + ejectionLimit;
+    bool found = !expected;
+    while (found != expected && BootClock::now() < until) {
+        co_await fixture.sleep(milliseconds(50));
+        found = co_await isEjected(fixture, host, endpoint);
+    }
+    CHECK_EQUAL(expected, found);
+}
+
+/// @p decider: host that holds the connections.
+Task<void> expectEjection(PoolerFixture& fixture, int hosts, int decider)
+{
+    auto& replica = fixture.platform().database(0, 1);
+    const auto load = std::make_shared<Load>();
+    for (int n = 0; n < fewClients; ++n)
+        asio::co_spawn(fixture.io(), readUntilDone(fixture, n % hosts, load), asio::detached);
+    co_await fixture.sleep(milliseconds(1000));
+    // BEGIN and ROLLBACK, of which probes consist, are still answered.
+    replica.behaviour().answersToLose = std::numeric_limits<int>::max();
+    co_await expectEjected(fixture, decider, replica.entry().id, true);
+    // Reads that were sent before the ejection have run out of time by then.
+    co_await fixture.sleep(milliseconds(1500));
+    load->succeeded = load->failed = 0;
+    const auto ranBefore = replica.ran().size();
+    co_await fixture.sleep(milliseconds(2000));
+    CHECK_TRUE(load->succeeded > 0);
+    LONGS_EQUAL(0, load->failed);
+    const auto probes = replica.ran().size() - ranBefore;
+    CHECK_TRUE(probes > 0);
+    CHECK_TRUE(probes <= 5);
+    replica.behaviour().answersToLose = 0;
+    co_await expectEjected(fixture, decider, replica.entry().id, false);
+    load->isDone = true;
     co_await fixture.sleep(milliseconds(500));
 }
 
@@ -95,3 +153,26 @@
     PoolerFixture fixture(shape, 1, 3, true, 1, usePacing);
     fixture.run(expectPacedReturn(fixture), std::chrono::seconds(30));
 }
+
+// Guards against reads that go on to a database which answers its probes and no statement, and against one that never gets
+// reads again once it answers.
+TEST(EndpointPacing, ADatabaseThatAnswersNoStatementsGetsProbesOnly)
+{
+    EmulatedPlatform::Shape shape;
+    shape.work = usualWork;
+    PoolerFixture fixture(shape, 1, 3, true, 1, usePacing);
+    fixture.run(expectEjection(fixture, 1, 0), std::chrono::seconds(40));
+}
+
+// The same where connections are lent: the lender decides, and borrowers tell it which reads may be sent as probes.
+TEST(EndpointPacing, ALenderEjectsADatabaseForTheHostsOfItsRegion)
+{
+    constexpr int hosts = 6;
+    EmulatedPlatform::Shape shape;
+    shape.work = usualWork;
+    shape.maxConnections = hosts - 1;
+    PoolerFixture fixture(shape, hosts, 3, true, 1, usePacing);
+    const auto service = fixture.platform().database(0, 0).entry().service;
+    const int lender = fixture.holder(service, hosts, fixture.region(0));
+    fixture.run(expectEjection(fixture, hosts, lender), std::chrono::seconds(40));
+}
--- a/packages/routing/tests/EndpointHealthTest.cpp
+++ b/packages/routing/tests/EndpointHealthTest.cpp
@@ -26,7 +26,7 @@
     }
 
     /// Statements to each endpoint, of which a share fails; @p perSecond on each.
-    void run(milliseconds duration, int perSecond, double a, double b, double c)
+    void sendStatements(milliseconds duration, int perSecond, double a, double b, double c)
     {
         const auto end = now + duration;
         while (now < end) {
@@ -41,7 +41,7 @@
 // Guards against an endpoint that fails 0.4 of its statements for minutes while its entry and its probes look good.
 TEST(EndpointHealth, AFailingEndpointIsEjected)
 {
-    run(milliseconds(3000), 30, 0.4, 0, 0);
+    sendStatements(milliseconds(3000), 30, 0.4, 0, 0);
     CHECK_TRUE(pacing.isEjected("a"));
     LONGS_EQUAL(1, pacing.ejectedCount());
 }
@@ -49,7 +49,7 @@
 // Guards against an ejection for failures that have a common cause, such as a client's wrong statements.
 TEST(EndpointHealth, EqualFailuresEjectNone)
 {
-    run(milliseconds(60'000), 30, 0.4, 0.4, 0.4);
+    sendStatements(milliseconds(60'000), 30, 0.4, 0.4, 0.4);
     LONGS_EQUAL(0, pacing.ejectedCount());
 }
 
@@ -64,7 +64,7 @@
     }
     LONGS_EQUAL(0, pacing.ejectedCount());
     now += milliseconds(10'000);
-    run(milliseconds(60'000), 1, 1.0, 0, 0);
+    sendStatements(milliseconds(60'000), 1, 1.0, 0, 0);
     LONGS_EQUAL(0, pacing.ejectedCount());
 }
 
@@ -72,7 +72,7 @@
 TEST(EndpointHealth, RareFailuresEjectNone)
 {
     for (int n = 0; n < 60; ++n) {
-        run(milliseconds(5000), 30, 0.01, 0.01, 0.01);
+        sendStatements(milliseconds(5000), 30, 0.01, 0.01, 0.01);
         LONGS_EQUAL(0, pacing.ejectedCount());
     }
 }
@@ -80,7 +80,7 @@
 // Guards against a service without any endpoint for reads.
 TEST(EndpointHealth, OneEndpointOfThreeIsEjectedAtMost)
 {
-    run(milliseconds(10'000), 30, 0.9, 0.5, 0);
+    sendStatements(milliseconds(10'000), 30, 0.9, 0.5, 0);
     CHECK_TRUE(pacing.ejectedCount() <= 1);
     pacing.setEndpoint("b", false, 14, 1);
     pacing.setEndpoint("c", false, 14, 1);
@@ -90,7 +90,7 @@
 // Guards against an endpoint that stays ejected although its probes are good, or comes back by one lucky probe.
 TEST(EndpointHealth, ComesBackAfterGoodProbes)
 {
-    run(milliseconds(3000), 30, 1.0, 0, 0);
+    sendStatements(milliseconds(3000), 30, 1.0, 0, 0);
     CHECK_TRUE(pacing.isEjected("a"));
     int probes = 0;
     for (const auto until = now + milliseconds(5000); now < until && pacing.isEjected("a"); now += milliseconds(100)) {
