kumquatctl route: where a statement would go now, and why

Cause: an operator could see what had happened to a request, but not what a proxy would do with the next one. Change: RouteExplainer answers /route at the metrics address from the state of the process: route, consistency, position, queue, expected wait, each endpoint with the reason for or against it. kumquatctl prints it. ServiceScheduler::bestEndpoint() is public for it, so that the answer follows the order that requests get. Ruled out: a copy of the scheduler's cost in the explanation; it would differ as soon as the cost changes.

--- a/packages/ctl/src/CommandLine.cpp
+++ b/packages/ctl/src/CommandLine.cpp
@@ -5,6 +5,7 @@
 #include "FleetView.h"
 #include "LogExplainer.h"
 #include "ObjectEditor.h"
+#include "RouteView.h"
 #include "TimeArgument.h"
 #include "kumquatbank/catalogue/catalogue.h"
 
@@ -32,6 +33,8 @@
   groups   every database group: holder, term, primary, positions, lag, who may promote
   explain  ID [FILE...]: the way of one request through the logs of the proxies, and what they believed then;
            reads standard input without FILE
+  route    DATABASE read|write|transaction [--account NAME]: where such a statement would go now, and why; --host is the
+           metrics address of a pooler, which sends nothing to a database
   causes   --from T [--to T]: refusals and delays by entry, owner, rank, database, place and cause
 
 Exit codes: 0 ok, 1 not found or refused, 2 usage or invalid input, 3 conflict: the object changed since it was
@@ -94,6 +97,8 @@
                 runCauses();
             else if (command == "explain")
                 runExplain();
+            else if (command == "route")
+                runRoute();
             else
                 throw CommandFailure(ExitCode::Usage, "unknown command '" + command + "'");
         }
@@ -114,6 +119,23 @@
                 throw CommandFailure(ExitCode::Refused, "request not found");
         }
 
+        void runRoute()
+        {
+            expectWords(3);
+            const auto database = word(1, "the name of a database");
+            const auto kind = word(2, "read, write or transaction");
+            if (kind != "read" && kind != "write" && kind != "transaction")
+                throw CommandFailure(ExitCode::Usage, "'" + kind + "' is not read, write or transaction");
+            const auto account = m_options.count("account") ? m_options["account"].as<std::string>() : std::string();
+            const auto explained = readProxy({ address("host"), {} }, "/route", { { "account", account }, { "database", database }, { "kind", kind } });
+            if (!explained)
+                throw CommandFailure::from("proxy " + address("host").toString(), explained.error());
+            if (m_options.count("json"))
+                m_out << explained->dump(2) << '\n';
+            else
+                printRoute(*explained, m_out);
+        }
+
         void runCatalogue(const std::string& kind)
         {
             const auto action = word(1, "list, show, create, change or remove");
@@ -361,6 +383,7 @@
             ("all", "every proxy, found through the members of the one at --host")
             ("from", "start, UTC", cxxopts::value<std::string>()->default_value("-1h"), "T")
             ("to", "end, UTC", cxxopts::value<std::string>()->default_value("now"), "T")
+            ("account", "account of a client; without it, a client that has none", cxxopts::value<std::string>(), "NAME")
             ("json", "print JSON")
             ("h,help", "print this text")
             ("version", "print the version")
--- a/packages/ctl/tests/ViewTest.cpp
+++ b/packages/ctl/tests/ViewTest.cpp
@@ -1,6 +1,7 @@
 #include "CauseView.h"
 #include "CommandFailure.h"
 #include "FleetView.h"
+#include "RouteView.h"
 #include "TimeArgument.h"
 #include "kumquatbank/ctl/ctl.h"
 
@@ -120,3 +121,17 @@
     CHECK_TRUE(runTool({ "state", "--host", "127.0.0.1:1" }) == ExitCode::Unreachable);
     CHECK_TRUE(runTool({ "entry", "list", "--platform", "127.0.0.1:1" }) == ExitCode::Unreachable);
 }
+
+// Guards against an answer of another build, with fields missing, that ends the tool, and against a kind that is sent to
+// the proxy unchecked.
+TEST(Views, RoutesShowTheReasonOfEachCandidate)
+{
+    std::ostringstream out;
+    printRoute({ { "outcome", "sent" }, { "route", { { "service", "s-3" } } }, { "expectedWaitMs", nullptr }, { "candidates", { { { "endpoint", "i-7" }, { "reason", "it is leaving" } } } } }, out);
+    STRCMP_CONTAINS("outcome: sent", out.str().c_str());
+    STRCMP_CONTAINS("route service: s-3", out.str().c_str());
+    STRCMP_CONTAINS("i-7", out.str().c_str());
+    STRCMP_CONTAINS("it is leaving", out.str().c_str());
+    CHECK_TRUE(ExitCode::Usage == runTool({ "route", "db", "delete", "--host", "127.0.0.1:1" }));
+    CHECK_TRUE(ExitCode::Unreachable == runTool({ "route", "db", "read", "--host", "127.0.0.1:1" }));
+}
--- a/packages/pooler/src/DatabaseService.h
+++ b/packages/pooler/src/DatabaseService.h
@@ -126,6 +126,7 @@
     /// Refuses requests for the primary at once until then, because no endpoint can become primary before.
     void refuseWritesUntil(BootTime until) { m_writesRefusedUntil = until; }
     ServiceScheduler& scheduler() { return m_scheduler; }
+    const ServiceScheduler& scheduler() const { return m_scheduler; }
     const Floor& floorSamples() const { return m_floor; }
 
     /// Performs periodic maintenance: probes the primary if no recent answer confirms it, searches for a new one, and
--- a/packages/pooler/src/PoolerProcess.cpp
+++ b/packages/pooler/src/PoolerProcess.cpp
@@ -6,6 +6,7 @@
 #include "HostDirectory.h"
 #include "PeerService.h"
 #include "PromotionController.h"
+#include "RouteExplainer.h"
 #include "SettingsFile.h"
 #include "StoreSync.h"
 #include "kumquatbank/engine/engine.h"
@@ -159,6 +160,8 @@
             co_return HttpResponse { 200, m_metrics.serialize(), "text/plain; version=0.0.4" };
         if (request.target == "/state")
             co_return HttpResponse { 200, m_peers.describeState().dump() };
+        if (const auto query = RouteQuery::parse(request.target))
+            co_return HttpResponse { 200, m_routes.explain(*query).dump() };
         co_return HttpResponse { 404, R"({"error":"unknown path"})" };
     }
 
@@ -251,6 +254,7 @@
     StoreSync m_sync;
     HostDirectory m_hosts;
     PeerService m_peers;
+    RouteExplainer m_routes { m_registry, m_hosts };
     ConnectionBorrower m_borrower;
     ConnectionLender m_lender;
     PromotionController m_promotions;
--- a/packages/pooler/tests/PoolerFixture.cpp
+++ b/packages/pooler/tests/PoolerFixture.cpp
@@ -163,11 +163,13 @@
     co_return reply.status;
 }
 
-Task<nlohmann::json> PoolerFixture::state(int host)
+Task<nlohmann::json> PoolerFixture::state(int host) { return document(host, "/state"); }
+
+Task<nlohmann::json> PoolerFixture::document(int host, std::string target)
 {
     HttpClient client(*m_io, address(host, 3));
     HttpCall call;
-    call.target = "/state";
+    call.target = std::move(target);
     const auto reply = co_await client.call(std::move(call), std::chrono::milliseconds(500));
     co_return nlohmann::json::parse(reply.body);
 }
--- a/packages/pooler/tests/PoolerFixture.h
+++ b/packages/pooler/tests/PoolerFixture.h
@@ -72,6 +72,8 @@
     Task<void> waitUntilReady(int host);
     /// State of a host, read from its metrics address.
     Task<nlohmann::json> state(int host);
+    /// Document at a path of a host's metrics address.
+    Task<nlohmann::json> document(int host, std::string target);
     /// The number of hosts, of the first @p hosts, that refuse a new session of the database because no route has it.
     Task<int> hostsWithoutRoute(std::string database, int hosts);
     Task<void> sleep(std::chrono::milliseconds duration) { return sleepFor(*m_io, duration); }
--- a/packages/routing/include/kumquatbank/routing/ServiceScheduler.h
+++ b/packages/routing/include/kumquatbank/routing/ServiceScheduler.h
@@ -75,6 +75,9 @@
     /// Estimated wait of a new request; max() if no endpoint can serve it now.
     std::chrono::milliseconds expectedWait(const PermitRequest& request) const;
 
+    /// The endpoint with the lowest cost that has a free permit for the request, whether or not others wait.
+    std::optional<std::string> bestEndpoint(const PermitRequest& request) const;
+
     std::size_t waiting() const { return m_waiting.size(); }
 
 private:
@@ -87,7 +90,6 @@
     using WaitingList = std::list<WaitingRequest>;
 
     bool isEligible(const std::string& id, const EndpointView& endpoint, const PermitRequest& request) const;
-    std::optional<std::string> bestEndpoint(const PermitRequest& request) const;
     bool hasFreePermit() const;
     void recordGrant(int priority);
     /// Fraction of the recent grants that was available to requests of @p priority and less urgent ones.
