--- a/packages/pooler/include/kumquatbank/pooler/PoolerSettings.h
+++ b/packages/pooler/include/kumquatbank/pooler/PoolerSettings.h
@@ -33,6 +33,7 @@
     LimitBound limitBound {}; ///< Promise on the operations of each account that has a limit.
     unsigned logLinesPerSecond = 100; ///< For served requests; failures have a separate limit.
     unsigned failureLinesPerSecond = 500;
+    bool endpointPacing = false; ///< Whether the use of endpoints is limited by their answers.
 
     /// Reads and validates a file; the error names the invalid key.
     static Result<PoolerSettings> load(const std::string& file);
--- a/packages/pooler/src/DatabaseService.cpp
+++ b/packages/pooler/src/DatabaseService.cpp
@@ -63,6 +63,7 @@
 DatabaseService::DatabaseService(asio::io_context& io, std::string name, std::string hostName, PoolerMetrics& metrics, ConnectionBorrower* borrower)
     : m_io(io)
     , m_name(std::move(name))
+    , m_metrics(metrics)
     , m_borrower(borrower)
     , m_pool(io, m_name, std::move(hostName), metrics)
 {
@@ -113,7 +114,10 @@
     const bool isServing = !endpoint.entry.isDraining || (isPrimary && now < endpoint.servesUntil);
     const bool isUsable = isServing && now >= endpoint.unusableUntil && (!isFull || endpoint.open > 0) && !(isPrimary && isSuspect(endpoint, now));
     const int share = sharing().share();
-    m_scheduler.setEndpoint(endpoint.entry.id, isUsable, isPrimary, isFull ? std::min(share, endpoint.open) : share);
+    const int limit = m_pacer ? m_pacer->limit(endpoint, isUsable, share, m_limits.maxConnections) : share;
+    m_scheduler.setEndpoint(endpoint.entry.id, isUsable, isPrimary, isFull ? std::min(limit, endpoint.open) : limit);
+    if (m_pacer)
+        m_pacer->applyEjection(endpoint.entry.id);
     m_scheduler.setAnswerTime(endpoint.entry.id, endpoint.expectedAnswerTime(now));
     updateOpeningCost(endpoint);
 }
@@ -144,6 +148,8 @@
             // The server restarted under the same id and lost its state, so the recorded state is invalid.
             m_pool.closeAllIdle(*endpoint, "restarted");
             endpoint->unusableUntil = {};
+            if (m_pacer)
+                m_pacer->restart(entry.id);
             if (m_primary == entry.id)
                 setPrimary("", "restarted");
         }
@@ -186,6 +192,8 @@
         if (m_primary == it->first)
             setPrimary("", "entry removed");
         m_scheduler.removeEndpoint(it->first);
+        if (m_pacer)
+            m_pacer->removeEndpoint(it->first);
         it = m_endpoints.erase(it);
     }
 }
@@ -197,6 +205,8 @@
     EventLog::info("primary_changed", { { "service", m_name }, { "from", m_primary }, { "to", id }, { "evidence", evidence }, { "believed_for_ms", toMs(BootClock::now() - m_primarySince) } });
     const auto previous = std::exchange(m_primary, id);
     m_primarySince = BootClock::now();
+    if (m_pacer && !id.empty() && id != m_lastPrimary)
+        m_pacer->restart(id);
     if (!id.empty())
         m_lastPrimary = id;
     if (const auto endpoint = find(id)) {
@@ -308,6 +318,8 @@
 {
     const auto now = BootClock::now();
     ++endpoint.failures;
+    if (m_pacer && m_pacer->recordMissingAnswer(endpoint))
+        refreshScheduler(endpoint);
     EventLog::warn("endpoint_failure", { { "service", m_name }, { "endpoint", endpoint.entry.id }, { "what", description }, { "failures", endpoint.failures }, { "last_answer_ms", toMs(now - endpoint.lastAnswer) } });
 }
 
@@ -330,6 +342,12 @@
     m_scheduler.setAnswerTime(endpoint.entry.id, endpoint.expectedAnswerTime(now));
 }
 
+void DatabaseService::recordOutcome(Endpoint& endpoint, StatementOutcome outcome, std::optional<BootTime> sentAt)
+{
+    if (m_pacer && m_pacer->record(endpoint, outcome, sentAt))
+        refreshScheduler(endpoint);
+}
+
 std::set<std::string> DatabaseService::laggingEndpoints() const
 {
     const auto now = BootClock::now();
@@ -380,6 +398,8 @@
         co_return std::move(opened.connection);
     }
     if (!opened.refusal) {
+        if (m_pacer)
+            m_pacer->restart(endpoint->entry.id);
         recordFailure(*endpoint, "connect");
         endpoint->unusableUntil = BootClock::now() + std::min(failurePause * endpoint->failures, maxFailurePause);
         refreshScheduler(*endpoint);
@@ -390,6 +410,8 @@
         endpoint->fullUntil = BootClock::now() + (sharing().isScarce() ? scarceConnectionLimitPause : connectionLimitPause);
     else
         endpoint->unusableUntil = BootClock::now() + failurePause;
+    if (m_pacer && *opened.refusal == ErrorCode::Busy)
+        m_pacer->recordRefusal(*endpoint, sentAt);
     EventLog::warn("connection_refused", { { "service", m_name }, { "endpoint", endpoint->entry.id }, { "code", errorCodeName(*opened.refusal) }, { "open", endpoint->open }, { "share", sharing().share() }, { "hosts", m_hostCount } });
     refreshScheduler(*endpoint);
     co_return tl::unexpected(*opened.refusal);
@@ -486,7 +508,11 @@
         auto connection = m_pool.take(*endpoint, request.account, session);
         updateOpeningCost(*endpoint);
         if (!connection) {
-            m_pool.makeRoom(*endpoint, request.account, sharing().share());
+            // An endpoint that has just refused a connection has room for another one only if one is closed. This is so after
+            // a loss of power of all hosts, until the endpoint drops their former connections.
+            const int share = sharing().share();
+            const bool isFull = !request.account.empty() && since < endpoint->fullUntil;
+            m_pool.makeRoom(*endpoint, request.account, isFull ? std::min(share, endpoint->open) : share);
             auto opened = co_await open(endpoint, request.account, std::chrono::duration_cast<milliseconds>(until - since));
             if (!opened) {
                 m_scheduler.release(*granted, {}, request.account);
@@ -588,6 +614,8 @@
     const auto now = BootClock::now();
     removeMissingEndpoints(now);
     std::erase_if(m_departed, [this, now](const auto& item) { return now - item.second.at >= m_memberRetention; });
+    if (m_pacer)
+        m_pacer->compare(m_endpoints);
     for (const auto& [id, endpoint] : m_endpoints) {
         m_pool.closeExpiredIdle(*endpoint, poolRules(), now);
         refreshScheduler(*endpoint);
--- a/packages/pooler/src/PoolerProcess.cpp
+++ b/packages/pooler/src/PoolerProcess.cpp
@@ -7,6 +7,7 @@
 #include "LimitService.h"
 #include "PeerService.h"
 #include "PromotionController.h"
+#include "RouteExplainer.h"
 #include "SettingsFile.h"
 #include "StoreSync.h"
 #include "kumquatbank/engine/engine.h"
@@ -54,6 +55,8 @@
         EventLog::setHost(m_settings.host);
         EventLog::setRateLimits(m_settings.logLinesPerSecond, m_settings.failureLinesPerSecond);
         m_registry.setEndpointTimes(m_settings.databaseDrainTime, m_settings.memberRetention);
+        if (m_settings.endpointPacing)
+            m_registry.enablePacing();
         EventLog::info("start", { { "version", KUMQUATBANK_VERSION }, { "data_centre", m_settings.dataCentre }, { "clients", m_settings.clientAddress.toString() }, { "ready", m_settings.readyAddress.toString() }, { "peers", m_settings.peerAddress.toString() }, { "metrics", m_settings.metricsAddress.toString() }, { "store", m_settings.storeAddress.toString() }, { "promotions", m_settings.promotionAddress.toString() }, { "grace_s", m_settings.grace.count() } });
         m_clients.emplace(m_io, m_settings.clientAddress, [this](asio::ip::tcp::socket socket) { accept(std::move(socket)); });
         m_ready.emplace(m_io, m_settings.readyAddress, [this](HttpRequest request) { return answerReady(std::move(request)); });
@@ -164,6 +167,8 @@
             state["limits"] = m_limits.describe();
             co_return HttpResponse { 200, state.dump() };
         }
+        if (const auto query = RouteQuery::parse(request.target))
+            co_return HttpResponse { 200, m_routes.explain(*query).dump() };
         co_return HttpResponse { 404, R"({"error":"unknown path"})" };
     }
 
@@ -258,6 +263,7 @@
     StoreSync m_sync;
     HostDirectory m_hosts;
     PeerService m_peers;
+    RouteExplainer m_routes { m_registry, m_hosts };
     ConnectionBorrower m_borrower;
     LimitService m_limits;
     ConnectionLender m_lender;
--- a/packages/routing/include/kumquatbank/routing/ServiceScheduler.h
+++ b/packages/routing/include/kumquatbank/routing/ServiceScheduler.h
@@ -28,6 +28,7 @@
     BootTime queueDeadline; ///< The request is refused if it has no permit by then.
     std::set<std::string> excluded; ///< Endpoints on which this request has already failed.
     std::string account; ///< Connections belong to one account; empty for clients without one.
+    bool isRepeatable = false; ///< A read that can still be repeated on another endpoint; may be sent as a probe.
 };
 
 /// Decides which waiting request of one service gets the next connection, and to which endpoint. Does not use the
@@ -40,6 +41,8 @@
         bool isPrimary = false;
         int limit = 1; ///< Maximum number of concurrent connections of this host.
         int inUse = 0;
+        bool isEjected = false; ///< Reads go to other endpoints, except for probes.
+        bool isProbeDue = false; ///< While ejected: the next repeatable read goes here.
         std::chrono::microseconds answerTime { 0 }; ///< Expected time between a statement and its answer.
         std::chrono::microseconds openingCost { 0 }; ///< Time to open a connection; 0 while an idle one is available.
         std::map<std::string, int, std::less<>> inUseByAccount; ///< Without clients that have no account.
@@ -59,6 +62,8 @@
     void setOpeningCost(const std::string& id, std::chrono::microseconds cost);
     /// Sets the opening cost for requests that have an account, which replaces that of the endpoint.
     void setAccountOpeningCost(AccountOpeningCost cost) { m_accountOpeningCost = std::move(cost); }
+    /// @p isProbeDue: one repeatable read may go to the ejected endpoint; stays in force until a read has been sent.
+    void setEjected(const std::string& id, bool isEjected, bool isProbeDue);
     void removeEndpoint(const std::string& id);
     const std::map<std::string, EndpointView>& endpoints() const { return m_endpoints; }
 
@@ -79,6 +84,9 @@
     /// Estimated wait of a new request; max() if no endpoint can serve it now.
     std::chrono::milliseconds expectedWait(const PermitRequest& request) const;
 
+    /// The endpoint with the lowest cost that has a free permit for the request, whether or not others wait.
+    std::optional<std::string> bestEndpoint(const PermitRequest& request) const;
+
     std::size_t waiting() const { return m_waiting.size(); }
 
 private:
@@ -91,11 +99,11 @@
     using WaitingList = std::list<WaitingRequest>;
 
     bool isEligible(const std::string& id, const EndpointView& endpoint, const PermitRequest& request) const;
-    std::optional<std::string> bestEndpoint(const PermitRequest& request) const;
     /// Returns true if the request's account uses its share of the endpoint's connections and a request of another
     /// account waits that could have the next one.
     bool isAboveShare(const std::string& id, const EndpointView& endpoint, const PermitRequest& request) const;
     static void take(EndpointView& endpoint, const std::string& account);
+    static void takePermit(EndpointView& endpoint, const PermitRequest& request);
     bool hasFreePermit() const;
     void recordGrant(int priority);
     /// Fraction of the recent grants that was available to requests of @p priority and less urgent ones.
--- a/packages/routing/src/ServiceScheduler.cpp
+++ b/packages/routing/src/ServiceScheduler.cpp
@@ -64,6 +64,19 @@
         it->second.openingCost = cost;
 }
 
+void ServiceScheduler::setEjected(const std::string& id, bool isEjected, bool isProbeDue)
+{
+    const auto it = m_endpoints.find(id);
+    if (it == m_endpoints.end())
+        return;
+    auto& endpoint = it->second;
+    const bool isBetter = (endpoint.isEjected && !isEjected) || (isProbeDue && !endpoint.isProbeDue);
+    endpoint.isEjected = isEjected;
+    endpoint.isProbeDue = isEjected && (isProbeDue || endpoint.isProbeDue);
+    if (isBetter)
+        grantWaiting();
+}
+
 void ServiceScheduler::removeEndpoint(const std::string& id)
 {
     // Its permits may still be in use; release() ignores them.
@@ -74,6 +87,8 @@
 {
     if (!endpoint.isUsable || request.excluded.contains(id))
         return false;
+    if (endpoint.isEjected && request.eligibility == Eligibility::Any)
+        return endpoint.isProbeDue && request.isRepeatable;
     return request.eligibility == Eligibility::Any || endpoint.isPrimary;
 }
 
@@ -86,7 +101,10 @@
             continue;
         if (endpoint.inUse >= limitFor(endpoint, request) || isAboveShare(id, endpoint, request))
             continue;
-        const bool isReadOnPrimary = endpoint.isPrimary && request.eligibility == Eligibility::Any;
+        const bool isRead = request.eligibility == Eligibility::Any;
+        if (isRead && endpoint.isEjected)
+            return id; // A probe is due.
+        const bool isReadOnPrimary = endpoint.isPrimary && isRead;
         const bool hasAccountCost = !request.account.empty() && m_accountOpeningCost;
         const auto openingCost = hasAccountCost ? m_accountOpeningCost(id, request.account) : endpoint.openingCost;
         const auto cost = endpoint.answerTime + openingCost + m_holdTime * endpoint.inUse / std::max(1, endpoint.limit)
@@ -109,6 +127,13 @@
     });
 }
 
+void ServiceScheduler::takePermit(EndpointView& endpoint, const PermitRequest& request)
+{
+    take(endpoint, request.account);
+    if (request.eligibility == Eligibility::Any)
+        endpoint.isProbeDue = false;
+}
+
 void ServiceScheduler::take(EndpointView& endpoint, const std::string& account)
 {
     ++endpoint.inUse;
@@ -125,7 +150,7 @@
         return std::nullopt;
     auto best = bestEndpoint(request);
     if (best) {
-        take(m_endpoints[*best], request.account);
+        takePermit(m_endpoints[*best], request);
         recordGrant(request.priority);
     }
     return best;
@@ -184,7 +209,7 @@
         if (it == m_waiting.end())
             return;
         const auto endpoint = *bestEndpoint(it->request);
-        take(m_endpoints[endpoint], it->request.account);
+        takePermit(m_endpoints[endpoint], it->request);
         ++m_queuedGrants;
         recordGrant(it->request.priority);
         const auto onGranted = std::move(it->onGranted);
