Queue order with accounts: share of the granted time, start-time fair queueing, deadlines within an account

Cause: waiting requests were ordered by priority and arrival, so an account at ten times its usual traffic displaced the others. Change: AccountUsage measures the accounts and keeps their start tags, WaitingQueue orders, GrantShares is the smoothed share of the ranks; ServiceScheduler keeps the endpoints. Requests carry the account and its rate as the weight. The expected wait follows the same order.

--- a/packages/pooler/src/ConnectionLease.cpp
+++ b/packages/pooler/src/ConnectionLease.cpp
@@ -25,6 +25,7 @@
     m_endpoint = std::move(other.m_endpoint);
     m_connection = std::move(other.m_connection);
     m_since = other.m_since;
+    m_charge = std::move(other.m_charge);
     m_lender = std::move(other.m_lender);
     return *this;
 }
@@ -50,7 +51,7 @@
     if (m_connection && m_lender)
         m_lender->returnLoan(std::move(m_connection));
     else if (m_connection)
-        m_service->returnConnection(m_endpoint->entry.id, std::move(m_connection), m_since);
+        m_service->returnConnection(m_endpoint->entry.id, std::move(m_connection), m_since, std::move(m_charge));
 }
 
 } // namespace kumquatbank
--- a/packages/pooler/src/ConnectionLease.h
+++ b/packages/pooler/src/ConnectionLease.h
@@ -2,8 +2,11 @@
 
 #include "DatabaseConnection.h"
 #include "Endpoint.h"
+#include "kumquatbank/routing/PermitRequest.h"
 
 #include <memory>
+#include <optional>
+#include <string>
 
 namespace kumquatbank {
 
@@ -28,6 +31,9 @@
     /// Host that holds the connection; empty if it is this host.
     std::string lender() const;
 
+    /// Counts the time for which the permit is held by @p charge. Without this call, it is counted for no account.
+    void chargeTo(PermitCharge charge) { m_charge = std::move(charge); }
+
     /// Records an answer of the endpoint. Answers over a borrowed connection are ignored: they do not show whether this
     /// host can reach the endpoint.
     void recordAnswer(BootTime sentAt);
@@ -42,6 +48,7 @@
     std::shared_ptr<Endpoint> m_endpoint;
     std::unique_ptr<DatabaseConnection> m_connection;
     BootTime m_since;
+    std::optional<PermitCharge> m_charge;
     std::shared_ptr<LenderLink> m_lender;
 };
 
--- a/packages/pooler/src/ConnectionLender.cpp
+++ b/packages/pooler/src/ConnectionLender.cpp
@@ -72,6 +72,9 @@
     service->recordLoanRequest();
     const auto now = BootClock::now();
     ConnectionRequest request;
+    request.permit.account = loanRequest.account;
+    if (const auto config = m_registry.config())
+        request.permit.accountWeight = config->accountWeight(loanRequest.account);
     request.account = std::move(loanRequest.account);
     request.permit.eligibility = loanRequest.eligibility;
     request.permit.priority = loanRequest.priority;
--- a/packages/pooler/src/DatabaseService.cpp
+++ b/packages/pooler/src/DatabaseService.cpp
@@ -528,6 +528,7 @@
     auto permitRequest = std::move(request.permit);
     const auto until = request.deadline;
     while (true) {
+        m_scheduler.advanceTo(BootClock::now());
         auto granted = m_scheduler.tryAcquire(permitRequest);
         if (!granted) {
             const auto wait = m_scheduler.expectedWait(permitRequest);
@@ -550,6 +551,7 @@
         const auto endpoint = find(*granted);
         if (!endpoint) {
             m_scheduler.removeEndpoint(*granted);
+            m_scheduler.cancelGrant(permitRequest.charge());
             continue;
         }
         auto connection = takeIdle(*endpoint, request.account, session);
@@ -557,7 +559,7 @@
             makeRoomForAnother(*endpoint);
             auto opened = co_await open(endpoint, request.account, std::chrono::duration_cast<milliseconds>(until - since));
             if (!opened) {
-                m_scheduler.release(*granted, {});
+                m_scheduler.release(*granted, {}, permitRequest.charge());
                 // A write has only one endpoint and waits until it can be tried again; a read tries another endpoint.
                 if (permitRequest.eligibility == Eligibility::Any)
                     permitRequest.excluded.insert(*granted);
@@ -567,7 +569,9 @@
             }
             connection = std::move(*opened);
         }
-        co_return ConnectionLease(shared_from_this(), endpoint, std::move(connection), since);
+        ConnectionLease lease(shared_from_this(), endpoint, std::move(connection), since);
+        lease.chargeTo(permitRequest.charge());
+        co_return std::move(lease);
     }
 }
 
@@ -585,11 +589,11 @@
     co_return ConnectionLease(shared_from_this(), endpoint, std::move(connection), since);
 }
 
-void DatabaseService::returnConnection(const std::string& id, std::unique_ptr<DatabaseConnection> connection, BootTime since)
+void DatabaseService::returnConnection(const std::string& id, std::unique_ptr<DatabaseConnection> connection, BootTime since, std::optional<PermitCharge> charge)
 {
     const auto endpoint = find(id);
     if (endpoint && connection->needsRollback()) {
-        asio::co_spawn(m_io, rollBack(endpoint, std::move(connection), since), asio::detached);
+        asio::co_spawn(m_io, rollBack(endpoint, std::move(connection), since, std::move(charge)), asio::detached);
         return;
     }
     const bool shouldKeep = endpoint && (!endpoint->entry.isDraining || id == m_primary) && connection->isReusable() && shouldKeepIdle(*endpoint);
@@ -599,17 +603,23 @@
         --endpoint->open;
     if (endpoint)
         updateOpeningCost(*endpoint);
-    m_scheduler.release(id, std::chrono::duration_cast<std::chrono::microseconds>(BootClock::now() - since));
+    const auto now = BootClock::now();
+    const auto holdTime = std::chrono::duration_cast<std::chrono::microseconds>(now - since);
+    m_scheduler.advanceTo(now);
+    if (charge)
+        m_scheduler.release(id, holdTime, *charge);
+    else
+        m_scheduler.release(id, holdTime);
 }
 
-Task<void> DatabaseService::rollBack(std::shared_ptr<Endpoint> endpoint, std::unique_ptr<DatabaseConnection> connection, BootTime since)
+Task<void> DatabaseService::rollBack(std::shared_ptr<Endpoint> endpoint, std::unique_ptr<DatabaseConnection> connection, BootTime since, std::optional<PermitCharge> charge)
 {
     std::vector<DatabaseReply> replies;
     const auto status = co_await connection->exchange(WireDialect::rollback(), replies, 1, BootClock::now() + rollbackTimeout);
     // Closing the connection rolls back as well; returnConnection() must not start another rollback.
     if (status != ExchangeStatus::Ok || !connection->isReusable())
         connection->close();
-    returnConnection(endpoint->entry.id, std::move(connection), since);
+    returnConnection(endpoint->entry.id, std::move(connection), since, std::move(charge));
 }
 
 Task<void> DatabaseService::probe(std::shared_ptr<Endpoint> endpoint)
--- a/packages/pooler/src/DatabaseService.h
+++ b/packages/pooler/src/DatabaseService.h
@@ -126,7 +126,8 @@
     /// Checks whether an endpoint is the primary, without running a statement.
     Task<void> probe(std::shared_ptr<Endpoint> endpoint);
 
-    void returnConnection(const std::string& endpoint, std::unique_ptr<DatabaseConnection> connection, BootTime since);
+    /// @p charge: whose use of the permit is recorded; empty for a permit that was taken outside the queue.
+    void returnConnection(const std::string& endpoint, std::unique_ptr<DatabaseConnection> connection, BootTime since, std::optional<PermitCharge> charge);
 
 private:
     /// An endpoint whose entry has been removed.
@@ -137,7 +138,7 @@
     };
 
     Task<tl::expected<std::unique_ptr<DatabaseConnection>, ErrorCode>> open(std::shared_ptr<Endpoint> endpoint, std::string account, std::chrono::milliseconds timeout);
-    Task<void> rollBack(std::shared_ptr<Endpoint> endpoint, std::unique_ptr<DatabaseConnection> connection, BootTime since);
+    Task<void> rollBack(std::shared_ptr<Endpoint> endpoint, std::unique_ptr<DatabaseConnection> connection, BootTime since, std::optional<PermitCharge> charge);
     /// Takes an idle connection of @p account, preferably one with the values of @p session.
     std::unique_ptr<DatabaseConnection> takeIdle(Endpoint& endpoint, std::string_view account, const SessionState& session);
     /// Takes any idle connection, for a probe.
--- a/packages/pooler/src/SessionContext.cpp
+++ b/packages/pooler/src/SessionContext.cpp
@@ -64,6 +64,8 @@
     }
     const auto requestedAt = BootClock::now();
     ConnectionRequest request;
+    request.permit.accountWeight = m_registry.config()->accountWeight(account);
+    request.permit.account = account;
     request.account = std::move(account);
     if (eligibility == Eligibility::Any) {
         request.freshness = ReadFreshness { route.maxStaleness, ownCommit(route) };
--- a/packages/routing/include/kumquatbank/routing/RoutingConfig.h
+++ b/packages/routing/include/kumquatbank/routing/RoutingConfig.h
@@ -59,6 +59,10 @@
     /// Identifies a client that opened its session with @p key. Without accounts in the configuration, everybody is allowed.
     ClientIdentity identify(const Route& route, const std::optional<KeyDigest>& key) const;
 
+    /// Returns the weight of an account in the order of waiting requests: the operations per second that it may use. 0 if it
+    /// has no limit or is not known.
+    double accountWeight(std::string_view account) const;
+
     /// Returns the route of @p database, or null.
     const Route* findRoute(std::string_view database) const;
 
--- a/packages/routing/include/kumquatbank/routing/ServiceScheduler.h
+++ b/packages/routing/include/kumquatbank/routing/ServiceScheduler.h
@@ -1,36 +1,20 @@
 #pragma once
 
-#include "kumquatbank/core/BootClock.h"
+#include "kumquatbank/routing/WaitingQueue.h"
 
 #include <chrono>
 #include <functional>
-#include <list>
 #include <map>
 #include <memory>
 #include <optional>
-#include <set>
 #include <string>
-#include <vector>
 
 namespace kumquatbank {
 
-/// Which endpoints of a service may serve a request.
-enum class Eligibility {
-    PrimaryOnly,
-    Any, ///< Replicas, and the primary if no replica has a lower cost.
-};
-
-/// A request for the use of one database connection.
-struct PermitRequest {
-    Eligibility eligibility = Eligibility::Any;
-    int priority = 0; ///< 0 is the most urgent.
-    BootTime queueDeadline; ///< The request is refused if it has no permit by then.
-    std::set<std::string> excluded; ///< Endpoints on which this request has already failed.
-};
-
 /// Decides which waiting request of one service gets the next connection, and to which endpoint. Does not use the
 /// network: the caller opens and closes connections and reports it. A permit represents a connection in use; the limit
-/// of an endpoint is this host's share of the connections that the endpoint accepts.
+/// of an endpoint is this host's share of the connections that the endpoint accepts. The order is that of WaitingQueue;
+/// every eighth grant from the queue goes to the request that has waited longest.
 class ServiceScheduler {
 public:
     struct EndpointView {
@@ -53,11 +37,14 @@
     void removeEndpoint(const std::string& id);
     const std::map<std::string, EndpointView>& endpoints() const { return m_endpoints; }
 
+    /// Sets the time of the calls that follow, for the usage of the accounts and for queue deadlines.
+    void advanceTo(BootTime now) { m_waiting.advanceTo(now); }
+
     /// Takes a permit without waiting; empty if none is free or requests of the same or a higher priority are waiting.
     std::optional<std::string> tryAcquire(const PermitRequest& request);
 
     /// Takes a permit for a connection that is used outside the queue, regardless of the limit. It is returned with
-    /// release() like any other.
+    /// release().
     void acquireUnqueued(const std::string& id);
 
     /// Queues a request. @p onGranted is called from release(), setEndpoint() or removeEndpoint(). Destroying the
@@ -66,41 +53,41 @@
 
     /// Returns a permit. @p holdTime updates the estimate of later waits.
     void release(const std::string& endpoint, std::chrono::microseconds holdTime);
+    /// Returns a permit that was granted to a request, and counts @p holdTime for the account of the request.
+    void release(const std::string& endpoint, std::chrono::microseconds holdTime, const PermitCharge& charge);
+    /// Withdraws a grant for an endpoint that was removed before it could be used.
+    void cancelGrant(const PermitCharge& charge) { m_waiting.usage(charge.eligibility).cancelGrant(charge.account); }
 
     /// Estimated wait of a new request; max() if no endpoint can serve it now.
     std::chrono::milliseconds expectedWait(const PermitRequest& request) const;
 
+    /// Returns whether the account has recently used more than its share of the granted time.
+    bool isOverShare(const PermitCharge& charge) const;
+    /// Number of such accounts; one that is over its share of the primary and of the reads counts twice.
+    std::size_t accountsOverShare() const;
     std::size_t waiting() const { return m_waiting.size(); }
 
 private:
-    struct WaitingRequest {
-        PermitRequest request;
-        BootTime enqueuedAt;
-        GrantCallback onGranted;
-        Ticket* ticket = nullptr;
-    };
-    using WaitingList = std::list<WaitingRequest>;
-
     bool isEligible(const std::string& id, const EndpointView& endpoint, const PermitRequest& request) const;
     std::optional<std::string> bestEndpoint(const PermitRequest& request) const;
     bool hasFreePermit() const;
-    void recordGrant(int priority);
-    /// Fraction of the recent grants that was available to requests of @p priority and less urgent ones.
-    double shareAvailableTo(int priority) const;
-    WaitingList::iterator nextServable();
+    void recordGrant(AccountUsage::Account& account, const PermitRequest& request);
+    /// Fraction of the recent grants that was available to requests of @p rank and later ones.
+    double shareAvailableTo(const RequestRank& rank) const;
+    WaitingQueue::Iterator nextServable();
     void grantWaiting();
 
     std::map<std::string, EndpointView> m_endpoints;
-    WaitingList m_waiting; ///< Ordered by priority, then by arrival.
+    WaitingQueue m_waiting;
     std::chrono::microseconds m_holdTime { 20'000 }; ///< Smoothed time for which a permit is held.
-    std::map<int, double> m_grantShares; ///< Smoothed fraction of the grants, by priority.
+    GrantShares m_grantShares;
     unsigned m_queuedGrants = 0;
 };
 
 /// Entry of a request in the scheduler's queue; destroying it cancels the request.
 class ServiceScheduler::Ticket {
 public:
-    Ticket(ServiceScheduler& scheduler, WaitingList::iterator it)
+    Ticket(ServiceScheduler& scheduler, WaitingQueue::Iterator it)
         : m_scheduler(scheduler)
         , m_it(it)
     {
@@ -114,7 +101,7 @@
     friend class ServiceScheduler;
 
     ServiceScheduler& m_scheduler;
-    std::optional<WaitingList::iterator> m_it; ///< Empty once granted.
+    std::optional<WaitingQueue::Iterator> m_it; ///< Empty once granted.
 };
 
 } // namespace kumquatbank
--- a/packages/routing/src/RoutingConfig.cpp
+++ b/packages/routing/src/RoutingConfig.cpp
@@ -37,6 +37,12 @@
     return { true, &accounts.find(it->second)->second };
 }
 
+double RoutingConfig::accountWeight(std::string_view account) const
+{
+    const auto it = accounts.find(account);
+    return it == accounts.end() || !it->second.limit ? 0.0 : it->second.limit->perSecond;
+}
+
 const Route* RoutingConfig::findRoute(std::string_view database) const
 {
     const auto it = routes.find(database);
--- a/packages/routing/src/ServiceScheduler.cpp
+++ b/packages/routing/src/ServiceScheduler.cpp
@@ -1,7 +1,7 @@
 #include "kumquatbank/routing/ServiceScheduler.h"
 
 #include <algorithm>
-#include <numeric>
+#include <vector>
 
 namespace kumquatbank {
 
@@ -14,9 +14,6 @@
     /// Divisor of a new sample in the smoothed hold time: its weight is 1/16.
     constexpr int holdTimeSmoothing = 16;
 
-    /// Divisor of a new grant in the shares of the priorities: its weight is 1/64.
-    constexpr double grantShareSmoothing = 64.0;
-
     /// Added to the cost of a read on the primary: it goes there only if the replicas are slower by this much, because
     /// writes have no other endpoint.
     constexpr std::chrono::microseconds primaryReadPenalty { 30'000 };
@@ -36,7 +33,7 @@
 ServiceScheduler::Ticket::~Ticket()
 {
     if (m_it)
-        m_scheduler.m_waiting.erase(*m_it);
+        m_scheduler.m_waiting.remove(*m_it);
 }
 
 void ServiceScheduler::setEndpoint(const std::string& id, bool isUsable, bool isPrimary, int limit)
@@ -97,15 +94,13 @@
 
 std::optional<std::string> ServiceScheduler::tryAcquire(const PermitRequest& request)
 {
-    const bool hasEarlierRequest = std::ranges::any_of(m_waiting, [&](const WaitingRequest& waiting) {
-        return waiting.request.priority <= request.priority && waiting.request.eligibility == request.eligibility;
-    });
-    if (hasEarlierRequest)
+    const auto hasSameEligibility = [&](const PermitRequest& waiting) { return waiting.eligibility == request.eligibility; };
+    if (m_waiting.countAhead(request, hasSameEligibility) > 0)
         return std::nullopt;
     auto best = bestEndpoint(request);
     if (best) {
         ++m_endpoints[*best].inUse;
-        recordGrant(request.priority);
+        recordGrant(m_waiting.usage(request.eligibility).enter(request.account, request.accountWeight), request);
     }
     return best;
 }
@@ -118,32 +113,45 @@
 
 std::unique_ptr<ServiceScheduler::Ticket> ServiceScheduler::enqueue(PermitRequest request, BootTime now, GrantCallback onGranted)
 {
-    const auto position = std::ranges::find_if(m_waiting, [&](const WaitingRequest& waiting) { return waiting.request.priority > request.priority; });
-    const auto it = m_waiting.insert(position, { std::move(request), now, std::move(onGranted) });
+    advanceTo(now);
+    const auto it = m_waiting.add(std::move(request), now, std::move(onGranted));
     auto ticket = std::make_unique<Ticket>(*this, it);
-    it->ticket = ticket.get();
+    it->onRemoved = [granted = ticket.get()] { granted->m_it.reset(); };
     return ticket;
 }
 
+void ServiceScheduler::release(const std::string& endpoint, std::chrono::microseconds holdTime, const PermitCharge& charge)
+{
+    m_waiting.usage(charge.eligibility).recordRelease(charge.account, holdTime);
+    release(endpoint, holdTime);
+}
+
 void ServiceScheduler::release(const std::string& endpoint, std::chrono::microseconds holdTime)
 {
     m_holdTime += (holdTime - m_holdTime) / holdTimeSmoothing;
+    m_waiting.usage(Eligibility::PrimaryOnly).setExpectedHold(m_holdTime);
+    m_waiting.usage(Eligibility::Any).setExpectedHold(m_holdTime);
     if (const auto it = m_endpoints.find(endpoint); it != m_endpoints.end() && it->second.inUse > 0)
         --it->second.inUse;
     grantWaiting();
 }
 
-ServiceScheduler::WaitingList::iterator ServiceScheduler::nextServable()
+bool ServiceScheduler::isOverShare(const PermitCharge& charge) const
 {
-    const auto isServable = [this](const WaitingRequest& waiting) { return bestEndpoint(waiting.request).has_value(); };
-    if ((m_queuedGrants + 1) % oldestFirstInterval != 0)
-        return std::ranges::find_if(m_waiting, isServable);
-    auto oldest = m_waiting.end();
-    for (auto it = m_waiting.begin(); it != m_waiting.end(); ++it) {
-        if ((oldest == m_waiting.end() || it->enqueuedAt < oldest->enqueuedAt) && isServable(*it))
-            oldest = it;
-    }
-    return oldest;
+    const auto& usage = m_waiting.usage(charge.eligibility);
+    const auto* account = usage.find(charge.account);
+    return account != nullptr && usage.isOverShare(*account);
+}
+
+std::size_t ServiceScheduler::accountsOverShare() const
+{
+    return m_waiting.usage(Eligibility::PrimaryOnly).accountsOverShare() + m_waiting.usage(Eligibility::Any).accountsOverShare();
+}
+
+WaitingQueue::Iterator ServiceScheduler::nextServable()
+{
+    const auto isServable = [this](const PermitRequest& request) { return bestEndpoint(request).has_value(); };
+    return (m_queuedGrants + 1) % oldestFirstInterval == 0 ? m_waiting.oldest(isServable) : m_waiting.first(isServable);
 }
 
 bool ServiceScheduler::hasFreePermit() const
@@ -153,33 +161,31 @@
 
 void ServiceScheduler::grantWaiting()
 {
-    while (!m_waiting.empty() && hasFreePermit()) {
+    while (!m_waiting.isEmpty() && hasFreePermit()) {
         const auto it = nextServable();
         if (it == m_waiting.end())
             return;
         const auto endpoint = *bestEndpoint(it->request);
         ++m_endpoints[endpoint].inUse;
         ++m_queuedGrants;
-        recordGrant(it->request.priority);
+        recordGrant(*it->account, it->request);
         const auto onGranted = std::move(it->onGranted);
-        it->ticket->m_it.reset();
-        m_waiting.erase(it);
+        it->onRemoved();
+        m_waiting.remove(it);
         onGranted(endpoint);
     }
 }
 
-void ServiceScheduler::recordGrant(int priority)
+void ServiceScheduler::recordGrant(AccountUsage::Account& account, const PermitRequest& request)
 {
-    m_grantShares.try_emplace(priority, 0.0);
-    for (auto& [other, share] : m_grantShares)
-        share += ((other == priority ? 1.0 : 0.0) - share) / grantShareSmoothing;
+    auto& usage = m_waiting.usage(request.eligibility);
+    m_grantShares.record({ usage.isOverShare(account), request.priority });
+    usage.recordGrant(account);
 }
 
-double ServiceScheduler::shareAvailableTo(int priority) const
+double ServiceScheduler::shareAvailableTo(const RequestRank& rank) const
 {
-    const auto end = m_grantShares.lower_bound(priority);
-    const auto moreUrgentShare = std::accumulate(m_grantShares.begin(), end, 0.0, [](double sum, const auto& item) { return sum + item.second; });
-    return std::max(1.0 - moreUrgentShare, 1.0 / oldestFirstInterval);
+    return std::max(1.0 - m_grantShares.shareBefore(rank), 1.0 / oldestFirstInterval);
 }
 
 std::chrono::milliseconds ServiceScheduler::expectedWait(const PermitRequest& request) const
@@ -196,14 +202,13 @@
     }
     if (permits == 0)
         return std::chrono::milliseconds::max();
-    // A waiting request is ahead if it has the same or a higher priority and competes for one of the same endpoints.
-    const auto ahead = std::ranges::count_if(m_waiting, [&](const WaitingRequest& waiting) {
-        return waiting.request.priority <= request.priority && std::ranges::any_of(eligible, [&](const auto& item) { return isEligible(*item.first, *item.second, waiting.request); });
+    const auto ahead = m_waiting.countAhead(request, [&](const PermitRequest& waiting) {
+        return std::ranges::any_of(eligible, [&](const auto& item) { return isEligible(*item.first, *item.second, waiting); });
     });
     if (ahead == 0 && hasFree)
         return std::chrono::milliseconds(0);
-    // More urgent requests that arrive later are also served first.
-    const auto wait = std::chrono::duration<double, std::micro>(m_holdTime) * static_cast<double>(ahead + 1) / permits / shareAvailableTo(request.priority);
+    // Requests of earlier ranks that arrive later are also served first.
+    const auto wait = std::chrono::duration<double, std::micro>(m_holdTime) * static_cast<double>(ahead + 1) / permits / shareAvailableTo(m_waiting.rankOfNew(request));
     return std::chrono::duration_cast<std::chrono::milliseconds>(wait);
 }
 
