--- a/packages/engine/include/kumquatbank/engine/LineChannel.h
+++ b/packages/engine/include/kumquatbank/engine/LineChannel.h
@@ -3,6 +3,7 @@
 #include "kumquatbank/engine/Async.h"
 
 #include <chrono>
+#include <functional>
 #include <string>
 #include <string_view>
 
@@ -16,6 +17,14 @@
     TooLong, ///< A line exceeded the channel's length limit.
 };
 
+/// State of the remote end of a channel.
+enum class PeerState {
+    Open, ///< There is no unread input.
+    HasInput,
+    Ended, ///< It sends nothing more: it has closed the connection, or only its sending direction.
+    Reset, ///< The connection has failed.
+};
+
 /// A TCP connection that carries lines terminated by CR LF (a bare LF is accepted). At most one coroutine may read and
 /// one may write at the same time.
 class LineChannel {
@@ -42,6 +51,12 @@
 
     /// Returns whether the remote end has closed the connection. Does not block and consumes no received data.
     bool isClosedByPeer();
+    /// Returns the state of the remote end; an end is noticed behind unread input as well. Does not block.
+    PeerState peerState();
+    /// Calls @p handler once there is input in the socket or the remote end has ended; with false if the wait was cancelled.
+    void notifyOfInput(std::function<void(bool)> handler);
+    /// The event loop that the channel runs on.
+    asio::io_context& io() { return static_cast<asio::io_context&>(m_socket.get_executor().context()); }
     bool hasBufferedInput() const { return m_begin < m_end; }
     /// Returns whether there is received data, buffered here or still in the socket.
     bool hasInput() const;
--- a/packages/engine/include/kumquatbank/engine/engine.h
+++ b/packages/engine/include/kumquatbank/engine/engine.h
@@ -6,6 +6,7 @@
 #include "kumquatbank/core/BootClock.h"
 #include "kumquatbank/engine/Async.h"
 #include "kumquatbank/engine/AutoResetEvent.h"
+#include "kumquatbank/engine/DisconnectWatch.h"
 #include "kumquatbank/engine/EventLog.h"
 #include "kumquatbank/engine/HttpClient.h"
 #include "kumquatbank/engine/HttpListener.h"
--- /dev/null
+++ b/packages/engine/src/DisconnectWatch.cpp
@@ -0,0 +1,97 @@
+#include "kumquatbank/engine/DisconnectWatch.h"
+
+namespace kumquatbank {
+
+namespace {
+
+    /// Interval of the checks while unread input keeps the socket readable, which hides the end of the input.
+    constexpr std::chrono::milliseconds sentAheadInterval { 50 };
+
+} // namespace
+
+struct DisconnectWatch::State : std::enable_shared_from_this<State> {
+    State(LineChannel& watched, std::chrono::milliseconds grace)
+        : channel(watched)
+        , halfCloseGrace(grace)
+        , timer(watched.io())
+    {
+    }
+
+    void check(bool isFirst)
+    {
+        switch (channel.peerState()) {
+        case PeerState::Open:
+            if (!std::exchange(isWaitPending, true))
+                channel.notifyOfInput([self = shared_from_this()](bool hasInput) { self->resume(hasInput); });
+            break;
+        case PeerState::HasInput:
+            timer.expires_after(sentAheadInterval);
+            timer.async_wait([self = shared_from_this()](const boost::system::error_code& ec) {
+                if (!ec && self->isActive)
+                    self->check(false);
+            });
+            break;
+        case PeerState::Ended: {
+            const bool mayBeHalfClosed = halfCloseGrace.count() > 0 && (isFirst || BootClock::now() - startedAt < halfCloseGrace);
+            if (mayBeHalfClosed)
+                isActive = false;
+            else
+                disconnect();
+            break;
+        }
+        case PeerState::Reset:
+            disconnect();
+            break;
+        }
+    }
+
+    void resume(bool hasInput)
+    {
+        isWaitPending = false;
+        if (hasInput && isActive)
+            check(false);
+    }
+
+    void disconnect()
+    {
+        isActive = false;
+        hasDisconnected = true;
+        if (const auto callback = std::exchange(onDisconnect, nullptr))
+            callback();
+    }
+
+    LineChannel& channel;
+    const std::chrono::milliseconds halfCloseGrace;
+    BootTimer timer;
+    std::function<void()> onDisconnect;
+    BootTime startedAt {};
+    bool isActive = false;
+    bool isWaitPending = false; ///< May outlast a watch; the next one then uses the same wait.
+    bool hasDisconnected = false;
+};
+
+DisconnectWatch::DisconnectWatch(LineChannel& channel, std::chrono::milliseconds halfCloseGrace)
+    : m_state(std::make_shared<State>(channel, halfCloseGrace))
+{
+}
+
+DisconnectWatch::~DisconnectWatch() { stop(); }
+
+void DisconnectWatch::start(std::function<void()> onDisconnect)
+{
+    m_state->onDisconnect = std::move(onDisconnect);
+    m_state->startedAt = BootClock::now();
+    m_state->isActive = true;
+    m_state->check(true);
+}
+
+void DisconnectWatch::stop()
+{
+    m_state->isActive = false;
+    m_state->onDisconnect = nullptr;
+    m_state->timer.cancel();
+}
+
+bool DisconnectWatch::hasDisconnected() const { return m_state->hasDisconnected; }
+
+} // namespace kumquatbank
--- a/packages/engine/src/LineChannel.cpp
+++ b/packages/engine/src/LineChannel.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/write.hpp>
 #include <cstring>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/socket.h>
 
 namespace kumquatbank {
@@ -162,6 +163,23 @@
     return n == 0 || (n < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
 }
 
+PeerState LineChannel::peerState()
+{
+    if (!m_socket.is_open())
+        return PeerState::Reset;
+    pollfd request { m_socket.native_handle(), POLLIN | POLLRDHUP, 0 };
+    if (::poll(&request, 1, 0) <= 0)
+        return PeerState::Open;
+    if ((request.revents & (POLLERR | POLLHUP | POLLNVAL)) != 0)
+        return PeerState::Reset;
+    return (request.revents & POLLRDHUP) != 0 ? PeerState::Ended : PeerState::HasInput;
+}
+
+void LineChannel::notifyOfInput(std::function<void(bool)> handler)
+{
+    m_socket.async_wait(asio::ip::tcp::socket::wait_read, [handler = std::move(handler)](const boost::system::error_code& ec) { handler(!ec); });
+}
+
 bool LineChannel::hasInput() const
 {
     boost::system::error_code ec; // A closed socket has no input.
--- a/packages/pooler/src/ClientSession.cpp
+++ b/packages/pooler/src/ClientSession.cpp
@@ -16,6 +16,9 @@
     constexpr milliseconds configWait { 1500 };
     /// A client that reads no data for this long is disconnected.
     constexpr milliseconds writeTimeout { 10'000 };
+    /// An end of the client's input that follows a queued request within this time belongs to a client that sends no further
+    /// request and reads the answer. A client that gives up does so later.
+    constexpr milliseconds halfCloseGrace { 50 };
     /// A closing session waits this long for its client to read all data.
     constexpr milliseconds closeTimeout { 500 };
 
@@ -27,6 +30,7 @@
 
 ClientSession::ClientSession(asio::io_context& io, asio::ip::tcp::socket socket, ServiceRegistry& registry, PoolerMetrics& metrics, SessionTracker& tracker)
     : m_channel(std::move(socket), WireDialect::maxMessageBytes)
+    , m_watch(m_channel, halfCloseGrace)
     , m_registry(registry)
     , m_metrics(metrics)
     , m_tracker(tracker)
@@ -34,6 +38,7 @@
     , m_number(++tracker.opened)
 {
     ++m_tracker.open;
+    m_runner.setClientWatch(m_watch);
     m_metrics.sessionOpened();
 }
 
@@ -233,6 +238,10 @@
         co_return false;
     }
     logAnswer(message, answer, since);
+    if (m_watch.hasDisconnected()) {
+        m_runner.abortTransaction(disconnectedReason);
+        answer.endsSession = true;
+    }
     if (std::exchange(m_isSending, true))
         co_return false; // The process ends, and the request has been answered.
     const auto text = formatAnswer(answer);
--- a/packages/pooler/src/ClientSession.h
+++ b/packages/pooler/src/ClientSession.h
@@ -38,6 +38,7 @@
     void logAnswer(const ClientMessage& message, const StatementAnswer& answer, BootTime since) const;
 
     LineChannel m_channel;
+    DisconnectWatch m_watch;
     ServiceRegistry& m_registry;
     PoolerMetrics& m_metrics;
     SessionTracker& m_tracker;
--- a/packages/pooler/src/ConnectionBorrower.cpp
+++ b/packages/pooler/src/ConnectionBorrower.cpp
@@ -77,7 +77,7 @@
     loanRequest.waitsForEndpoint = waitsForEndpoint;
     if (request.freshness)
         loanRequest.maxStaleness = request.freshness->maxStaleness;
-    auto loan = co_await link->requestLoan(std::move(loanRequest), request.permit.queueDeadline);
+    auto loan = co_await link->requestLoan(std::move(loanRequest), request.permit.queueDeadline, request.sender);
     m_metrics.loanRequestCompleted(loanOutcomeName(loan.outcome));
     if (loan.outcome == LoanOutcome::Refused)
         response.result = tl::unexpected(AcquireFailure { ErrorCode::Busy, "refused by lender " + link->host() + ": " + loan.reason, loan.retryAfter });
@@ -136,7 +136,7 @@
         const auto holders = m_hosts.placement().holders(service->name(), region);
         const auto holder = std::ranges::find_if(holders, [this](const PlacementHost& host) { return host.name != m_settings.host; });
         const bool wasAlreadyQueried = region == m_settings.region && service->isLent();
-        if (wasAlreadyQueried || holder == holders.end() || BootClock::now() >= request.permit.queueDeadline)
+        if (wasAlreadyQueried || request.hasLostSender() || holder == holders.end() || BootClock::now() >= request.permit.queueDeadline)
             continue;
         const auto link = usableLink(holder->name);
         if (!link)
--- a/packages/pooler/src/ConnectionLender.cpp
+++ b/packages/pooler/src/ConnectionLender.cpp
@@ -97,11 +97,14 @@
         if (!co_await send(channel, queued))
             co_return false;
     }
+    const auto charge = request.permit.charge();
+    DisconnectWatch borrower(channel, milliseconds(0));
+    request.sender = &borrower;
     const SessionState noSession;
     auto lease = co_await service->acquireOwn(std::move(request), noSession);
     m_metrics.loanAnswered(loanRequest.service, lease.has_value());
     if (!lease) {
-        EventLog::warn("loan_refused", { { "service", loanRequest.service }, { "priority", loanRequest.priority }, { "reason", lease.error().reason }, { "waited_ms", toMs(BootClock::now() - now) }, { "waiting", service->scheduler().waiting() } });
+        EventLog::warn("loan_refused", { { "service", loanRequest.service }, { "priority", loanRequest.priority }, { "account", charge.account }, { "over_share", service->scheduler().isOverShare(charge) }, { "reason", lease.error().reason }, { "waited_ms", toMs(BootClock::now() - now) }, { "waiting", service->scheduler().waiting() } });
         const auto refused = formatRefusal(lease.error().retryAfter, lease.error().reason);
         co_return co_await send(channel, refused);
     }
--- a/packages/pooler/src/DatabaseService.cpp
+++ b/packages/pooler/src/DatabaseService.cpp
@@ -16,6 +16,8 @@
 
     constexpr milliseconds connectTimeout { 500 };
     constexpr milliseconds probeTimeout { 400 };
+    /// Added to the reason of a refusal.
+    constexpr std::string_view overShareReason = "; the account is over its share";
     constexpr milliseconds rollbackTimeout { 1000 };
     /// An endpoint receives no requests for this time after a failed connect, so that others are tried first. The pause
     /// grows with each failure in a row.
@@ -517,9 +519,17 @@
     co_return co_await acquireOwn(std::move(request), session);
 }
 
+void DatabaseService::recordQueueAnswer(const PermitRequest& request, bool isOverShare, bool granted)
+{
+    if (!request.account.empty())
+        m_metrics.queueAnswered(m_name, isOverShare, granted);
+}
+
 Task<tl::expected<ConnectionLease, AcquireFailure>> DatabaseService::acquireOwn(ConnectionRequest request, const SessionState& session)
 {
     m_lastOwnUse = BootClock::now();
+    if (request.hasLostSender())
+        co_return tl::unexpected(AcquireFailure { ErrorCode::Busy, std::string(disconnectedReason), milliseconds(0) });
     if (request.freshness) {
         const auto position = co_await awaitFloor(request.freshness->maxStaleness, request.freshness->ownCommit, request.deadline);
         if (!position)
@@ -529,6 +539,7 @@
     const auto until = request.deadline;
     while (true) {
         m_scheduler.advanceTo(BootClock::now());
+        const bool isOverShare = m_scheduler.isOverShare(permitRequest.charge());
         auto granted = m_scheduler.tryAcquire(permitRequest);
         if (!granted) {
             const auto wait = m_scheduler.expectedWait(permitRequest);
@@ -536,17 +547,31 @@
             const bool hasNoEndpoint = wait == milliseconds::max();
             if (hasNoEndpoint && permitRequest.eligibility == Eligibility::PrimaryOnly && now < m_writesRefusedUntil)
                 co_return tl::unexpected(AcquireFailure { ErrorCode::Busy, "no endpoint can become primary yet", std::chrono::ceil<milliseconds>(m_writesRefusedUntil - now) });
-            if (!hasNoEndpoint && now + wait >= permitRequest.queueDeadline)
-                co_return tl::unexpected(AcquireFailure { ErrorCode::Busy, "queue is too long", wait });
+            if (!hasNoEndpoint && now + wait >= permitRequest.queueDeadline) {
+                recordQueueAnswer(permitRequest, isOverShare, false);
+                co_return tl::unexpected(AcquireFailure { ErrorCode::Busy, std::string("queue is too long").append(isOverShare ? overShareReason : ""), wait });
+            }
             auto waiter = std::make_shared<AutoResetEvent>(m_io);
             const auto ticket = m_scheduler.enqueue(permitRequest, now, [&granted, waiter](const std::string& id) {
                 granted = id;
                 waiter->wake();
             });
+            if (request.sender != nullptr)
+                request.sender->start([waiter] { waiter->wake(); });
             co_await waiter->wait(std::min(until, permitRequest.queueDeadline));
-            if (!granted)
-                co_return tl::unexpected(AcquireFailure { ErrorCode::Busy, hasNoEndpoint ? "no endpoint is available" : "no connection became free", hasNoEndpoint ? failurePause : wait });
+            if (request.sender != nullptr)
+                request.sender->stop();
+            if (!granted && request.hasLostSender()) {
+                m_metrics.requestAbandoned(m_name);
+                co_return tl::unexpected(AcquireFailure { ErrorCode::Busy, std::string(disconnectedReason), milliseconds(0) });
+            }
+            if (!granted) {
+                recordQueueAnswer(permitRequest, isOverShare, false);
+                const auto reason = std::string(hasNoEndpoint ? "no endpoint is available" : "no connection became free").append(isOverShare ? overShareReason : "");
+                co_return tl::unexpected(AcquireFailure { ErrorCode::Busy, reason, hasNoEndpoint ? failurePause : wait });
+            }
         }
+        recordQueueAnswer(permitRequest, isOverShare, true);
         const auto since = BootClock::now();
         const auto endpoint = find(*granted);
         if (!endpoint) {
@@ -663,6 +688,7 @@
 Task<void> DatabaseService::runMaintenance()
 {
     const auto now = BootClock::now();
+    m_scheduler.advanceTo(now);
     removeMissingEndpoints(now);
     std::erase_if(m_departed, [this, now](const auto& item) { return now - item.second.at >= m_memberRetention; });
     for (const auto& [id, endpoint] : m_endpoints) {
--- a/packages/pooler/src/DatabaseService.h
+++ b/packages/pooler/src/DatabaseService.h
@@ -150,6 +150,8 @@
     void closeExpiredIdle(Endpoint& endpoint, BootTime now);
     /// Returns whether a returned connection is kept open.
     bool shouldKeepIdle(const Endpoint& endpoint) const;
+    /// Records the answer of the queue to a request; requests without an account are not counted.
+    void recordQueueAnswer(const PermitRequest& request, bool isOverShare, bool granted);
     void refreshScheduler(const Endpoint& endpoint);
     /// Updates the scheduler's cost of a new connection. It is above 0 only if connections are scarce, this host is not
     /// a holder and no idle connection is available.
--- a/packages/pooler/src/LenderLink.cpp
+++ b/packages/pooler/src/LenderLink.cpp
@@ -1,5 +1,6 @@
 #include "LenderLink.h"
 
+#include "ConnectionRequest.h"
 #include "kumquatbank/engine/EventLog.h"
 
 #include <array>
@@ -67,7 +68,7 @@
     co_return co_await LineChannel::connect(m_io, m_address, WireDialect::maxMessageBytes, connectTimeout, unacknowledgedDataTimeout);
 }
 
-Task<LenderLink::LoanResponse> LenderLink::exchangeRequest(std::optional<LineChannel> channel, std::string request, BootTime queueDeadline)
+Task<LenderLink::LoanResponse> LenderLink::exchangeRequest(std::optional<LineChannel> channel, std::string request, BootTime queueDeadline, DisconnectWatch* sender)
 {
     LoanResponse response;
     const auto firstReplyDeadline = BootClock::now() + firstReplyTimeout;
@@ -81,7 +82,12 @@
         co_return response;
     response.reply = LoanMessage::parseReply(line);
     if (response.reply.kind == LoanReply::Kind::Queued) {
+        // The lender takes the end of the channel for the end of the request.
+        if (sender != nullptr)
+            sender->start([&channel] { channel->close(); });
         status = co_await channel->readLine(line, queueDeadline + queuedReplyMargin);
+        if (sender != nullptr)
+            sender->stop();
         if (status != ChannelStatus::Ok)
             co_return response;
         response.reply = LoanMessage::parseReply(line);
@@ -91,19 +97,24 @@
     co_return response;
 }
 
-Task<LoanResult> LenderLink::requestLoan(LoanRequest request, BootTime queueDeadline)
+Task<LoanResult> LenderLink::requestLoan(LoanRequest request, BootTime queueDeadline, DisconnectWatch* sender)
 {
     const auto keepAlive = shared_from_this();
     const auto line = LoanMessage::formatRequest(request);
     const bool hadIdleChannel = !m_idleChannels.empty();
     auto channel = co_await openChannel(true);
-    auto response = co_await exchangeRequest(std::move(channel), line, queueDeadline);
+    auto response = co_await exchangeRequest(std::move(channel), line, queueDeadline, sender);
     // An idle channel may have been closed unnoticed. A new channel shows whether the lender is available.
     if (!response.channel && hadIdleChannel && response.reply.kind != LoanReply::Kind::Queued) {
         channel = co_await openChannel(false);
-        response = co_await exchangeRequest(std::move(channel), line, queueDeadline);
+        response = co_await exchangeRequest(std::move(channel), line, queueDeadline, sender);
     }
     LoanResult result;
+    if (!response.channel && sender != nullptr && sender->hasDisconnected()) {
+        result.outcome = LoanOutcome::Refused;
+        result.reason = disconnectedReason;
+        co_return result;
+    }
     if (!response.channel) {
         markUnavailable("no answer");
         co_return result;
--- a/packages/pooler/src/LenderLink.h
+++ b/packages/pooler/src/LenderLink.h
@@ -2,6 +2,7 @@
 
 #include "DatabaseConnection.h"
 #include "LoanMessage.h"
+#include "kumquatbank/engine/DisconnectWatch.h"
 
 #include <memory>
 #include <vector>
@@ -38,8 +39,9 @@
     /// Returns false for a fixed pause after the lender did not respond or reported that it is shutting down.
     bool isUsable() const { return BootClock::now() >= m_unusableUntil; }
 
-    /// Requests a connection and waits in the lender's queue until @p queueDeadline.
-    Task<LoanResult> requestLoan(LoanRequest request, BootTime queueDeadline);
+    /// Requests a connection and waits in the lender's queue until @p queueDeadline. Leaves the queue if @p sender (which
+    /// may be null) notices that the client has disconnected.
+    Task<LoanResult> requestLoan(LoanRequest request, BootTime queueDeadline, DisconnectWatch* sender);
 
     /// Ends a loan and returns its connection to the lender.
     void returnLoan(std::unique_ptr<DatabaseConnection> connection);
@@ -54,7 +56,7 @@
     };
 
     Task<std::optional<LineChannel>> openChannel(bool mayReuse);
-    Task<LoanResponse> exchangeRequest(std::optional<LineChannel> channel, std::string request, BootTime queueDeadline);
+    Task<LoanResponse> exchangeRequest(std::optional<LineChannel> channel, std::string request, BootTime queueDeadline, DisconnectWatch* sender);
     Task<void> sendReturn(LineChannel channel);
     void markUnavailable(std::string_view reason);
 
--- a/packages/pooler/src/PoolerMetrics.cpp
+++ b/packages/pooler/src/PoolerMetrics.cpp
@@ -32,6 +32,9 @@
     , m_retries(family(m_registry, prometheus::BuildCounter(), "kumquatbank_retries_total", "Statements that were sent again after nothing ran"))
     , m_primarySilence(family(m_registry, prometheus::BuildGauge(), "kumquatbank_primary_silence_seconds", "Time since the primary last answered"))
     , m_waiting(family(m_registry, prometheus::BuildGauge(), "kumquatbank_waiting_requests", "Requests that wait for a connection"))
+    , m_queueAnswers(family(m_registry, prometheus::BuildCounter(), "kumquatbank_queue_answers_total", "Requests of accounts for a connection, by outcome and by whether the account was over its share"))
+    , m_abandoned(family(m_registry, prometheus::BuildCounter(), "kumquatbank_abandoned_requests_total", "Requests that left the queue because their sender had disconnected"))
+    , m_accountsOverShare(family(m_registry, prometheus::BuildGauge(), "kumquatbank_accounts_over_share", "Accounts that have recently used more than their share of the granted time"))
     , m_sessions(family(m_registry, prometheus::BuildGauge(), "kumquatbank_sessions", "Open client sessions").Add({}))
     , m_configVersion(family(m_registry, prometheus::BuildGauge(), "kumquatbank_config_version", "Version of the configuration in force").Add({}))
     , m_storeEra(family(m_registry, prometheus::BuildGauge(), "kumquatbank_store_era", "Era of the newest answer of the store; rises when it comes back from an older copy").Add({}))
@@ -82,6 +85,17 @@
 void PoolerMetrics::setPrimarySilence(const std::string& service, double age) { m_primarySilence.Add({ { "service", service } }).Set(age); }
 void PoolerMetrics::setWaiting(const std::string& service, double requests) { m_waiting.Add({ { "service", service } }).Set(requests); }
 
+void PoolerMetrics::requestAbandoned(const std::string& service) { m_abandoned.Add({ { "service", service } }).Increment(); }
+void PoolerMetrics::setAccountsOverShare(const std::string& service, double accounts) { m_accountsOverShare.Add({ { "service", service } }).Set(accounts); }
+
+void PoolerMetrics::queueAnswered(const std::string& service, bool isOverShare, bool granted)
+{
+    auto& counter = m_queueSeries[service].at((isOverShare ? 2 : 0) + (granted ? 1 : 0));
+    if (counter == nullptr)
+        counter = &m_queueAnswers.Add({ { "service", service }, { "group", isOverShare ? "over_share" : "within_share" }, { "outcome", granted ? "granted" : "refused" } });
+    counter->Increment();
+}
+
 std::string PoolerMetrics::serialize()
 {
     m_droppedLogLines.Set(static_cast<double>(EventLog::droppedLines()));
--- a/packages/pooler/src/PoolerMetrics.h
+++ b/packages/pooler/src/PoolerMetrics.h
@@ -2,6 +2,7 @@
 
 #include "kumquatbank/routing/StatementError.h"
 
+#include <array>
 #include <chrono>
 #include <map>
 #include <memory>
@@ -35,6 +36,12 @@
     void setStoreEra(std::uint64_t era);
     void setPrimarySilence(const std::string& service, double seconds);
     void setWaiting(const std::string& service, double requests);
+    /// Records that the queue of a service granted or refused a request of an account. @p isOverShare: the account had used
+    /// more than its share.
+    void queueAnswered(const std::string& service, bool isOverShare, bool granted);
+    /// Records that a request left the queue because its sender had disconnected.
+    void requestAbandoned(const std::string& service);
+    void setAccountsOverShare(const std::string& service, double accounts);
 
     /// Returns all metrics in the Prometheus text format.
     std::string serialize();
@@ -52,6 +59,9 @@
     prometheus::Family<prometheus::Counter>& m_retries;
     prometheus::Family<prometheus::Gauge>& m_primarySilence;
     prometheus::Family<prometheus::Gauge>& m_waiting;
+    prometheus::Family<prometheus::Counter>& m_queueAnswers;
+    prometheus::Family<prometheus::Counter>& m_abandoned;
+    prometheus::Family<prometheus::Gauge>& m_accountsOverShare;
     prometheus::Gauge& m_sessions;
     prometheus::Gauge& m_configVersion;
     prometheus::Gauge& m_storeEra;
@@ -63,6 +73,7 @@
         prometheus::Histogram* queue = nullptr;
     };
     std::map<std::string, RouteSeries> m_routes;
+    std::map<std::string, std::array<prometheus::Counter*, 4>> m_queueSeries; ///< By service; of each pair of outcomes.
 };
 
 } // namespace kumquatbank
--- a/packages/pooler/src/PoolerProcess.cpp
+++ b/packages/pooler/src/PoolerProcess.cpp
@@ -179,6 +179,7 @@
                 if (const auto primary = service->primary())
                     m_metrics.setPrimarySilence(name, std::chrono::duration<double>(now - primary->lastAnswer).count());
                 m_metrics.setWaiting(name, static_cast<double>(service->scheduler().waiting()));
+                m_metrics.setAccountsOverShare(name, static_cast<double>(service->scheduler().accountsOverShare()));
             }
             EventLog::flush();
         }
--- a/packages/pooler/src/SessionContext.cpp
+++ b/packages/pooler/src/SessionContext.cpp
@@ -77,6 +77,7 @@
     request.permit.excluded = std::move(excluded);
     request.deadline = until - RetryPolicy::minRemainingTime;
     request.answerTimeout = route.statementTimeout;
+    request.sender = m_clientWatch;
     auto lease = co_await service->acquire(std::move(request), m_state);
     answer.queued += BootClock::now() - requestedAt;
     if (lease) {
--- a/packages/pooler/src/SessionContext.h
+++ b/packages/pooler/src/SessionContext.h
@@ -42,6 +42,8 @@
     /// Returns the time by which a statement that begins now must have its result.
     BootTime deadline(const Route& route) const { return std::min<BootTime>(BootClock::now() + route.statementTimeout - RetryPolicy::answerMargin, m_tracker.answersEnd()); }
 
+    /// Sets the watch of the client's connection, which must outlive this object.
+    void setClientWatch(DisconnectWatch& watch) { m_clientWatch = &watch; }
     /// Sets the key with which the client opened its session.
     void setKey(std::optional<KeyDigest> key) { m_key = std::move(key); }
     /// Identifies the client by the current configuration, which must be present.
@@ -69,6 +71,7 @@
     const SessionTracker& m_tracker;
     SessionState m_state;
     std::optional<KeyDigest> m_key;
+    DisconnectWatch* m_clientWatch = nullptr;
     BootTime m_lastCommitAt {};
 };
 
--- a/packages/pooler/src/StatementRunner.h
+++ b/packages/pooler/src/StatementRunner.h
@@ -13,6 +13,8 @@
     StatementRunner(asio::io_context& io, ServiceRegistry& registry, PoolerMetrics& metrics, const SessionTracker& tracker);
 
     void setKey(std::optional<KeyDigest> key) { m_context.setKey(std::move(key)); }
+    /// Sets the watch of the client's connection, which must outlive this object.
+    void setClientWatch(DisconnectWatch& watch) { m_context.setClientWatch(watch); }
 
     StatementRunner(const StatementRunner&) = delete;
     StatementRunner& operator=(const StatementRunner&) = delete;
