Retry budget: retries by the proxy add at most a tenth of the load, with endpointPacing

Cause: a statement was attempted up to five times whatever the others did, so endpoints that fail under load got several times the load. Ruled out: a limit on concurrent retries (quick refusals pass at full rate), retries per second (does not follow the load), one budget for the process (a service that fails uses up the retries of the others). Change: RetryBudget for each service, used in StatementRunner and TransactionRunner; metric of refused retries and a mark in the reason of the statement line. DisconnectWatch: an end behind unread input is noticed at the next check, so its grace is longer by the interval. Conclusion: off by default; no run on a whole deployment.

--- a/packages/engine/include/kumquatbank/engine/DisconnectWatch.h
+++ b/packages/engine/include/kumquatbank/engine/DisconnectWatch.h
@@ -13,7 +13,7 @@
 public:
     /// A remote end that closes only its sending direction cannot be told from one that has closed the connection. An end
     /// that arrived before start(), or within @p halfCloseGrace after it, is therefore taken for that of a client that has
-    /// sent its last request and reads the answer. With a grace of 0, every end is a disconnect. @p channel must outlive this
+    /// sent its last request and reads the answer; behind unread input within 50 ms more. With a grace of 0, every end is a disconnect. @p channel must outlive this
     /// object.
     DisconnectWatch(LineChannel& channel, std::chrono::milliseconds halfCloseGrace);
     ~DisconnectWatch();
--- a/packages/engine/src/DisconnectWatch.cpp
+++ b/packages/engine/src/DisconnectWatch.cpp
@@ -17,7 +17,8 @@
     {
     }
 
-    void check(bool isFirst)
+    /// @p unseen: time before now in which an end may have arrived without being noticed.
+    void check(std::chrono::milliseconds unseen)
     {
         switch (channel.peerState()) {
         case PeerState::Open:
@@ -28,11 +29,11 @@
             timer.expires_after(sentAheadInterval);
             timer.async_wait([self = shared_from_this()](const boost::system::error_code& ec) {
                 if (!ec && self->isActive)
-                    self->check(false);
+                    self->check(sentAheadInterval);
             });
             break;
         case PeerState::Ended: {
-            const bool mayBeHalfClosed = halfCloseGrace.count() > 0 && (isFirst || BootClock::now() - startedAt < halfCloseGrace);
+            const bool mayBeHalfClosed = halfCloseGrace.count() > 0 && BootClock::now() - startedAt < halfCloseGrace + unseen;
             if (mayBeHalfClosed)
                 isActive = false;
             else
@@ -49,7 +50,7 @@
     {
         isWaitPending = false;
         if (hasInput && isActive)
-            check(false);
+            check(std::chrono::milliseconds(0));
     }
 
     void disconnect()
@@ -82,7 +83,7 @@
     m_state->onDisconnect = std::move(onDisconnect);
     m_state->startedAt = BootClock::now();
     m_state->isActive = true;
-    m_state->check(true);
+    m_state->check(std::chrono::milliseconds(0));
 }
 
 void DisconnectWatch::stop()
--- a/packages/pooler/include/kumquatbank/pooler/PoolerSettings.h
+++ b/packages/pooler/include/kumquatbank/pooler/PoolerSettings.h
@@ -31,6 +31,7 @@
     std::chrono::milliseconds memberRetention { 10'000 };
     unsigned logLinesPerSecond = 100; ///< For served requests; failures have a separate limit.
     unsigned failureLinesPerSecond = 500;
+    bool endpointPacing = false; ///< Whether the use of endpoints is limited by their answers.
 
     /// Reads and validates a file; the error names the invalid key.
     static Result<PoolerSettings> load(const std::string& file);
--- a/packages/pooler/src/PoolerMetrics.cpp
+++ b/packages/pooler/src/PoolerMetrics.cpp
@@ -34,6 +34,7 @@
     , m_waiting(family(m_registry, prometheus::BuildGauge(), "kumquatbank_waiting_requests", "Requests that wait for a connection"))
     , m_queueAnswers(family(m_registry, prometheus::BuildCounter(), "kumquatbank_queue_answers_total", "Requests of accounts for a connection, by outcome and by whether the account was over its share"))
     , m_abandoned(family(m_registry, prometheus::BuildCounter(), "kumquatbank_abandoned_requests_total", "Requests that left the queue because their sender had disconnected"))
+    , m_refusedRetries(family(m_registry, prometheus::BuildCounter(), "kumquatbank_refused_retries_total", "Statements that were not sent again because the retry budget of the service is used up"))
     , m_accountsOverShare(family(m_registry, prometheus::BuildGauge(), "kumquatbank_accounts_over_share", "Accounts that have recently used more than their share of the granted time"))
     , m_sessions(family(m_registry, prometheus::BuildGauge(), "kumquatbank_sessions", "Open client sessions").Add({}))
     , m_configVersion(family(m_registry, prometheus::BuildGauge(), "kumquatbank_config_version", "Version of the configuration in force").Add({}))
@@ -78,6 +79,7 @@
 
 void PoolerMetrics::promotionCompleted(std::string_view outcome) { m_promotions.Add({ { "outcome", std::string(outcome) } }).Increment(); }
 void PoolerMetrics::statementRetried(std::string_view reason) { m_retries.Add({ { "reason", std::string(reason) } }).Increment(); }
+void PoolerMetrics::retryRefused(const std::string& service) { m_refusedRetries.Add({ { "service", service } }).Increment(); }
 void PoolerMetrics::sessionOpened() { m_sessions.Increment(); }
 void PoolerMetrics::sessionClosed() { m_sessions.Decrement(); }
 void PoolerMetrics::setConfigVersion(std::int64_t version) { m_configVersion.Set(static_cast<double>(version)); }
--- a/packages/pooler/src/PoolerMetrics.h
+++ b/packages/pooler/src/PoolerMetrics.h
@@ -32,6 +32,8 @@
     void sessionOpened();
     void sessionClosed();
     void statementRetried(std::string_view reason);
+    /// Records that a statement was not sent again because the retry budget of the service is used up.
+    void retryRefused(const std::string& service);
     void setConfigVersion(std::int64_t version);
     void setStoreEra(std::uint64_t era);
     void setPrimarySilence(const std::string& service, double seconds);
@@ -61,6 +63,7 @@
     prometheus::Family<prometheus::Gauge>& m_waiting;
     prometheus::Family<prometheus::Counter>& m_queueAnswers;
     prometheus::Family<prometheus::Counter>& m_abandoned;
+    prometheus::Family<prometheus::Counter>& m_refusedRetries;
     prometheus::Family<prometheus::Gauge>& m_accountsOverShare;
     prometheus::Gauge& m_sessions;
     prometheus::Gauge& m_configVersion;
--- a/packages/pooler/src/PoolerProcess.cpp
+++ b/packages/pooler/src/PoolerProcess.cpp
@@ -52,6 +52,8 @@
         EventLog::setHost(m_settings.host);
         EventLog::setRateLimits(m_settings.logLinesPerSecond, m_settings.failureLinesPerSecond);
         m_registry.setEndpointTimes(m_settings.databaseDrainTime, m_settings.memberRetention);
+        if (m_settings.endpointPacing)
+            m_registry.enablePacing();
         EventLog::info("start", { { "version", KUMQUATBANK_VERSION }, { "data_centre", m_settings.dataCentre }, { "clients", m_settings.clientAddress.toString() }, { "ready", m_settings.readyAddress.toString() }, { "peers", m_settings.peerAddress.toString() }, { "metrics", m_settings.metricsAddress.toString() }, { "store", m_settings.storeAddress.toString() }, { "promotions", m_settings.promotionAddress.toString() }, { "grace_s", m_settings.grace.count() } });
         m_clients.emplace(m_io, m_settings.clientAddress, [this](asio::ip::tcp::socket socket) { accept(std::move(socket)); });
         m_ready.emplace(m_io, m_settings.readyAddress, [this](HttpRequest request) { return answerReady(std::move(request)); });
--- a/packages/pooler/src/PoolerSettings.cpp
+++ b/packages/pooler/src/PoolerSettings.cpp
@@ -40,15 +40,18 @@
   // Milliseconds for which a database that disappeared counts as one that may hold the newest commits, where commits are
   // confirmed by replicas. No primary is replaced in this time without the proof that none is lost. Optional.
   "memberRetentionMs": 10000,
+  // Whether the answers of each database decide how many statements it gets at a time, and databases that fail far more
+  // than their peers get no reads but probes. Optional; takes effect at the next start.
+  "endpointPacing": false,
   // Log lines a second: of served statements, and of everything else.
   "logLinesPerSecond": 100,
   "failureLinesPerSecond": 500
 }
 )";
 
-    constexpr std::array<std::string_view, 18> knownKeys { "host", "dataCentre", "region", "processorShare", "processorSpeed", "clientAddress", "readyAddress",
+    constexpr std::array<std::string_view, 19> knownKeys { "host", "dataCentre", "region", "processorShare", "processorSpeed", "clientAddress", "readyAddress",
         "peerAddress", "loanAddress", "metricsAddress", "storeAddress", "promotionAddress", "seeds", "graceSeconds", "databaseDrainMs", "memberRetentionMs",
-        "logLinesPerSecond", "failureLinesPerSecond" };
+        "logLinesPerSecond", "failureLinesPerSecond", "endpointPacing" };
 
     constexpr int maxGraceSeconds = 3600;
     constexpr int maxDatabaseDrainMs = 3'600'000;
@@ -123,6 +126,17 @@
             return fallback;
         }
 
+        bool flag(const char* key, bool fallback)
+        {
+            const auto it = m_json.find(key);
+            if (it == m_json.end())
+                return fallback;
+            if (it->is_boolean())
+                return *it;
+            recordError(key, "must be true or false");
+            return fallback;
+        }
+
         void recordError(const std::string& key, const std::string& problem)
         {
             if (m_error.empty())
@@ -178,6 +192,7 @@
     settings.memberRetention = std::chrono::milliseconds(reader.number("memberRetentionMs", 0, maxMemberRetentionMs, static_cast<int>(settings.memberRetention.count())));
     settings.logLinesPerSecond = static_cast<unsigned>(reader.number("logLinesPerSecond", 0, maxLogLines, static_cast<int>(settings.logLinesPerSecond)));
     settings.failureLinesPerSecond = static_cast<unsigned>(reader.number("failureLinesPerSecond", 0, maxLogLines, static_cast<int>(settings.failureLinesPerSecond)));
+    settings.endpointPacing = reader.flag("endpointPacing", settings.endpointPacing);
     if (!reader.error().empty())
         return notRun(FailureCode::BadRequest, reader.error(), Cause::BadRequest);
     return settings;
--- a/packages/pooler/src/ServiceRegistry.h
+++ b/packages/pooler/src/ServiceRegistry.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "DatabaseService.h"
+#include "kumquatbank/routing/RetryBudget.h"
 
 namespace kumquatbank {
 
@@ -18,6 +19,8 @@
     void setEndpoints(std::map<std::string, EndpointEntry> entries, bool isComplete, BootTime previousAnswerAt);
     /// Passes the times on to all services, also to those that become known later.
     void setEndpointTimes(std::chrono::milliseconds drainTime, std::chrono::milliseconds memberRetention);
+    /// Switches pacing on for all services that become known later.
+    void enablePacing() { m_isPaced = true; }
     const std::map<std::string, EndpointEntry>& endpoints() const { return m_entries; }
     bool hasEndpoints() const { return m_hasEndpoints; }
 
@@ -29,6 +32,8 @@
     /// Null if neither an endpoint nor the configuration has named the service.
     std::shared_ptr<DatabaseService> find(const std::string& service) const;
     const std::map<std::string, std::shared_ptr<DatabaseService>>& services() const { return m_services; }
+    /// The budget for the retries of a service; null without pacing, where retries are bounded for each statement only.
+    RetryBudget* retryBudget(const std::string& service) { return m_isPaced ? &m_retryBudgets[service] : nullptr; }
 
     /// Waits until a configuration is active; false if there is none at @p until or at the end of waits.
     Task<bool> waitForConfig(BootTime until);
@@ -53,10 +58,12 @@
     std::set<std::string> m_unknownServices; ///< Named by entries only.
     int m_hosts = ConnectionSharing::unknownHostCount;
     int m_lenders = 0;
+    bool m_isPaced = false;
     ConnectionBorrower* m_borrower = nullptr;
     std::chrono::milliseconds m_drainTime { 0 };
     std::chrono::milliseconds m_memberRetention { 0 };
     std::map<std::string, std::shared_ptr<DatabaseService>> m_services;
+    std::map<std::string, RetryBudget> m_retryBudgets; ///< By service.
     std::vector<std::shared_ptr<AutoResetEvent>> m_configWaiters;
     bool m_hasEndedConfigWait = false;
 };
--- a/packages/pooler/src/SessionContext.cpp
+++ b/packages/pooler/src/SessionContext.cpp
@@ -55,6 +55,22 @@
     return service.currentFloor(route.maxStaleness, ownCommit(route));
 }
 
+void SessionContext::recordStatement(const std::string& service)
+{
+    if (auto* budget = m_registry.retryBudget(service))
+        budget->recordStatement();
+}
+
+bool SessionContext::takeRetry(const std::string& service, StatementAnswer& answer)
+{
+    auto* budget = m_registry.retryBudget(service);
+    if (budget == nullptr || budget->takeRetry())
+        return true;
+    m_metrics.retryRefused(service);
+    answer.reason += "; the retry budget is used up";
+    return false;
+}
+
 Task<std::optional<ConnectionLease>> SessionContext::acquire(Route route, std::string account, Eligibility eligibility, std::set<std::string> excluded, BootTime until, StatementAnswer& answer)
 {
     const auto service = m_registry.find(route.service);
--- a/packages/pooler/src/SessionContext.h
+++ b/packages/pooler/src/SessionContext.h
@@ -59,6 +59,12 @@
     /// minimum position is known, and avoids lagging endpoints. On failure, @p answer is set to an error.
     Task<std::optional<ConnectionLease>> acquire(Route route, std::string account, Eligibility eligibility, std::set<std::string> excluded, BootTime until, StatementAnswer& answer);
 
+    /// Counts a statement for the retry budget of the service, before its first attempt.
+    void recordStatement(const std::string& service);
+    /// Returns whether a statement may be attempted again. If the budget is used up, that is added to the reason of
+    /// @p answer, which stays the final answer.
+    bool takeRetry(const std::string& service, StatementAnswer& answer);
+
     /// Returns the minimum position for a read on @p route; empty if no known position is recent enough.
     std::optional<LogPosition> currentFloor(DatabaseService& service, const Route& route) const;
 
--- a/packages/pooler/src/StatementRunner.cpp
+++ b/packages/pooler/src/StatementRunner.cpp
@@ -146,6 +146,7 @@
         co_return answer;
     }
     const auto until = m_context.deadline(route);
+    m_context.recordStatement(route.service);
     std::set<std::string> excluded;
     while (true) {
         ++answer.attempts;
@@ -153,6 +154,8 @@
             co_return answer;
         if (answer.attempts >= RetryPolicy::maxAttempts || BootClock::now() + RetryPolicy::minRemainingTime >= until)
             co_return answer;
+        if (!m_context.takeRetry(route.service, answer))
+            co_return answer;
         m_context.metrics().statementRetried(answer.code ? errorCodeName(*answer.code) : "unknown");
         co_await sleepFor(m_context.io(), RetryPolicy::retryPause);
     }
--- a/packages/pooler/src/TransactionRunner.cpp
+++ b/packages/pooler/src/TransactionRunner.cpp
@@ -117,6 +117,7 @@
 {
     if (m_transaction->lease)
         co_return true;
+    m_context.recordStatement(m_transaction->route.service);
     std::set<std::string> excluded;
     while (true) {
         ++answer.attempts;
@@ -127,6 +128,8 @@
         }
         if (attemptResult == AttemptResult::Done || answer.attempts >= RetryPolicy::maxAttempts || BootClock::now() + RetryPolicy::minRemainingTime >= until)
             break;
+        if (!m_context.takeRetry(m_transaction->route.service, answer))
+            break;
         co_await sleepFor(m_context.io(), RetryPolicy::retryPause);
     }
     // No statement of the transaction has run.
--- a/packages/routing/include/kumquatbank/routing/routing.h
+++ b/packages/routing/include/kumquatbank/routing/routing.h
@@ -15,6 +15,7 @@
 #include "kumquatbank/routing/PermitRequest.h"
 #include "kumquatbank/routing/PromotionPolicy.h"
 #include "kumquatbank/routing/ReadFloor.h"
+#include "kumquatbank/routing/RetryBudget.h"
 #include "kumquatbank/routing/RoutingConfig.h"
 #include "kumquatbank/routing/ServiceScheduler.h"
 #include "kumquatbank/routing/SessionState.h"
