--- a/packages/pooler/src/ConnectionLease.h
+++ b/packages/pooler/src/ConnectionLease.h
@@ -2,9 +2,12 @@
 
 #include "DatabaseConnection.h"
 #include "Endpoint.h"
+#include "kumquatbank/routing/PermitRequest.h"
 #include "kumquatbank/routing/StatementOutcome.h"
 
 #include <memory>
+#include <optional>
+#include <string>
 
 namespace kumquatbank {
 
@@ -30,6 +33,9 @@
     std::string lender() const;
     bool isBorrowed() const { return m_lender != nullptr; }
 
+    /// Counts the time for which the permit is held by @p charge. Without this call, it is counted for no account.
+    void chargeTo(PermitCharge charge) { m_charge = std::move(charge); }
+
     /// Records an answer of the endpoint. Answers over a borrowed connection are ignored: they do not show whether this
     /// host can reach the endpoint.
     void recordAnswer(BootTime sentAt);
@@ -47,6 +53,7 @@
     std::shared_ptr<Endpoint> m_endpoint;
     std::unique_ptr<DatabaseConnection> m_connection;
     BootTime m_since;
+    std::optional<PermitCharge> m_charge;
     std::shared_ptr<LenderLink> m_lender;
 };
 
--- a/packages/pooler/src/DatabaseService.cpp
+++ b/packages/pooler/src/DatabaseService.cpp
@@ -15,6 +15,8 @@
 namespace {
 
     constexpr milliseconds probeTimeout { 400 };
+    /// Added to the reason of a refusal.
+    constexpr std::string_view overShareReason = "; the account is over its share";
     constexpr milliseconds rollbackTimeout { 1000 };
     /// An endpoint receives no requests for this time after a failed connect, so that others are tried first. The pause
     /// grows with each failure in a row.
@@ -469,9 +471,17 @@
     co_return co_await acquireOwn(std::move(request), session);
 }
 
+void DatabaseService::recordQueueAnswer(const PermitRequest& request, bool isOverShare, bool granted)
+{
+    if (!request.account.empty())
+        m_metrics.queueAnswered(m_name, isOverShare, granted);
+}
+
 Task<tl::expected<ConnectionLease, AcquireFailure>> DatabaseService::acquireOwn(ConnectionRequest request, const SessionState& session)
 {
     m_lastOwnUse = BootClock::now();
+    if (request.hasLostSender())
+        co_return tl::unexpected(AcquireFailure { ErrorCode::Busy, std::string(disconnectedReason), milliseconds(0) });
     if (request.freshness) {
         const auto position = co_await awaitFloor(request.freshness->maxStaleness, request.freshness->ownCommit, request.deadline);
         if (!position)
@@ -481,6 +491,8 @@
     permitRequest.account = request.account;
     const auto until = request.deadline;
     while (true) {
+        m_scheduler.advanceTo(BootClock::now());
+        const bool isOverShare = m_scheduler.isOverShare(permitRequest.charge());
         auto granted = m_scheduler.tryAcquire(permitRequest);
         if (!granted) {
             const auto wait = m_scheduler.expectedWait(permitRequest);
@@ -488,21 +500,36 @@
             const bool hasNoEndpoint = wait == milliseconds::max();
             if (hasNoEndpoint && permitRequest.eligibility == Eligibility::PrimaryOnly && now < m_writesRefusedUntil)
                 co_return tl::unexpected(AcquireFailure { ErrorCode::Busy, "no endpoint can become primary yet", std::chrono::ceil<milliseconds>(m_writesRefusedUntil - now) });
-            if (!hasNoEndpoint && now + wait >= permitRequest.queueDeadline)
-                co_return tl::unexpected(AcquireFailure { ErrorCode::Busy, "queue is too long", wait });
+            if (!hasNoEndpoint && now + wait >= permitRequest.queueDeadline) {
+                recordQueueAnswer(permitRequest, isOverShare, false);
+                co_return tl::unexpected(AcquireFailure { ErrorCode::Busy, std::string("queue is too long").append(isOverShare ? overShareReason : ""), wait });
+            }
             auto waiter = std::make_shared<AutoResetEvent>(m_io);
             const auto ticket = m_scheduler.enqueue(permitRequest, now, [&granted, waiter](const std::string& id) {
                 granted = id;
                 waiter->wake();
             });
+            if (request.sender != nullptr)
+                request.sender->start([waiter] { waiter->wake(); });
             co_await waiter->wait(std::min(until, permitRequest.queueDeadline));
-            if (!granted)
-                co_return tl::unexpected(AcquireFailure { ErrorCode::Busy, hasNoEndpoint ? "no endpoint is available" : "no connection became free", hasNoEndpoint ? failurePause : wait });
+            if (request.sender != nullptr)
+                request.sender->stop();
+            if (!granted && request.hasLostSender()) {
+                m_metrics.requestAbandoned(m_name);
+                co_return tl::unexpected(AcquireFailure { ErrorCode::Busy, std::string(disconnectedReason), milliseconds(0) });
+            }
+            if (!granted) {
+                recordQueueAnswer(permitRequest, isOverShare, false);
+                const auto reason = std::string(hasNoEndpoint ? "no endpoint is available" : "no connection became free").append(isOverShare ? overShareReason : "");
+                co_return tl::unexpected(AcquireFailure { ErrorCode::Busy, reason, hasNoEndpoint ? failurePause : wait });
+            }
         }
+        recordQueueAnswer(permitRequest, isOverShare, true);
         const auto since = BootClock::now();
         const auto endpoint = find(*granted);
         if (!endpoint) {
             m_scheduler.removeEndpoint(*granted);
+            m_scheduler.cancelGrant(permitRequest.charge());
             continue;
         }
         auto connection = m_pool.take(*endpoint, request.account, session);
@@ -515,7 +542,7 @@
             m_pool.makeRoom(*endpoint, request.account, isFull ? std::min(share, endpoint->open) : share);
             auto opened = co_await open(endpoint, request.account, std::chrono::duration_cast<milliseconds>(until - since));
             if (!opened) {
-                m_scheduler.release(*granted, {}, request.account);
+                m_scheduler.release(*granted, {}, permitRequest.charge());
                 // A write has only one endpoint and waits until it can be tried again; a read tries another endpoint.
                 if (permitRequest.eligibility == Eligibility::Any)
                     permitRequest.excluded.insert(*granted);
@@ -525,7 +552,9 @@
             }
             connection = std::move(*opened);
         }
-        co_return ConnectionLease(shared_from_this(), endpoint, std::move(connection), since);
+        ConnectionLease lease(shared_from_this(), endpoint, std::move(connection), since);
+        lease.chargeTo(permitRequest.charge());
+        co_return std::move(lease);
     }
 }
 
@@ -544,11 +573,11 @@
     co_return ConnectionLease(shared_from_this(), endpoint, std::move(connection), since);
 }
 
-void DatabaseService::returnConnection(const std::string& id, std::unique_ptr<DatabaseConnection> connection, BootTime since)
+void DatabaseService::returnConnection(const std::string& id, std::unique_ptr<DatabaseConnection> connection, BootTime since, std::optional<PermitCharge> charge)
 {
     const auto endpoint = find(id);
     if (endpoint && connection->needsRollback()) {
-        asio::co_spawn(m_io, rollBack(endpoint, std::move(connection), since), asio::detached);
+        asio::co_spawn(m_io, rollBack(endpoint, std::move(connection), since, std::move(charge)), asio::detached);
         return;
     }
     const auto held = BootClock::now() - since;
@@ -558,17 +587,22 @@
         m_pool.putBack(*endpoint, std::move(connection), isServing, held, poolRules());
         updateOpeningCost(*endpoint);
     }
-    m_scheduler.release(id, std::chrono::duration_cast<std::chrono::microseconds>(held), account);
+    m_scheduler.advanceTo(BootClock::now());
+    const auto holdTime = std::chrono::duration_cast<std::chrono::microseconds>(held);
+    if (charge)
+        m_scheduler.release(id, holdTime, *charge);
+    else
+        m_scheduler.release(id, holdTime, account);
 }
 
-Task<void> DatabaseService::rollBack(std::shared_ptr<Endpoint> endpoint, std::unique_ptr<DatabaseConnection> connection, BootTime since)
+Task<void> DatabaseService::rollBack(std::shared_ptr<Endpoint> endpoint, std::unique_ptr<DatabaseConnection> connection, BootTime since, std::optional<PermitCharge> charge)
 {
     std::vector<DatabaseReply> replies;
     const auto status = co_await connection->exchange(WireDialect::rollback(), replies, 1, BootClock::now() + rollbackTimeout);
     // Closing the connection rolls back as well; returnConnection() must not start another rollback.
     if (status != ExchangeStatus::Ok || !connection->isReusable())
         connection->close();
-    returnConnection(endpoint->entry.id, std::move(connection), since);
+    returnConnection(endpoint->entry.id, std::move(connection), since, std::move(charge));
 }
 
 Task<void> DatabaseService::probe(std::shared_ptr<Endpoint> endpoint)
@@ -612,6 +646,7 @@
 Task<void> DatabaseService::runMaintenance()
 {
     const auto now = BootClock::now();
+    m_scheduler.advanceTo(now);
     removeMissingEndpoints(now);
     std::erase_if(m_departed, [this, now](const auto& item) { return now - item.second.at >= m_memberRetention; });
     if (m_pacer)
--- a/packages/pooler/src/DatabaseService.h
+++ b/packages/pooler/src/DatabaseService.h
@@ -137,7 +137,8 @@
     /// Checks whether an endpoint is the primary, without running a statement.
     Task<void> probe(std::shared_ptr<Endpoint> endpoint);
 
-    void returnConnection(const std::string& endpoint, std::unique_ptr<DatabaseConnection> connection, BootTime since);
+    /// @p charge: whose use of the permit is recorded; empty for a permit that was taken outside the queue.
+    void returnConnection(const std::string& endpoint, std::unique_ptr<DatabaseConnection> connection, BootTime since, std::optional<PermitCharge> charge);
 
 private:
     /// An endpoint whose entry has been removed.
@@ -148,8 +149,10 @@
     };
 
     Task<tl::expected<std::unique_ptr<DatabaseConnection>, ErrorCode>> open(std::shared_ptr<Endpoint> endpoint, std::string account, std::chrono::milliseconds timeout);
-    Task<void> rollBack(std::shared_ptr<Endpoint> endpoint, std::unique_ptr<DatabaseConnection> connection, BootTime since);
+    Task<void> rollBack(std::shared_ptr<Endpoint> endpoint, std::unique_ptr<DatabaseConnection> connection, BootTime since, std::optional<PermitCharge> charge);
     ConnectionPool::Rules poolRules() const;
+    /// Records the answer of the queue to a request; requests without an account are not counted.
+    void recordQueueAnswer(const PermitRequest& request, bool isOverShare, bool granted);
     void refreshScheduler(const Endpoint& endpoint);
     /// Updates the scheduler's cost of a new connection. It is above 0 only if connections are scarce, this host is not
     /// a holder and no idle connection is available.
--- a/packages/pooler/src/PoolerMetrics.cpp
+++ b/packages/pooler/src/PoolerMetrics.cpp
@@ -49,6 +49,10 @@
     , m_pace(family(m_registry, prometheus::BuildGauge(), "kumquatbank_endpoint_pace", "Concurrent uses of an endpoint that its answers allow this host"))
     , m_fullPace(family(m_registry, prometheus::BuildGauge(), "kumquatbank_endpoint_pace_full", "Share of an endpoint's connections of this host"))
     , m_ejected(family(m_registry, prometheus::BuildGauge(), "kumquatbank_ejected_endpoints", "Endpoints that get no reads because they fail more than their peers"))
+    , m_queueAnswers(family(m_registry, prometheus::BuildCounter(), "kumquatbank_queue_answers_total", "Requests of accounts for a connection, by outcome and by whether the account was over its share"))
+    , m_abandoned(family(m_registry, prometheus::BuildCounter(), "kumquatbank_abandoned_requests_total", "Requests that left the queue because their sender had disconnected"))
+    , m_refusedRetries(family(m_registry, prometheus::BuildCounter(), "kumquatbank_refused_retries_total", "Statements that were not sent again because the retry budget of the service is used up"))
+    , m_accountsOverShare(family(m_registry, prometheus::BuildGauge(), "kumquatbank_accounts_over_share", "Accounts that have recently used more than their share of the granted time"))
     , m_sessions(family(m_registry, prometheus::BuildGauge(), "kumquatbank_sessions", "Open client sessions").Add({}))
     , m_configVersion(family(m_registry, prometheus::BuildGauge(), "kumquatbank_config_version", "Version of the configuration in force").Add({}))
     , m_storeEra(family(m_registry, prometheus::BuildGauge(), "kumquatbank_store_era", "Era of the newest answer of the store; rises when it comes back from an older copy").Add({}))
@@ -130,6 +134,7 @@
 void PoolerMetrics::limitRequestCompleted(std::string_view outcome) { m_limitRequests.Add({ { "outcome", std::string(outcome) } }).Increment(); }
 void PoolerMetrics::limitExchangeCompleted(std::string_view outcome) { m_limitExchanges.Add({ { "outcome", std::string(outcome) } }).Increment(); }
 void PoolerMetrics::limitTokensGranted(std::string_view receiver, double tokens) { m_limitTokens.Add({ { "receiver", std::string(receiver) } }).Increment(tokens); }
+void PoolerMetrics::retryRefused(const std::string& service) { m_refusedRetries.Add({ { "service", service } }).Increment(); }
 void PoolerMetrics::sessionOpened() { m_sessions.Increment(); }
 void PoolerMetrics::sessionClosed() { m_sessions.Decrement(); }
 void PoolerMetrics::setConfigVersion(std::int64_t version) { m_configVersion.Set(static_cast<double>(version)); }
@@ -152,6 +157,17 @@
     m_fullPace.Remove(&m_fullPace.Add({ { "service", service }, { "endpoint", endpoint } }));
 }
 
+void PoolerMetrics::requestAbandoned(const std::string& service) { m_abandoned.Add({ { "service", service } }).Increment(); }
+void PoolerMetrics::setAccountsOverShare(const std::string& service, double accounts) { m_accountsOverShare.Add({ { "service", service } }).Set(accounts); }
+
+void PoolerMetrics::queueAnswered(const std::string& service, bool isOverShare, bool granted)
+{
+    auto& counter = m_queueSeries[service].at((isOverShare ? 2 : 0) + (granted ? 1 : 0));
+    if (counter == nullptr)
+        counter = &m_queueAnswers.Add({ { "service", service }, { "group", isOverShare ? "over_share" : "within_share" }, { "outcome", granted ? "granted" : "refused" } });
+    counter->Increment();
+}
+
 std::string PoolerMetrics::serialize()
 {
     m_droppedLogLines.Set(static_cast<double>(EventLog::droppedLines()));
--- a/packages/pooler/src/PoolerMetrics.h
+++ b/packages/pooler/src/PoolerMetrics.h
@@ -2,6 +2,7 @@
 
 #include "kumquatbank/routing/StatementError.h"
 
+#include <array>
 #include <chrono>
 #include <map>
 #include <memory>
@@ -57,6 +58,8 @@
     void limitExchangeCompleted(std::string_view outcome);
     /// Records tokens that this coordinator granted. @p receiver: "host" or "exchange".
     void limitTokensGranted(std::string_view receiver, double tokens);
+    /// Records that a statement was not sent again because the retry budget of the service is used up.
+    void retryRefused(const std::string& service);
     void setConfigVersion(std::int64_t version);
     void setStoreEra(std::uint64_t era);
     void setPrimarySilence(const std::string& service, double seconds);
@@ -66,6 +69,12 @@
     void removeEndpointPace(const std::string& service, const std::string& endpoint);
     /// Sets the number of endpoints that get no reads because they fail more than their peers.
     void setEjectedEndpoints(const std::string& service, int endpoints);
+    /// Records that the queue of a service granted or refused a request of an account. @p isOverShare: the account had used
+    /// more than its share.
+    void queueAnswered(const std::string& service, bool isOverShare, bool granted);
+    /// Records that a request left the queue because its sender had disconnected.
+    void requestAbandoned(const std::string& service);
+    void setAccountsOverShare(const std::string& service, double accounts);
 
     /// Returns all metrics in the Prometheus text format.
     std::string serialize();
@@ -95,6 +104,10 @@
     prometheus::Family<prometheus::Gauge>& m_pace;
     prometheus::Family<prometheus::Gauge>& m_fullPace;
     prometheus::Family<prometheus::Gauge>& m_ejected;
+    prometheus::Family<prometheus::Counter>& m_queueAnswers;
+    prometheus::Family<prometheus::Counter>& m_abandoned;
+    prometheus::Family<prometheus::Counter>& m_refusedRetries;
+    prometheus::Family<prometheus::Gauge>& m_accountsOverShare;
     prometheus::Gauge& m_sessions;
     prometheus::Gauge& m_configVersion;
     prometheus::Gauge& m_storeEra;
@@ -112,6 +125,7 @@
         prometheus::Counter* notOk = nullptr;
     };
     std::map<std::string, AccountSeries, std::less<>> m_accounts;
+    std::map<std::string, std::array<prometheus::Counter*, 4>> m_queueSeries; ///< By service; of each pair of outcomes.
 };
 
 } // namespace kumquatbank
--- a/packages/pooler/src/PoolerProcess.cpp
+++ b/packages/pooler/src/PoolerProcess.cpp
@@ -193,6 +193,7 @@
                     m_metrics.setPrimarySilence(name, std::chrono::duration<double>(now - primary->lastAnswer).count());
                 m_metrics.setWaiting(name, static_cast<double>(service->scheduler().waiting()));
                 m_metrics.setIdleConnections(name, service->idleConnections());
+                m_metrics.setAccountsOverShare(name, static_cast<double>(service->scheduler().accountsOverShare()));
             }
             EventLog::flush();
         }
--- a/packages/pooler/src/SessionContext.cpp
+++ b/packages/pooler/src/SessionContext.cpp
@@ -86,6 +86,22 @@
     co_return true;
 }
 
+void SessionContext::recordStatement(const std::string& service)
+{
+    if (auto* budget = m_registry.retryBudget(service))
+        budget->recordStatement();
+}
+
+bool SessionContext::takeRetry(const std::string& service, StatementAnswer& answer)
+{
+    auto* budget = m_registry.retryBudget(service);
+    if (budget == nullptr || budget->takeRetry())
+        return true;
+    m_metrics.retryRefused(service);
+    answer.reason += "; the retry budget is used up";
+    return false;
+}
+
 Task<std::optional<ConnectionLease>> SessionContext::acquire(Route route, std::string account, Eligibility eligibility, std::set<std::string> excluded, BootTime until, StatementAnswer& answer, bool isRepeatable)
 {
     const auto service = m_registry.find(route.service);
@@ -95,6 +111,8 @@
     }
     const auto requestedAt = BootClock::now();
     ConnectionRequest request;
+    request.permit.accountWeight = m_registry.config()->accountWeight(account);
+    request.permit.account = account;
     request.account = account;
     if (eligibility == Eligibility::Any) {
         request.freshness = ReadFreshness { route.maxStaleness, ownCommit(route) };
@@ -107,6 +125,7 @@
     request.permit.isRepeatable = isRepeatable;
     request.deadline = until - RetryPolicy::minRemainingTime;
     request.answerTimeout = route.statementTimeout;
+    request.sender = m_clientWatch;
     auto lease = co_await service->acquire(std::move(request), m_state);
     answer.queued += BootClock::now() - requestedAt;
     if (lease) {
--- a/packages/pooler/src/SessionContext.h
+++ b/packages/pooler/src/SessionContext.h
@@ -42,6 +42,8 @@
     /// Returns the time by which a statement that begins now must have its result.
     BootTime deadline(const Route& route) const { return std::min<BootTime>(BootClock::now() + route.statementTimeout - RetryPolicy::answerMargin, m_tracker.answersEnd()); }
 
+    /// Sets the watch of the client's connection, which must outlive this object.
+    void setClientWatch(DisconnectWatch& watch) { m_clientWatch = &watch; }
     /// Sets the key with which the client opened its session.
     void setKey(std::optional<KeyDigest> key) { m_key = std::move(key); }
     /// Identifies the client by the current configuration, which must be present.
@@ -68,6 +70,12 @@
     /// minimum position is known, and avoids lagging endpoints. On failure, @p answer is set to an error.
     Task<std::optional<ConnectionLease>> acquire(Route route, std::string account, Eligibility eligibility, std::set<std::string> excluded, BootTime until, StatementAnswer& answer, bool isRepeatable = false);
 
+    /// Counts a statement for the retry budget of the service, before its first attempt.
+    void recordStatement(const std::string& service);
+    /// Returns whether a statement may be attempted again. If the budget is used up, that is added to the reason of
+    /// @p answer, which stays the final answer.
+    bool takeRetry(const std::string& service, StatementAnswer& answer);
+
     /// Returns the minimum position for a read on @p route; empty if no known position is recent enough.
     std::optional<LogPosition> currentFloor(DatabaseService& service, const Route& route) const;
 
@@ -82,6 +90,7 @@
     const SessionTracker& m_tracker;
     SessionState m_state;
     std::optional<KeyDigest> m_key;
+    DisconnectWatch* m_clientWatch = nullptr;
     BootTime m_lastCommitAt {};
     BootTime m_sendUntil = BootTime::max(); ///< Until when the admitted operation may be sent; past once it was sent.
     BootClock::duration m_admissionWait { 0 };
