Idle transactions of a withdrawn key are rolled back 2 s after the version took effect

Cause: such a transaction was aborted at its next statement only, so that an idle client kept a database connection until the idle limit of transactions, which a configuration need not have. A statement refused for a withdrawn key was logged without its account. Ruled out: a timer for each transaction, which costs each of them where no key is ever withdrawn. Change: the maintenance round looks at idle sessions during the 10 s after a version took effect. The line of a refused statement names the account of the session's last operation. Tests: the tests of ClientAccount on this build, 6 of 6; ATransactionOfAWithdrawnKeyGoesOnForTwoSeconds now checks that the connection is free before the next statement.

--- a/packages/pooler/src/ClientSession.cpp
+++ b/packages/pooler/src/ClientSession.cpp
@@ -69,6 +69,12 @@
     }
 }
 
+void ClientSession::abortIfWithdrawn()
+{
+    if (m_isIdle && !m_channel.hasInput() && m_runner.abortIfWithdrawn())
+        EventLog::info("transaction_withdrawn", { { "session", m_number }, { "database", m_database } });
+}
+
 Task<void> ClientSession::answerUnfinished()
 {
     const auto keepAlive = shared_from_this();
--- a/packages/pooler/src/ClientSession.h
+++ b/packages/pooler/src/ClientSession.h
@@ -19,6 +19,9 @@
     /// Takes the next step towards the end of the session if it waits for its client while the process stops: aborts a
     /// transaction whose statements could no longer be run, announces the close, or closes the connection.
     void advanceStop();
+    /// Ends an idle transaction whose client's access was withdrawn, so that it holds no database connection; the next
+    /// statement reports it.
+    void abortIfWithdrawn();
     /// Answers a request that has no result yet by what is known of its outcome, and refuses those that have arrived behind
     /// it. The session must end after that.
     Task<void> answerUnfinished();
--- a/packages/pooler/src/PoolerProcess.cpp
+++ b/packages/pooler/src/PoolerProcess.cpp
@@ -25,6 +25,9 @@
     constexpr milliseconds pauseThreshold { 700 };
     /// Interval of the checks while the process stops.
     constexpr milliseconds stopCheckInterval { 20 };
+    /// Time after a new version in which idle transactions are checked for a withdrawn access: the grace period, and a
+    /// statement that ends after it.
+    constexpr milliseconds withdrawalCheckPeriod { 10'000 };
     constexpr int logFlushTimeoutMs = 100;
 
 } // namespace
@@ -127,6 +130,15 @@
         return open;
     }
 
+    /// Transactions that are running a statement meanwhile are ended by their next one.
+    void endWithdrawnTransactions(BootTime now)
+    {
+        if (!m_registry.config() || now - m_registry.configActiveSince() > withdrawalCheckPeriod)
+            return;
+        for (const auto& session : sessions())
+            session->abortIfWithdrawn();
+    }
+
     void accept(asio::ip::tcp::socket socket)
     {
         LineChannel::enableDeadPeerDetection(socket, clientSilenceLimit);
@@ -180,6 +192,7 @@
                     m_metrics.setPrimarySilence(name, std::chrono::duration<double>(now - primary->lastAnswer).count());
                 m_metrics.setWaiting(name, static_cast<double>(service->scheduler().waiting()));
             }
+            endWithdrawnTransactions(now);
             EventLog::flush();
         }
     }
--- a/packages/pooler/src/StatementRunner.cpp
+++ b/packages/pooler/src/StatementRunner.cpp
@@ -72,7 +72,7 @@
     const auto config = m_registry.config();
     const auto* route = config ? config->findRoute(database) : nullptr;
     if (route != nullptr)
-        answer.account = m_context.identify(*route).accountName();
+        answer.account = m_lastAccount = m_context.identify(*route).accountName();
     if (route == nullptr)
         answer.setError(ErrorCode::UnknownDatabase, "no route for this database");
     else if (begins && m_transaction.isOpen())
@@ -96,6 +96,7 @@
     if (route == nullptr || m_context.identify(*route).isAllowed)
         return false;
     m_context.metrics().accessRefused(AccessRefusal::Session);
+    answer.account = m_lastAccount;
     answer.setUnauthorized("the key of the client was withdrawn");
     return true;
 }
--- a/packages/pooler/src/StatementRunner.h
+++ b/packages/pooler/src/StatementRunner.h
@@ -23,6 +23,9 @@
     bool isInTransaction() const { return m_transaction.isOpen(); }
     /// Aborts an open transaction between two statements; the next one reports the reason. Returns false if there is none.
     bool abortTransaction(std::string_view reason) { return m_transaction.abort(reason); }
+    /// Aborts the open transaction if its client's access was withdrawn and the grace period is over. Returns false if it goes
+    /// on, or if there is none.
+    bool abortIfWithdrawn() { return m_transaction.abortIfWithdrawn(); }
     /// Aborts the open transaction if none of its statements could be run any more before the process stops. Returns false
     /// if it goes on, or if there is none.
     bool abortIfStopping();
@@ -50,6 +53,7 @@
     ServiceRegistry& m_registry;
     SessionContext m_context;
     TransactionRunner m_transaction;
+    std::string m_lastAccount; ///< Of the last operation: names the account in the log after its key was withdrawn.
 };
 
 } // namespace kumquatbank
--- a/packages/pooler/tests/ClientAccountTest.cpp
+++ b/packages/pooler/tests/ClientAccountTest.cpp
@@ -132,6 +132,10 @@
         const auto stillOpen = co_await slow.query("WRITE other z");
         CHECK_TRUE(stillOpen.isSuccess());
         co_await f.sleep(milliseconds(1000));
+        // The connection is free again before the client sends anything.
+        const auto state = co_await f.state(0);
+        for (const auto& endpoint : state.at("services").at("service-1").at("endpoints"))
+            LONGS_EQUAL(0, endpoint.at("inUse").get<int>());
         const auto aborted = co_await slow.query("WRITE other z");
         STRCMP_EQUAL("ABORTED", aborted.code().c_str());
         CHECK_EQUAL('E', aborted.state());
