Loan requests: an account that is no word is refused

Cause: the account of a loan request is written into the START line of a database connection without a check, so that a line end in it would begin another line. Ruled out: to check on the borrower only, whose accounts come from a checked configuration already. Change: the lender refuses the request as unreadable. Conclusion: no text of another host gets into a line of the databases' protocol.

--- a/packages/pooler/src/LoanMessage.cpp
+++ b/packages/pooler/src/LoanMessage.cpp
@@ -52,6 +52,9 @@
         request.excluded = json.at("excluded").get<std::set<std::string>>();
         request.waitsForEndpoint = json.at("waitsForEndpoint").get<bool>();
         request.account = json.value("account", std::string());
+        // The account is written into a line of the database's protocol.
+        if (std::ranges::any_of(request.account, [](char symbol) { return static_cast<unsigned char>(symbol) <= ' ' || symbol == '\x7f'; }))
+            return std::nullopt;
         if (json.contains("maxStalenessMs"))
             request.maxStaleness = durationOfMessage(json["maxStalenessMs"].get<std::int64_t>());
         return request;
--- a/packages/pooler/tests/LoanMessageTest.cpp
+++ b/packages/pooler/tests/LoanMessageTest.cpp
@@ -24,6 +24,18 @@
     CHECK_TRUE(parsed->maxStaleness == request.maxStaleness && !parsed->waitsForEndpoint);
 }
 
+// Guards against an account that ends the START line of a lent connection and begins another one.
+TEST(LoanMessage, AnAccountThatIsNoWordIsRefused)
+{
+    for (const auto* account : { "a b", "a\r\nQUERY - RESET", " " }) {
+        LoanRequest request;
+        request.service = "service";
+        request.account = account;
+        const auto line = LoanMessage::formatRequest(request);
+        CHECK_FALSE_TEXT(LoanMessage::parseRequest(withoutLineEnd(line)).has_value(), account);
+    }
+}
+
 TEST(LoanMessage, RepliesRoundTrip)
 {
     const auto granted = LoanMessage::formatReply({ LoanReply::Kind::Granted, "i-7", PositionSample { "i-8", { 3, 1207 }, milliseconds(-4) }, milliseconds(0), {} });
