Limits: the first second of a process counts from its configuration, not from its first limit

Cause: a limit that was set for the first time refused every operation for a second more than its empty bucket needs. Tested: pooler_tests group Limit.

--- a/packages/pooler/src/LimitService.cpp
+++ b/packages/pooler/src/LimitService.cpp
@@ -80,12 +80,12 @@
         m_wakeRequests.wake();
         m_wakeExchange.wake();
     }
-    if (!m_share.hasLimits() || !m_hosts.isPopulated())
+    if (!m_hosts.isPopulated())
         return;
     const int hosts = static_cast<int>(m_hosts.peers().size()) + 1;
     m_share.recordHostCount(hosts, now);
     m_pool.recordHostCount(hosts, now);
-    if (m_hostsVersion != m_hosts.version())
+    if (m_share.hasLimits() && m_hostsVersion != m_hosts.version())
         updateRankings();
 }
 
