--- a/packages/routing/tests/EndpointPaceTest.cpp
+++ b/packages/routing/tests/EndpointPaceTest.cpp
@@ -128,6 +128,25 @@
     CHECK_TRUE(database.hosts().front().pacing.pace("e")->isFull());
 }
 
+// Guards against a pace that failures reduce until a host with one statement a second has to wait.
+TEST(EndpointPace, AHostWithOneStatementASecondIsServedByEveryKindOfEndpoint)
+{
+    const auto always = [](double factor) { return [factor](int) { return factor; }; };
+    for (int kind = 0; kind < 4; ++kind) {
+        ModelledDatabase database(1, lenderShare, true);
+        database.demand = oneEachSecond;
+        if (kind == 0)
+            database.slowness = always(8.0);
+        else if (kind == 1)
+            database.slowness = [](int now) { return now / 700 % 2 == 0 ? 1.0 : 4.0; };
+        else
+            (kind == 2 ? database.hangs : database.fails) = withProbability(0.4);
+        database.run(20'000);
+        LONGS_EQUAL(20, database.served());
+        LONGS_EQUAL(0, database.hosts().front().longestWaitMs);
+    }
+}
+
 // Guards against hosts that are starved, or an endpoint that refuses more than before, with many hosts of little traffic
 // each and a backlog from the time in which the endpoint was down.
 TEST(EndpointPace, EightySevenHostsWithABacklogAreServed)
