--- a/packages/engine/include/kumquatbank/engine/LineChannel.h
+++ b/packages/engine/include/kumquatbank/engine/LineChannel.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "kumquatbank/engine/Async.h"
+#include "kumquatbank/engine/MemoryBudget.h"
 
 #include <chrono>
 #include <string>
@@ -14,23 +15,37 @@
     Closed, ///< The remote end closed the connection, or the connection failed.
     TimedOut,
     TooLong, ///< A line exceeded the channel's length limit.
+    Incomplete, ///< A line had begun, and its end did not arrive within messageTimeout.
 };
 
 /// A TCP connection that carries lines terminated by CR LF (a bare LF is accepted). At most one coroutine may read and
 /// one may write at the same time.
 class LineChannel {
 public:
+    /// From the first byte of a line to its end. A proper client sends at most 1 MiB at once, which takes 9 s at 1 Mbit/s.
+    static constexpr std::chrono::milliseconds messageTimeout { 30'000 };
+
     /// @param maxLineBytes  readLine() returns TooLong for a longer line.
     LineChannel(asio::ip::tcp::socket socket, std::size_t maxLineBytes);
 
+    /// Counts the channel's memory for @p holder, which must outlive the channel. Without a holder, its input counts as an
+    /// answer of another component, and its output must be counted by the caller.
+    void setMemoryHolder(MemoryHolder& holder) { m_inputHold = MemoryHold(&holder); }
+
     /// Connects within @p timeout; returns an empty value on failure. The connection later fails if the remote end
     /// leaves data unacknowledged for @p peerTimeout.
     static Task<std::optional<LineChannel>> connect(asio::io_context& io, HostAddress address, std::size_t maxLineBytes,
         std::chrono::milliseconds timeout, std::chrono::milliseconds peerTimeout);
 
-    /// Reads the next line, without its terminator, into @p line. The view is valid until the next call.
+    /// Reads the next line, without its terminator, into @p line. The view is valid until the next call. Reads nothing from
+    /// the socket while there is no room in the memory budget.
     Task<ChannelStatus> readLine(std::string_view& line, BootTime deadline);
 
+    /// When the line that has been received in part began; empty if there is none.
+    std::optional<BootTime> lineBegunAt() const { return m_lineEndsBy == BootTime::max() ? std::nullopt : std::optional(m_lineEndsBy - messageTimeout); }
+    /// Frees the memory of a long line. Views of lines become invalid.
+    void releaseSpareInput();
+
     /// Reads the next line if it has already arrived. Must not be called while readLine() is suspended.
     bool tryReadLine(std::string_view& line);
 
@@ -59,7 +74,8 @@
 
 private:
     bool extractLine(std::string_view& line);
-    void reserveReadSpace();
+    /// Returns false if the memory budget has no room for a larger buffer.
+    bool reserveReadSpace();
 
     asio::ip::tcp::socket m_socket;
     std::size_t m_maxLineBytes;
@@ -67,6 +83,8 @@
     std::size_t m_begin = 0;
     std::size_t m_scanEnd = 0; ///< Unread input before this offset contains no line terminator.
     std::size_t m_end = 0;
+    MemoryHold m_inputHold; ///< Of the buffer beyond its initial size.
+    BootTime m_lineEndsBy = BootTime::max(); ///< Set while a part of a line has been received.
 };
 
 } // namespace kumquatbank
--- a/packages/engine/src/LineChannel.cpp
+++ b/packages/engine/src/LineChannel.cpp
@@ -12,7 +12,11 @@
 
 namespace {
 
-    constexpr std::size_t initialInputBytes = 2048;
+    /// Holds nearly every statement. An idle session keeps a buffer of this size; what 2,048 bytes needed more pays for its
+    /// place in the memory budget.
+    constexpr std::size_t initialInputBytes = 1536;
+    /// Interval at which a channel that has stopped reading looks for room in the memory budget.
+    constexpr std::chrono::milliseconds memoryRetryInterval { 20 };
     constexpr int keepAliveProbes = 2;
     constexpr std::string_view lineTerminator = "\r\n";
 
@@ -63,10 +67,25 @@
     }
     line = received.substr(m_begin, lineEnd - m_begin);
     m_begin = m_scanEnd = lineEnd + lineTerminator.size();
+    m_lineEndsBy = BootTime::max();
     return true;
 }
 
-void LineChannel::reserveReadSpace()
+void LineChannel::releaseSpareInput()
+{
+    const auto unread = m_end - m_begin;
+    if (m_readBuffer.size() <= initialInputBytes || unread >= initialInputBytes)
+        return;
+    std::string smaller(initialInputBytes, '\0');
+    std::memcpy(smaller.data(), m_readBuffer.data() + m_begin, unread);
+    m_readBuffer.swap(smaller);
+    m_scanEnd -= m_begin;
+    m_begin = 0;
+    m_end = unread;
+    m_inputHold.clear();
+}
+
+bool LineChannel::reserveReadSpace()
 {
     if (m_begin > 0) {
         std::memmove(m_readBuffer.data(), m_readBuffer.data() + m_begin, m_end - m_begin);
@@ -74,22 +93,38 @@
         m_scanEnd -= m_begin;
         m_begin = 0;
     }
-    if (m_readBuffer.size() == m_end)
-        m_readBuffer.resize(std::max(initialInputBytes, m_readBuffer.size() * 2));
+    if (m_readBuffer.size() > m_end)
+        return true;
+    const auto size = std::max(initialInputBytes, std::min(m_readBuffer.size() * 2, m_maxLineBytes + initialInputBytes));
+    const auto use = m_inputHold.holder() == nullptr ? MemoryUse::Answer : MemoryUse::Input;
+    if (size > initialInputBytes && !m_inputHold.resize(use, size))
+        return false;
+    m_readBuffer.resize(size);
+    return true;
 }
 
 Task<ChannelStatus> LineChannel::readLine(std::string_view& line, BootTime deadline)
 {
+    releaseSpareInput();
     while (!extractLine(line)) {
         if (m_end - m_begin > m_maxLineBytes)
             co_return ChannelStatus::TooLong;
         if (!m_socket.is_open())
             co_return ChannelStatus::Closed;
-        reserveReadSpace();
-        OperationTimer timer(m_socket, deadline);
+        if (hasBufferedInput() && m_lineEndsBy == BootTime::max())
+            m_lineEndsBy = BootClock::now() + messageTimeout;
+        const auto until = std::min(deadline, m_lineEndsBy);
+        const auto expired = until == deadline ? ChannelStatus::TimedOut : ChannelStatus::Incomplete;
+        if (!reserveReadSpace()) {
+            if (BootClock::now() >= until)
+                co_return expired;
+            co_await sleepFor(static_cast<asio::io_context&>(m_socket.get_executor().context()), memoryRetryInterval);
+            continue;
+        }
+        OperationTimer timer(m_socket, until);
         const auto [ec, n] = co_await m_socket.async_read_some(asio::buffer(m_readBuffer.data() + m_end, m_readBuffer.size() - m_end), asTuple);
         if (n == 0 && timer.hasExpired())
-            co_return ChannelStatus::TimedOut;
+            co_return expired;
         if (ec) {
             close();
             co_return ChannelStatus::Closed;
@@ -105,9 +140,8 @@
 bool LineChannel::tryReadLine(std::string_view& line)
 {
     while (!extractLine(line)) {
-        if (!m_socket.is_open() || m_end - m_begin > m_maxLineBytes)
+        if (!m_socket.is_open() || m_end - m_begin > m_maxLineBytes || !reserveReadSpace())
             return false;
-        reserveReadSpace();
         boost::system::error_code ec;
         m_socket.non_blocking(true, ec);
         const auto n = ec ? 0 : m_socket.read_some(asio::buffer(m_readBuffer.data() + m_end, m_readBuffer.size() - m_end), ec);
@@ -144,6 +178,12 @@
     }
     if (sent == data.size())
         co_return ChannelStatus::Ok;
+    // The remote end does not read as fast as it is sent to, so the text has to be kept.
+    MemoryHold unsent(m_inputHold.holder());
+    if (unsent.holder() != nullptr && !unsent.resize(MemoryUse::Answer, data.size())) {
+        close();
+        co_return ChannelStatus::Closed;
+    }
     OperationTimer timer(m_socket, deadline);
     const auto [writeError, n] = co_await asio::async_write(m_socket, asio::buffer(data.substr(sent)), asTuple);
     if (!writeError)
--- a/packages/engine/src/TcpListener.cpp
+++ b/packages/engine/src/TcpListener.cpp
@@ -7,6 +7,8 @@
     constexpr int acceptBacklog = 4096;
     /// Pause after a failed accept, for example when no file descriptors are left, so that the loop does not spin.
     constexpr std::chrono::milliseconds acceptRetryDelay { 20 };
+    /// Interval of log lines about failed accepts.
+    constexpr std::chrono::milliseconds failureLogInterval { 1000 };
 
 } // namespace
 
@@ -14,10 +16,12 @@
     asio::io_context& io;
     asio::ip::tcp::acceptor acceptor;
     AcceptHandler onAccept;
+    std::int64_t failures = 0; ///< Since the last log line about them.
+    BootTime failuresLoggedAt {};
 };
 
 TcpListener::TcpListener(asio::io_context& io, const HostAddress& address, AcceptHandler onAccept)
-    : m_state(std::make_shared<State>(State { io, asio::ip::tcp::acceptor(io), std::move(onAccept) }))
+    : m_state(std::make_shared<State>(State { io, asio::ip::tcp::acceptor(io), std::move(onAccept), 0, {} }))
 {
     const auto endpoint = toEndpoint(address);
     auto& acceptor = m_state->acceptor;
@@ -41,7 +45,11 @@
         if (ec == asio::error::operation_aborted || !state->acceptor.is_open())
             co_return;
         if (ec) {
-            EventLog::warn("accept_failed", { { "error", ec.message() } });
+            ++state->failures;
+            if (BootClock::now() - state->failuresLoggedAt >= failureLogInterval) {
+                EventLog::warn("accept_failed", { { "error", ec.message() }, { "count", std::exchange(state->failures, 0) } });
+                state->failuresLoggedAt = BootClock::now();
+            }
             co_await sleepFor(state->io, acceptRetryDelay);
             continue;
         }
--- a/packages/engine/tests/HttpListenerTest.cpp
+++ b/packages/engine/tests/HttpListenerTest.cpp
@@ -4,11 +4,68 @@
 #include "kumquatbank/engine/HttpClient.h"
 
 #include <CppUTest/TestHarness.h>
+#include <list>
 
 using namespace kumquatbank;
 
+namespace {
+
+/// Sends @p text to a listener with a limit of 16 bytes a body, and returns the beginning of the answer.
+std::string answerTo(const std::string& text)
+{
+    asio::io_context io(1);
+    const auto address = freeAddress();
+    const HttpListener listener(
+        io, address, [](HttpRequest) -> Task<HttpResponse> { co_return HttpResponse {}; }, { 2, 16, {} });
+    std::string answer(12, ' ');
+    const auto ask = [&]() -> Task<void> {
+        asio::ip::tcp::socket socket(io);
+        co_await socket.async_connect(toEndpoint(address), asTuple);
+        co_await socket.async_send(asio::buffer(text), asTuple);
+        co_await socket.async_receive(asio::buffer(answer), asTuple);
+        io.stop();
+    };
+    asio::co_spawn(io, ask(), asio::detached);
+    io.run();
+    return answer;
+}
+
+} // namespace
+
 TEST_GROUP(HttpListener) {};
 
+// Guards against a body that is read into memory whatever its length.
+TEST(HttpListener, ABodyOverTheLimitIsRefused)
+{
+    STRCMP_EQUAL("HTTP/1.1 413", answerTo("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 17\r\n\r\n").c_str());
+    STRCMP_EQUAL("HTTP/1.1 200", answerTo("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n\r\n{}").c_str());
+}
+
+// Guards against idle connections that keep others from being served.
+TEST(HttpListener, IdleConnectionsMakeRoomForARequest)
+{
+    asio::io_context io(1);
+    const auto address = freeAddress();
+    int refused = 0;
+    const HttpListener listener(
+        io, address, [](HttpRequest) -> Task<HttpResponse> { co_return HttpResponse {}; }, { 2, 16, [&](std::string_view) { ++refused; } });
+    std::list<asio::ip::tcp::socket> idle;
+    for (int n = 0; n < 5; ++n)
+        idle.emplace_back(io).connect(toEndpoint(address));
+    HttpClient client(io, address);
+    HttpResult result;
+    const auto ask = [&]() -> Task<void> {
+        HttpCall call;
+        call.target = "/ready";
+        result = co_await client.call(std::move(call), std::chrono::milliseconds(1000));
+        io.stop();
+    };
+    asio::co_spawn(io, ask(), asio::detached);
+    io.run();
+    LONGS_EQUAL(200, result.status);
+    LONGS_EQUAL(4, refused);
+}
+
 // Guards against a call that gets no response, and no line in the log, because its handler ended by an exception.
 TEST(HttpListener, AnExceptionOfTheHandlerIsAnswered)
 {
--- a/packages/pooler/include/kumquatbank/pooler/PoolerSettings.h
+++ b/packages/pooler/include/kumquatbank/pooler/PoolerSettings.h
@@ -29,6 +29,9 @@
     /// An endpoint that disappeared counts as one that may hold acknowledged commits for this time. Covers the time after
     /// which crashed databases are usually back with their logs.
     std::chrono::milliseconds memberRetention { 10'000 };
+    /// Memory of this process. Without the setting, that of the smallest hosts.
+    int memoryMb = 160;
+    std::optional<int> maxDescriptors {}; ///< Of this process; absent: its RLIMIT_NOFILE.
     unsigned logLinesPerSecond = 100; ///< For served requests; failures have a separate limit.
     unsigned failureLinesPerSecond = 500;
 
--- a/packages/pooler/src/ClientSession.cpp
+++ b/packages/pooler/src/ClientSession.cpp
@@ -19,6 +19,10 @@
     /// A closing session waits this long for its client to read all data.
     constexpr milliseconds closeTimeout { 500 };
 
+    /// Counted for each session: the object, its coroutines, its input buffer, small values and small messages. About what a
+    /// session adds to the process's resident memory.
+    constexpr std::size_t sessionBytes = 8 << 10;
+
     /// Sent while no request is outstanding; on it, a client closes its session and goes to another host. A request that it
     /// sends before it has read this gets it as the first part of its answer.
     std::string formatCloseNotice() { return StatementRunner::refuseAsStopping().body; }
@@ -27,18 +31,23 @@
 
 ClientSession::ClientSession(asio::io_context& io, asio::ip::tcp::socket socket, ServiceRegistry& registry, PoolerMetrics& metrics, SessionTracker& tracker)
     : m_channel(std::move(socket), WireDialect::maxMessageBytes)
+    , m_io(io)
     , m_registry(registry)
     , m_metrics(metrics)
     , m_tracker(tracker)
     , m_runner(io, registry, metrics, tracker)
     , m_number(++tracker.opened)
+    , m_openedAt(BootClock::now())
 {
+    m_channel.setMemoryHolder(*this);
+    m_runner.setMemoryHolder(*this);
     ++m_tracker.open;
     m_metrics.sessionOpened();
 }
 
 ClientSession::~ClientSession()
 {
+    MemoryBudget::ofProcess().setAccount(*this, {});
     --m_tracker.open;
     m_metrics.sessionClosed();
 }
@@ -119,15 +128,22 @@
         m_waitsSince = BootClock::now();
         const auto status = co_await m_channel.readLine(line, idleLimit ? BootClock::now() + *idleLimit : BootTime::max());
         m_isIdle = false;
-        if (status == ChannelStatus::Ok)
+        if (status == ChannelStatus::Ok) {
+            if (heldMemory() > 0)
+                MemoryBudget::ofProcess().recordMovement(*this, m_waitsSince);
             co_return true;
+        }
+        if (status == ChannelStatus::Incomplete) {
+            m_metrics.clientRefused("incomplete");
+            refuse("the message was not completed in time");
+        }
         if (status == ChannelStatus::TimedOut) {
             EventLog::warn("transaction_idle", { { "session", m_number }, { "database", m_database }, { "limit_ms", idleLimit->count() } });
             m_runner.abortTransaction("the transaction exceeded the idle limit");
             continue;
         }
         if (status == ChannelStatus::TooLong) {
-            EventLog::warn("line_too_long", { { "session", m_number }, { "database", m_database } });
+            m_metrics.clientRefused("too_long");
             co_await send(WireDialect::error(ErrorCode::TooLarge, "the line exceeds 1 MiB"));
         }
         co_return false;
@@ -136,9 +152,15 @@
 
 Task<bool> ClientSession::startSession()
 {
+    if (!m_ownHold.resize(MemoryUse::State, sessionBytes)) {
+        closeForMemory();
+        co_return false;
+    }
     std::string_view line;
     const auto status = co_await m_channel.readLine(line, BootClock::now() + startTimeout);
     if (status != ChannelStatus::Ok) {
+        if (status == ChannelStatus::TimedOut)
+            m_metrics.clientRefused("silent");
         if (status == ChannelStatus::TooLong)
             co_await send(WireDialect::error(ErrorCode::TooLarge, "the line exceeds 1 MiB"));
         co_return false;
@@ -174,6 +196,9 @@
         co_await send(WireDialect::error(ErrorCode::Unauthorized, "the key is not known"));
         co_return false;
     }
+    if (const auto identity = config->identify(*config->findRoute(m_database), m_key); identity.account != nullptr)
+        MemoryBudget::ofProcess().setAccount(*this, identity.account->name);
+    m_isStarted = true;
     co_return co_await send(WireDialect::ready(TransactionState::None));
 }
 
@@ -183,6 +208,17 @@
     if (co_await startSession()) {
         std::string_view line;
         while (co_await readMessage(line)) {
+            MemoryHold work(this);
+            const auto bytes = workBytes(line.size());
+            if (bytes > 0) {
+                const bool hasRoom = co_await reserveWork(work, bytes);
+                if (!hasRoom) {
+                    const bool isRefused = co_await refuseLongMessage();
+                    if (!isRefused)
+                        break;
+                    continue;
+                }
+            }
             const auto message = WireDialect::parseClientLine(line);
             if (message && message->kind == ClientMessage::Kind::Bye)
                 break;
@@ -242,11 +278,11 @@
     co_return isSent && !answer.endsSession;
 }
 
-std::string ClientSession::formatAnswer(const StatementAnswer& answer)
+std::string ClientSession::formatAnswer(StatementAnswer& answer)
 {
     m_hasRefused = m_hasRefused || (m_tracker.isStopping() && answer.code == ErrorCode::Busy);
     const bool wasSentAhead = m_closeAnnouncedAt && !std::exchange(m_hasRefusedAfterAnnouncement, true);
-    return (wasSentAhead ? std::string() : answer.body) + WireDialect::ready(answer.state);
+    return (wasSentAhead ? std::string() : std::move(answer.body)) + WireDialect::ready(answer.state);
 }
 
 void ClientSession::logAnswer(const ClientMessage& message, const StatementAnswer& answer, BootTime since) const
--- a/packages/pooler/src/ClientSession.h
+++ b/packages/pooler/src/ClientSession.h
@@ -7,10 +7,10 @@
 namespace kumquatbank {
 
 /// One client connection, from its first line until it is closed.
-class ClientSession : public std::enable_shared_from_this<ClientSession> {
+class ClientSession : public std::enable_shared_from_this<ClientSession>, public MemoryHolder {
 public:
     ClientSession(asio::io_context& io, asio::ip::tcp::socket socket, ServiceRegistry& registry, PoolerMetrics& metrics, SessionTracker& tracker);
-    ~ClientSession();
+    ~ClientSession() override;
 
     ClientSession(const ClientSession&) = delete;
     ClientSession& operator=(const ClientSession&) = delete;
@@ -25,12 +25,28 @@
     void close() { m_channel.close(); }
     /// True while a request has no complete answer.
     bool hasUnfinishedRequest() const { return m_request != nullptr; }
+    bool isOpen() const { return m_channel.isOpen(); }
+    /// Since when the client owes its first message or the rest of one; empty if it owes none.
+    std::optional<BootTime> incompleteSince() const;
+    /// Refuses the client with @p reason and closes the connection.
+    void refuse(std::string_view reason);
+
+    Phase memoryPhase() const override;
+    void closeForMemory() override;
+    void closeForDescriptors();
 
 private:
     Task<bool> startSession();
     Task<bool> answerQuery(const ClientMessage& message);
-    /// Formats an answer. Its error is left out if it has been sent ahead, as the announcement of the close.
-    std::string formatAnswer(const StatementAnswer& answer);
+    Task<bool> refuseLongMessage();
+    /// Memory to count while a message is served; 0 for a short one of a session with little state.
+    std::size_t workBytes(std::size_t messageBytes) const;
+    /// Counts what is needed to serve a long message, and waits for room. Returns false if there is none; the message has
+    /// then been refused, or its transaction aborted.
+    Task<bool> reserveWork(MemoryHold& work, std::size_t bytes);
+    /// Formats an answer and takes its text. Its error is left out if it has been sent ahead, as the announcement of the
+    /// close.
+    std::string formatAnswer(StatementAnswer& answer);
     SessionStep nextStep() const;
     Task<bool> readMessage(std::string_view& line);
     Task<bool> send(const std::string& text);
@@ -38,13 +54,17 @@
     void logAnswer(const ClientMessage& message, const StatementAnswer& answer, BootTime since) const;
 
     LineChannel m_channel;
+    asio::io_context& m_io;
     ServiceRegistry& m_registry;
     PoolerMetrics& m_metrics;
     SessionTracker& m_tracker;
     StatementRunner m_runner;
+    MemoryHold m_ownHold; ///< Of what every session needs. It has no holder, as closing a session for it frees too little.
     std::uint64_t m_number;
     std::string m_database;
     std::optional<KeyDigest> m_key; ///< Of the key in the START message; empty if there was none.
+    const BootTime m_openedAt;
+    bool m_isStarted = false; ///< The session has been opened by the client's first message.
     bool m_isIdle = false; ///< Waiting for the client's next line.
     const ClientMessage* m_request = nullptr; ///< The request that is being answered.
     bool m_isSending = false; ///< Its answer is being sent.
--- a/packages/pooler/src/ConnectionLender.cpp
+++ b/packages/pooler/src/ConnectionLender.cpp
@@ -30,6 +30,49 @@
 
 } // namespace
 
+/// A channel that a borrower has opened.
+class ConnectionLender::Visitor : public MemoryHolder {
+public:
+    Visitor(LineChannel opened, ConnectionLender& lender)
+        : channel(std::move(opened))
+        , m_lender(lender)
+    {
+        channel.setMemoryHolder(*this);
+        m_lender.m_visitors.insert(this);
+    }
+    ~Visitor() override { m_lender.m_visitors.erase(this); }
+
+    Visitor(const Visitor&) = delete;
+    Visitor& operator=(const Visitor&) = delete;
+
+    Phase memoryPhase() const override { return isServed ? Phase::InTransaction : Phase::Waiting; }
+    void closeForMemory() override
+    {
+        m_lender.m_metrics.clientRefused("memory");
+        channel.close();
+    }
+
+    LineChannel channel;
+    bool isServed = false; ///< A request of the borrower is being answered, or it has a connection.
+    BootTime waitsSince = BootClock::now();
+
+private:
+    ConnectionLender& m_lender;
+};
+
+bool ConnectionLender::makeRoom()
+{
+    const auto isOpen = [](const Visitor* visitor) { return visitor->channel.isOpen(); };
+    if (static_cast<std::size_t>(std::ranges::count_if(m_visitors, isOpen)) < m_channelLimit)
+        return true;
+    m_metrics.clientRefused("descriptors");
+    const auto longest = std::ranges::min_element(m_visitors, {}, [&](const Visitor* visitor) { return std::tuple(!isOpen(visitor), visitor->isServed, visitor->waitsSince); });
+    if (longest == m_visitors.end() || !isOpen(*longest) || (*longest)->isServed)
+        return false;
+    (*longest)->channel.close();
+    return true;
+}
+
 ConnectionLender::ConnectionLender(ServiceRegistry& registry, PoolerMetrics& metrics)
     : m_registry(registry)
     , m_metrics(metrics)
@@ -42,8 +85,12 @@
         loan->closeIfUnusable();
 }
 
-Task<void> ConnectionLender::serve(LineChannel channel)
+Task<void> ConnectionLender::serve(LineChannel opened)
 {
+    if (!makeRoom())
+        co_return;
+    Visitor visitor(std::move(opened), *this);
+    auto& channel = visitor.channel;
     std::string_view line;
     while (co_await channel.readLine(line, BootClock::now() + channelIdleTime) == ChannelStatus::Ok) {
         auto loanRequest = LoanMessage::parseRequest(line);
@@ -51,8 +98,11 @@
             EventLog::warn("loan_request_unreadable", { { "bytes", line.size() } });
             break;
         }
+        visitor.isServed = true;
         if (!co_await lend(channel, std::move(*loanRequest)))
             break;
+        visitor.isServed = false;
+        visitor.waitsSince = BootClock::now();
     }
     channel.close();
 }
--- a/packages/pooler/src/ConnectionLender.h
+++ b/packages/pooler/src/ConnectionLender.h
@@ -17,6 +17,8 @@
     /// Serves the channel of one borrower until it closes.
     Task<void> serve(LineChannel channel);
 
+    /// Sets how many channels of borrowers may be open.
+    void setChannelLimit(std::size_t channels) { m_channelLimit = channels; }
     /// Refuses new loans from now on; open loans continue.
     void stopLending(const StopSchedule& schedule) { m_stop = schedule; }
     /// Ends the idle loans whose next statement could no longer be run before this host stops.
@@ -27,10 +29,16 @@
     /// Handles one request. Returns false if the channel can no longer be used.
     Task<bool> lend(LineChannel& channel, LoanRequest loanRequest);
 
+    class Visitor;
+    /// Closes the channel without a loan that has waited longest if there are too many. Returns false if there is none.
+    bool makeRoom();
+
     ServiceRegistry& m_registry;
     PoolerMetrics& m_metrics;
     std::optional<StopSchedule> m_stop;
     std::set<Loan*> m_loans;
+    std::set<Visitor*> m_visitors;
+    std::size_t m_channelLimit = 4096;
 };
 
 } // namespace kumquatbank
--- a/packages/pooler/src/DatabaseConnection.cpp
+++ b/packages/pooler/src/DatabaseConnection.cpp
@@ -6,6 +6,10 @@
 
     /// Limit on the rows and errors of one reply together. The connection is closed if a reply exceeds it.
     constexpr std::size_t maxReplyBytes = 8 << 20;
+    /// A reply up to this size is not counted in the memory budget. Nearly all replies are smaller.
+    constexpr std::size_t uncountedReplyBytes = 16 << 10;
+    /// Longer rows are not kept a second time; the row of STATUS is far shorter.
+    constexpr std::size_t maxFirstRowBytes = 4096;
     /// The connection is closed if sent data stays unacknowledged for this long. A database drops unreachable peers
     /// after the same time.
     constexpr std::chrono::milliseconds unacknowledgedDataTimeout { 3000 };
@@ -50,6 +54,7 @@
 Task<ExchangeStatus> DatabaseConnection::receive(DatabaseReply& reply, BootTime until)
 {
     reply = {};
+    MemoryHold hold;
     while (true) {
         std::string_view line;
         const auto status = co_await m_channel.readLine(line, until);
@@ -59,7 +64,10 @@
             co_return status == ChannelStatus::TimedOut ? ExchangeStatus::TimedOut : ExchangeStatus::Broken;
         }
         const auto parsed = WireDialect::parseDatabaseLine(line);
-        if (parsed.kind == DatabaseLine::Kind::Unknown || reply.body.size() + line.size() > maxReplyBytes) {
+        const auto size = reply.body.size() + line.size();
+        // Twice the size, because a growing string exists twice for a moment.
+        const bool hasRoom = size <= uncountedReplyBytes || (size <= maxReplyBytes && hold.resize(MemoryUse::Answer, 2 * size));
+        if (parsed.kind == DatabaseLine::Kind::Unknown || !hasRoom) {
             m_channel.close();
             co_return ExchangeStatus::Broken;
         }
@@ -68,11 +76,12 @@
             reply.position = parsed.position;
             reply.ready = line;
             --m_pendingReplies;
+            m_channel.releaseSpareInput(); // The connection may be idle after this reply.
             co_return ExchangeStatus::Ok;
         }
         if (parsed.kind == DatabaseLine::Kind::Error)
             reply.code = parsed.code;
-        if (parsed.kind == DatabaseLine::Kind::Row && reply.firstRow.empty())
+        if (parsed.kind == DatabaseLine::Kind::Row && reply.firstRow.empty() && parsed.text.size() <= maxFirstRowBytes)
             reply.firstRow = parsed.text;
         reply.body.append(line).append("\r\n");
     }
--- a/packages/pooler/src/DatabaseConnection.h
+++ b/packages/pooler/src/DatabaseConnection.h
@@ -56,8 +56,8 @@
     ConnectionState& state() { return m_state; }
     /// Account that the database was told; empty if it was told the name of a host.
     const std::string& account() const { return m_account; }
-    /// Returns true if the connection is open, outside a transaction, and has no pending replies.
-    bool isReusable() const { return m_channel.isOpen() && m_pendingReplies == 0 && m_transaction == TransactionState::None; }
+    /// Returns true if the connection is open, outside a transaction, has no pending replies and keeps little session state.
+    bool isReusable() const { return m_channel.isOpen() && m_pendingReplies == 0 && m_transaction == TransactionState::None && m_state.isSmall(); }
     bool needsRollback() const { return m_channel.isOpen() && m_pendingReplies == 0 && m_transaction != TransactionState::None; }
     bool hasClosed() { return m_channel.isClosedByPeer(); }
     void close() { m_channel.close(); }
--- a/packages/pooler/src/Loan.cpp
+++ b/packages/pooler/src/Loan.cpp
@@ -5,6 +5,17 @@
 
 namespace kumquatbank {
 
+namespace {
+
+    /// A batch ends when it has this many bytes: a borrower that sends faster than the endpoint answers waits.
+    constexpr std::size_t maxBatchBytes = 64 << 10;
+    /// Batches and answers up to this size are not counted in the memory budget.
+    constexpr std::size_t uncountedBytes = 16 << 10;
+    /// The lines of a batch are kept up to four times: parsed, collected, and twice while they are sent.
+    constexpr std::size_t batchFactor = 4;
+
+} // namespace
+
 Loan::Loan(ConnectionLease lease, LineChannel& channel, std::chrono::milliseconds answerTimeout, const std::optional<StopSchedule>& stop)
     : m_lease(std::move(lease))
     , m_channel(channel)
@@ -40,6 +51,7 @@
 {
     m_batch.clear();
     m_outgoing.clear();
+    m_batchHold.clear();
     do {
         std::string_view line;
         // There is no time limit: a borrower may be idle inside a transaction. It enforces the idle limit itself, and
@@ -53,8 +65,10 @@
             m_isReturned = true;
             co_return true;
         }
+        if (line.size() > uncountedBytes && !m_batchHold.resize(MemoryUse::Work, (m_outgoing.size() + line.size()) * batchFactor))
+            co_return false;
         addLine(line);
-    } while (m_channel.hasBufferedInput());
+    } while (m_channel.hasBufferedInput() && m_outgoing.size() < maxBatchBytes);
     co_return true;
 }
 
@@ -106,6 +120,7 @@
         connection.state().recordReset();
     }
     std::string answers;
+    MemoryHold hold;
     for (const auto& command : m_batch) {
         if (command.isAnsweredLocally) {
             answers += WireDialect::done() + WireDialect::ready(connection.transactionState());
@@ -122,6 +137,11 @@
         if (!command.preparedName.empty() && reply.isSuccess())
             connection.state().recordPrepared(command.preparedName);
         recordReply(reply, sentAt);
+        const auto size = answers.size() + reply.body.size();
+        if (size > uncountedBytes && !hold.resize(MemoryUse::Answer, 2 * size)) {
+            status = ExchangeStatus::Broken;
+            break;
+        }
         answers.append(reply.body).append(reply.ready).append("\r\n");
     }
     if (status == ExchangeStatus::Ok)
--- a/packages/pooler/src/Loan.h
+++ b/packages/pooler/src/Loan.h
@@ -50,6 +50,7 @@
     bool m_isReturned = false;
     std::vector<Command> m_batch;
     std::string m_outgoing; ///< Lines of the batch for the endpoint.
+    MemoryHold m_batchHold;
 };
 
 } // namespace kumquatbank
--- a/packages/pooler/src/PoolerMetrics.cpp
+++ b/packages/pooler/src/PoolerMetrics.cpp
@@ -1,6 +1,7 @@
 #include "PoolerMetrics.h"
 
 #include "kumquatbank/engine/EventLog.h"
+#include "kumquatbank/engine/MemoryBudget.h"
 
 #include <prometheus/text_serializer.h>
 
@@ -30,12 +31,14 @@
     , m_storeCalls(family(m_registry, prometheus::BuildCounter(), "kumquatbank_store_calls_total", "Calls to the platform's store"))
     , m_promotions(family(m_registry, prometheus::BuildCounter(), "kumquatbank_promotions_total", "Promotion calls by outcome"))
     , m_retries(family(m_registry, prometheus::BuildCounter(), "kumquatbank_retries_total", "Statements that were sent again after nothing ran"))
+    , m_refused(family(m_registry, prometheus::BuildCounter(), "kumquatbank_clients_refused_total", "Clients that were refused or closed because they take up too much, by reason"))
     , m_primarySilence(family(m_registry, prometheus::BuildGauge(), "kumquatbank_primary_silence_seconds", "Time since the primary last answered"))
     , m_waiting(family(m_registry, prometheus::BuildGauge(), "kumquatbank_waiting_requests", "Requests that wait for a connection"))
     , m_sessions(family(m_registry, prometheus::BuildGauge(), "kumquatbank_sessions", "Open client sessions").Add({}))
     , m_configVersion(family(m_registry, prometheus::BuildGauge(), "kumquatbank_config_version", "Version of the configuration in force").Add({}))
     , m_storeEra(family(m_registry, prometheus::BuildGauge(), "kumquatbank_store_era", "Era of the newest answer of the store; rises when it comes back from an older copy").Add({}))
     , m_droppedLogLines(family(m_registry, prometheus::BuildGauge(), "kumquatbank_dropped_log_lines", "Log lines left out since the start").Add({}))
+    , m_memoryHeld(family(m_registry, prometheus::BuildGauge(), "kumquatbank_memory_held_bytes", "Memory of input, output and session state that the budget counts").Add({}))
 {
 }
 
@@ -75,6 +78,11 @@
 
 void PoolerMetrics::promotionCompleted(std::string_view outcome) { m_promotions.Add({ { "outcome", std::string(outcome) } }).Increment(); }
 void PoolerMetrics::statementRetried(std::string_view reason) { m_retries.Add({ { "reason", std::string(reason) } }).Increment(); }
+void PoolerMetrics::clientRefused(std::string_view reason)
+{
+    m_refused.Add({ { "reason", std::string(reason) } }).Increment();
+    m_refusalLog.record(reason);
+}
 void PoolerMetrics::sessionOpened() { m_sessions.Increment(); }
 void PoolerMetrics::sessionClosed() { m_sessions.Decrement(); }
 void PoolerMetrics::setConfigVersion(std::int64_t version) { m_configVersion.Set(static_cast<double>(version)); }
@@ -84,6 +92,7 @@
 
 std::string PoolerMetrics::serialize()
 {
+    m_memoryHeld.Set(static_cast<double>(MemoryBudget::ofProcess().used()));
     m_droppedLogLines.Set(static_cast<double>(EventLog::droppedLines()));
     return prometheus::TextSerializer().Serialize(m_registry.Collect());
 }
--- a/packages/pooler/src/PoolerMetrics.h
+++ b/packages/pooler/src/PoolerMetrics.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "RefusalLog.h"
 #include "kumquatbank/routing/StatementError.h"
 
 #include <chrono>
@@ -31,6 +32,10 @@
     void sessionOpened();
     void sessionClosed();
     void statementRetried(std::string_view reason);
+    /// Records a client, of any address, that was refused or closed because it takes up too much.
+    void clientRefused(std::string_view reason);
+    /// Writes the due log lines about refused clients.
+    void logRefusals() { m_refusalLog.writeDue(BootClock::now()); }
     void setConfigVersion(std::int64_t version);
     void setStoreEra(std::uint64_t era);
     void setPrimarySilence(const std::string& service, double seconds);
@@ -50,12 +55,15 @@
     prometheus::Family<prometheus::Counter>& m_storeCalls;
     prometheus::Family<prometheus::Counter>& m_promotions;
     prometheus::Family<prometheus::Counter>& m_retries;
+    prometheus::Family<prometheus::Counter>& m_refused;
     prometheus::Family<prometheus::Gauge>& m_primarySilence;
     prometheus::Family<prometheus::Gauge>& m_waiting;
     prometheus::Gauge& m_sessions;
     prometheus::Gauge& m_configVersion;
     prometheus::Gauge& m_storeEra;
     prometheus::Gauge& m_droppedLogLines;
+    prometheus::Gauge& m_memoryHeld;
+    RefusalLog m_refusalLog;
 
     struct RouteSeries {
         std::map<std::string, prometheus::Counter*, std::less<>> byOutcome;
--- a/packages/pooler/src/PoolerProcess.cpp
+++ b/packages/pooler/src/PoolerProcess.cpp
@@ -1,17 +1,19 @@
 #include "kumquatbank/pooler/PoolerProcess.h"
 
-#include "ClientSession.h"
 #include "ConnectionBorrower.h"
 #include "ConnectionLender.h"
+#include "DescriptorPlan.h"
 #include "HostDirectory.h"
 #include "PeerService.h"
 #include "PromotionController.h"
+#include "SessionList.h"
 #include "SettingsFile.h"
 #include "StoreSync.h"
 #include "kumquatbank/engine/engine.h"
 
 #include <boost/asio/signal_set.hpp>
 #include <csignal>
+#include <malloc.h>
 
 namespace kumquatbank {
 
@@ -26,6 +28,11 @@
     /// Interval of the checks while the process stops.
     constexpr milliseconds stopCheckInterval { 20 };
     constexpr int logFlushTimeoutMs = 100;
+    /// Blocks from this size on are returned to the system when they are freed. By default, the allocator raises this
+    /// threshold to the size of the largest block freed, and keeps the memory of long messages in its heap.
+    constexpr int returnedBlockBytes = 128 << 10;
+    /// Of a request to the process itself. The product's own requests have no body.
+    constexpr std::uint64_t maxRequestBytes = 16 << 10;
 
 } // namespace
 
@@ -52,11 +59,21 @@
         EventLog::setHost(m_settings.host);
         EventLog::setRateLimits(m_settings.logLinesPerSecond, m_settings.failureLinesPerSecond);
         m_registry.setEndpointTimes(m_settings.databaseDrainTime, m_settings.memberRetention);
+        MemoryBudget::ofProcess().setProcessMemory(static_cast<std::size_t>(m_settings.memoryMb));
+        mallopt(M_MMAP_THRESHOLD, returnedBlockBytes);
+        mallopt(M_TRIM_THRESHOLD, returnedBlockBytes);
+        const int descriptors = DescriptorPlan::processLimit(m_settings.maxDescriptors);
+        m_plan = DescriptorPlan::of(descriptors);
+        m_lender.setChannelLimit(m_plan.loans);
+        EventLog::info("limits", { { "memory_mb", m_settings.memoryMb }, { "memory_budget", MemoryBudget::ofProcess().total() }, { "descriptors", descriptors }, { "clients", m_plan.clients }, { "peers", m_plan.peers }, { "loans", m_plan.loans }, { "probes", m_plan.probes } });
         EventLog::info("start", { { "version", KUMQUATBANK_VERSION }, { "data_centre", m_settings.dataCentre }, { "clients", m_settings.clientAddress.toString() }, { "ready", m_settings.readyAddress.toString() }, { "peers", m_settings.peerAddress.toString() }, { "metrics", m_settings.metricsAddress.toString() }, { "store", m_settings.storeAddress.toString() }, { "promotions", m_settings.promotionAddress.toString() }, { "grace_s", m_settings.grace.count() } });
         m_clients.emplace(m_io, m_settings.clientAddress, [this](asio::ip::tcp::socket socket) { accept(std::move(socket)); });
-        m_ready.emplace(m_io, m_settings.readyAddress, [this](HttpRequest request) { return answerReady(std::move(request)); });
-        m_peerListener.emplace(m_io, m_settings.peerAddress, [this](HttpRequest request) { return m_peers.answer(std::move(request)); });
-        m_metricsListener.emplace(m_io, m_settings.metricsAddress, [this](HttpRequest request) { return answerMetrics(std::move(request)); });
+        m_ready.emplace(
+            m_io, m_settings.readyAddress, [this](HttpRequest request) { return answerReady(std::move(request)); }, httpLimits(m_plan.probes));
+        m_peerListener.emplace(
+            m_io, m_settings.peerAddress, [this](HttpRequest request) { return m_peers.answer(std::move(request)); }, httpLimits(m_plan.peers));
+        m_metricsListener.emplace(
+            m_io, m_settings.metricsAddress, [this](HttpRequest request) { return answerMetrics(std::move(request)); }, httpLimits(m_plan.probes));
         if (m_settings.loanAddress) {
             m_registry.setBorrower(m_borrower);
             m_loanListener.emplace(m_io, *m_settings.loanAddress, [this](asio::ip::tcp::socket socket) { acceptBorrower(std::move(socket)); });
@@ -90,7 +107,7 @@
         for (const auto& [name, service] : m_registry.services())
             service->stopHolding();
         while (BootClock::now() < stop.answersEnd()) {
-            for (const auto& session : sessions())
+            for (const auto& session : m_sessions.all())
                 session->advanceStop();
             m_lender.closeUnusableLoans();
             if (BootClock::now() >= stop.idleSessionsEnd() && m_gate.open == 0 && m_lender.openLoans() == 0)
@@ -98,41 +115,41 @@
             co_await sleepFor(m_io, stopCheckInterval);
         }
         m_clients->close();
-        const auto countUnfinished = [this] { return std::ranges::count_if(sessions(), &ClientSession::hasUnfinishedRequest); };
+        const auto countUnfinished = [this] { return std::ranges::count_if(m_sessions.all(), &ClientSession::hasUnfinishedRequest); };
         // Sessions whose close was announced last still have a part of the notice time.
         while (BootClock::now() < stop.finalAnswers() && m_gate.open > 0) {
-            for (const auto& session : sessions())
+            for (const auto& session : m_sessions.all())
                 session->advanceStop();
             co_await sleepFor(m_io, stopCheckInterval);
         }
         const auto unfinished = countUnfinished();
-        for (const auto& session : sessions())
+        for (const auto& session : m_sessions.all())
             asio::co_spawn(m_io, session->answerUnfinished(), LogFailure("unfinished_answer"));
         // Lets the answers of this and the last iterations of the event loop be sent.
         if (m_gate.open > 0)
             co_await sleepFor(m_io, stopCheckInterval);
-        for (const auto& session : sessions())
+        for (const auto& session : m_sessions.all())
             session->close();
         EventLog::info("drained", { { "sessions", m_gate.open }, { "unfinished", unfinished }, { "loans", m_lender.openLoans() }, { "took_ms", toMs(BootClock::now() - since) } });
     }
 
 private:
-    std::vector<std::shared_ptr<ClientSession>> sessions() const
+    HttpLimits httpLimits(std::size_t connections)
     {
-        std::vector<std::shared_ptr<ClientSession>> open;
-        for (const auto& weakSession : m_sessions) {
-            if (auto session = weakSession.lock())
-                open.push_back(std::move(session));
-        }
-        return open;
+        return { connections, maxRequestBytes, [this](std::string_view reason) { m_metrics.clientRefused(reason); } };
     }
 
     void accept(asio::ip::tcp::socket socket)
     {
+        if (!m_sessions.makeRoom(m_plan.clients)) {
+            m_metrics.clientRefused("descriptors");
+            LineChannel channel(std::move(socket), WireDialect::maxMessageBytes);
+            channel.tryWrite(WireDialect::error(ErrorCode::Busy, "the host has too many connections; retry after 500 ms"));
+            return;
+        }
         LineChannel::enableDeadPeerDetection(socket, clientSilenceLimit);
         auto session = std::make_shared<ClientSession>(m_io, std::move(socket), m_registry, m_metrics, m_gate);
-        std::erase_if(m_sessions, [](const auto& weakSession) { return weakSession.expired(); });
-        m_sessions.push_back(session);
+        m_sessions.add(session);
         asio::co_spawn(m_io, session->run(), LogFailure("session"));
     }
 
@@ -180,6 +197,7 @@
                     m_metrics.setPrimarySilence(name, std::chrono::duration<double>(now - primary->lastAnswer).count());
                 m_metrics.setWaiting(name, static_cast<double>(service->scheduler().waiting()));
             }
+            m_metrics.logRefusals();
             EventLog::flush();
         }
     }
@@ -215,7 +233,8 @@
             m_promotions.setPromotionAddress(settings->promotionAddress);
         EventLog::setRateLimits(settings->logLinesPerSecond, settings->failureLinesPerSecond);
         m_registry.setEndpointTimes(settings->databaseDrainTime, settings->memberRetention);
-        // Addresses of this process's own listeners take effect at the next start.
+        MemoryBudget::ofProcess().setProcessMemory(static_cast<std::size_t>(settings->memoryMb));
+        // Addresses of this process's own listeners, and descriptors, take effect at the next start.
         m_settings = *settings;
     }
 
@@ -244,6 +263,7 @@
     SettingsFile m_settingsFile;
     PoolerMetrics m_metrics;
     SessionTracker m_gate;
+    DescriptorPlan m_plan;
     ServiceRegistry m_registry;
     std::shared_ptr<ObjectStore> m_store;
     StoreSync m_sync;
@@ -258,7 +278,7 @@
     std::optional<HttpListener> m_ready;
     std::optional<HttpListener> m_peerListener;
     std::optional<HttpListener> m_metricsListener;
-    std::vector<std::weak_ptr<ClientSession>> m_sessions;
+    SessionList m_sessions;
 };
 
 PoolerProcess::PoolerProcess(asio::io_context& io, PoolerSettings settings, std::string settingsFile)
--- a/packages/pooler/src/PoolerSettings.cpp
+++ b/packages/pooler/src/PoolerSettings.cpp
@@ -1,5 +1,6 @@
 #include "kumquatbank/pooler/PoolerSettings.h"
 
+#include "DescriptorPlan.h"
 #include "kumquatbank/core/JsonText.h"
 #include "kumquatbank/core/TextFile.h"
 
@@ -40,20 +41,28 @@
   // Milliseconds for which a database that disappeared counts as one that may hold the newest commits, where commits are
   // confirmed by replicas. No primary is replaced in this time without the proof that none is lost. Optional.
   "memberRetentionMs": 10000,
+  // Memory of this process in MiB, and the descriptors that it may open. What clients hold stays below them. Optional;
+  // without maxDescriptors, the limit of the process (RLIMIT_NOFILE) holds.
+  "memoryMb": 160,
+  "maxDescriptors": 4096,
   // Log lines a second: of served statements, and of everything else.
   "logLinesPerSecond": 100,
   "failureLinesPerSecond": 500
 }
 )";
 
-    constexpr std::array<std::string_view, 18> knownKeys { "host", "dataCentre", "region", "processorShare", "processorSpeed", "clientAddress", "readyAddress",
+    constexpr std::array<std::string_view, 20> knownKeys { "host", "dataCentre", "region", "processorShare", "processorSpeed", "clientAddress", "readyAddress",
         "peerAddress", "loanAddress", "metricsAddress", "storeAddress", "promotionAddress", "seeds", "graceSeconds", "databaseDrainMs", "memberRetentionMs",
-        "logLinesPerSecond", "failureLinesPerSecond" };
+        "memoryMb", "maxDescriptors", "logLinesPerSecond", "failureLinesPerSecond" };
 
     constexpr int maxGraceSeconds = 3600;
     constexpr int maxDatabaseDrainMs = 3'600'000;
     constexpr int maxMemberRetentionMs = 3'600'000;
     constexpr int maxLogLines = 1'000'000;
+    /// Half of it is for the program; the rest has room for a message of 1 MiB and its copies.
+    constexpr int minMemoryMb = 32;
+    constexpr int maxMemoryMb = 1 << 20;
+    constexpr int maxDescriptorLimit = 1 << 24;
     constexpr double maxProcessorShare = 1024;
     constexpr int maxProcessorSpeed = 1024;
 
@@ -176,6 +185,9 @@
     settings.grace = std::chrono::seconds(reader.number("graceSeconds", 1, maxGraceSeconds, static_cast<int>(settings.grace.count())));
     settings.databaseDrainTime = std::chrono::milliseconds(reader.number("databaseDrainMs", 0, maxDatabaseDrainMs, static_cast<int>(settings.databaseDrainTime.count())));
     settings.memberRetention = std::chrono::milliseconds(reader.number("memberRetentionMs", 0, maxMemberRetentionMs, static_cast<int>(settings.memberRetention.count())));
+    settings.memoryMb = reader.number("memoryMb", minMemoryMb, maxMemoryMb, settings.memoryMb);
+    if (json.contains("maxDescriptors"))
+        settings.maxDescriptors = reader.number("maxDescriptors", DescriptorPlan::minLimit, maxDescriptorLimit, DescriptorPlan::minLimit);
     settings.logLinesPerSecond = static_cast<unsigned>(reader.number("logLinesPerSecond", 0, maxLogLines, static_cast<int>(settings.logLinesPerSecond)));
     settings.failureLinesPerSecond = static_cast<unsigned>(reader.number("failureLinesPerSecond", 0, maxLogLines, static_cast<int>(settings.failureLinesPerSecond)));
     if (!reader.error().empty())
--- a/packages/pooler/src/SessionContext.cpp
+++ b/packages/pooler/src/SessionContext.cpp
@@ -6,6 +6,10 @@
 
     /// Maximum wait for a connection, in percent of the target latency.
     constexpr int queueSharePercent = 60;
+    /// Session state up to this size is part of what each session counts when it opens.
+    constexpr std::size_t uncountedStateBytes = 4 << 10;
+    /// A session is closed when it goes on after this many consecutive refusals of its state.
+    constexpr int maxRefusedStates = 16;
 
 } // namespace
 
@@ -17,14 +21,24 @@
 {
 }
 
-void SessionContext::applyLocally(const Statement& statement)
+void SessionContext::applyLocally(const Statement& statement, StatementAnswer& answer)
 {
-    if (statement.kind == StatementKind::SetValue)
-        m_state.values[statement.name] = statement.argument;
-    else if (statement.kind == StatementKind::Prepare)
-        m_state.prepared[statement.name] = { preparedConnectionName(statement.preparesWrite, statement.argument), statement.argument, statement.preparesWrite };
-    else
-        m_state.prepared.erase(statement.name);
+    const bool grows = statement.kind != StatementKind::Deallocate;
+    const auto bytes = grows ? m_state.bytesAfter(statement) : m_state.bytes;
+    if (grows && !m_state.admits(statement))
+        answer.setError(ErrorCode::TooLarge, "the session has too many values and prepared statements, or too long ones");
+    else if (grows && bytes > uncountedStateBytes && !m_stateHold.resize(MemoryUse::State, bytes))
+        answer.setError(ErrorCode::Busy, "the host is short of memory", RetryPolicy::defaultRetryAfter);
+    if (answer.code) {
+        m_metrics.clientRefused("session_state");
+        answer.endsSession = ++m_refusedStates >= maxRefusedStates;
+        return;
+    }
+    m_refusedStates = 0;
+    m_state.apply(statement);
+    if (!grows && m_stateHold.bytes() > 0)
+        m_stateHold.resize(MemoryUse::State, m_state.bytes);
+    answer.body = WireDialect::done();
 }
 
 std::optional<bool> SessionContext::writes(const Statement& statement) const
--- a/packages/pooler/src/SessionContext.h
+++ b/packages/pooler/src/SessionContext.h
@@ -3,6 +3,7 @@
 #include "ServiceRegistry.h"
 #include "SessionTracker.h"
 #include "StatementAnswer.h"
+#include "kumquatbank/engine/MemoryBudget.h"
 
 namespace kumquatbank {
 
@@ -47,8 +48,11 @@
     /// Identifies the client by the current configuration, which must be present.
     ClientIdentity identify(const Route& route) const { return m_registry.config()->identify(route, m_key); }
 
-    /// Applies a statement that changes only the session state: a value or a prepared statement.
-    void applyLocally(const Statement& statement);
+    /// Counts the session state for @p holder, which must outlive this object.
+    void setMemoryHolder(MemoryHolder& holder) { m_stateHold = MemoryHold(&holder); }
+    /// Applies a statement that changes only the session state: a value or a prepared statement. Sets an error in @p answer
+    /// instead if the session exceeds its bounds or the memory budget has no room.
+    void applyLocally(const Statement& statement, StatementAnswer& answer);
     /// Returns whether the statement writes; empty if it names a prepared statement that the session does not have.
     std::optional<bool> writes(const Statement& statement) const;
     void recordCommit(std::optional<LogPosition> position);
@@ -68,6 +72,8 @@
     PoolerMetrics& m_metrics;
     const SessionTracker& m_tracker;
     SessionState m_state;
+    MemoryHold m_stateHold;
+    int m_refusedStates = 0; ///< Consecutive statements that the state had no room for.
     std::optional<KeyDigest> m_key;
     BootTime m_lastCommitAt {};
 };
--- a/packages/pooler/src/StatementExchange.cpp
+++ b/packages/pooler/src/StatementExchange.cpp
@@ -61,11 +61,12 @@
 Task<StatementExchange> exchangeStatement(ConnectionLease& lease, const SessionState& session, const std::string& id, const Statement& statement, std::optional<LogPosition> floor, bool rollsBack, BootTime until)
 {
     auto& connection = lease.connection();
-    const auto prepared = buildCommand(connection.state(), session, statement);
+    auto prepared = buildCommand(connection.state(), session, statement);
     StatementExchange exchange;
     exchange.sentAt = BootClock::now();
-    const auto commands = prepared.preamble + WireDialect::query(id, prepared.text, floor) + (rollsBack ? WireDialect::rollback() : "");
-    exchange.status = co_await connection.send(commands, prepared.preambleReplies + (rollsBack ? 2 : 1), until);
+    auto commands = prepared.preamble + WireDialect::query(id, prepared.text, floor) + (rollsBack ? WireDialect::rollback() : "");
+    prepared.text = {}; // May be long, and is not needed while the answer is awaited.
+    exchange.status = co_await connection.send(std::move(commands), prepared.preambleReplies + (rollsBack ? 2 : 1), until);
     for (int n = 0; n <= prepared.preambleReplies && exchange.status == ExchangeStatus::Ok; ++n)
         exchange.status = co_await connection.receive(exchange.reply, until);
     if (exchange.status != ExchangeStatus::Ok) {
--- a/packages/pooler/src/StatementRunner.cpp
+++ b/packages/pooler/src/StatementRunner.cpp
@@ -51,8 +51,7 @@
     case StatementKind::SetValue:
     case StatementKind::Prepare:
     case StatementKind::Deallocate:
-        m_context.applyLocally(statement);
-        answer.body = WireDialect::done();
+        m_context.applyLocally(statement, answer);
         answer.state = transactionState();
         co_return answer;
     case StatementKind::Commit:
--- a/packages/pooler/src/StatementRunner.h
+++ b/packages/pooler/src/StatementRunner.h
@@ -12,6 +12,8 @@
     /// @p tracker must outlive this object.
     StatementRunner(asio::io_context& io, ServiceRegistry& registry, PoolerMetrics& metrics, const SessionTracker& tracker);
 
+    void setMemoryHolder(MemoryHolder& holder) { m_context.setMemoryHolder(holder); }
+    std::size_t stateBytes() const { return m_context.state().bytes; }
     void setKey(std::optional<KeyDigest> key) { m_context.setKey(std::move(key)); }
 
     StatementRunner(const StatementRunner&) = delete;
--- a/packages/pooler/tests/PoolerSettingsTest.cpp
+++ b/packages/pooler/tests/PoolerSettingsTest.cpp
@@ -37,10 +37,21 @@
     for (const auto& [key, value] : std::vector<std::pair<std::string, nlohmann::json>> {
              { "host", "" }, { "host", 7 }, { "clientAddress", "127.0.0.1" }, { "peerAddress", "127.0.0.1:0" },
              { "seeds", "127.0.0.1:7440" }, { "seeds", { "127.0.0.1:7440", "nowhere" } }, { "seeds", { 7440 } },
-             { "processorShare", 0 }, { "processorShare", "0.5" }, { "processorSpeed", 0 }, { "graceSeconds", 0 }, { "graceSeconds", "6" }, { "logLinesPerSecond", -1 }, { "unknownKey", 1 } })
+             { "processorShare", 0 }, { "processorShare", "0.5" }, { "processorSpeed", 0 }, { "graceSeconds", 0 }, { "graceSeconds", "6" }, { "logLinesPerSecond", -1 }, { "memoryMb", 31 }, { "memoryMb", "160" }, { "maxDescriptors", 263 }, { "unknownKey", 1 } })
         STRCMP_CONTAINS(("key '" + key + "'").c_str(), errorWith(key, value).c_str());
 }
 
+// Without the limits of its machine, a process keeps to those of the smallest host and to what the system grants.
+TEST(PoolerSettings, LimitsMayBeMissing)
+{
+    auto json = example();
+    json.erase("memoryMb");
+    json.erase("maxDescriptors");
+    const auto settings = PoolerSettings::parse(json.dump(), "test");
+    LONGS_EQUAL(160, settings->memoryMb);
+    CHECK_FALSE(settings->maxDescriptors.has_value());
+}
+
 TEST(PoolerSettings, SeedsMayBeEmptyOrMissing)
 {
     STRCMP_EQUAL("", errorWith("seeds", nlohmann::json::array()).c_str());
--- a/packages/routing/include/kumquatbank/routing/SessionState.h
+++ b/packages/routing/include/kumquatbank/routing/SessionState.h
@@ -24,6 +24,22 @@
     Values values;
     std::map<std::string, PreparedStatement> prepared; ///< By the client's name.
     LogPosition lastCommit; ///< Position of the session's newest write.
+
+    /// Bound on values and prepared statements together. A session sets a handful of values and prepares tens of statements.
+    static constexpr std::size_t maxNames = 1024;
+    /// Bound on names, values and texts together: the longest message, of 1 MiB, and as much again for all others.
+    static constexpr std::size_t maxBytes = 2 << 20;
+    /// Counted for each name, for the nodes of the containers and the headers of the strings.
+    static constexpr std::size_t bytesPerName = 192;
+
+    std::size_t bytes = 0; ///< Of values and prepared statements.
+
+    /// Size that bytes has after @p statement, which sets a value or prepares a statement.
+    std::size_t bytesAfter(const Statement& statement) const;
+    /// Returns whether @p statement, which sets a value or prepares a statement, keeps the session within its bounds.
+    bool admits(const Statement& statement) const;
+    /// Applies a statement that changes only the session: a value, a prepared statement or its end.
+    void apply(const Statement& statement);
 };
 
 /// Name of a prepared statement on database connections. Equal statements get equal names, so that clients share them;
@@ -43,12 +59,19 @@
     bool hasPrepared(const std::string& connectionName) const { return m_prepared.contains(connectionName); }
     bool hasSameValuesAs(const SessionState& session) const { return m_values == session.values; }
 
+    /// False if the connection keeps more than a session in ordinary use sets; it is then closed after its use.
+    bool isSmall() const { return m_valueBytes <= maxKeptBytes && m_prepared.size() <= SessionState::maxNames; }
+
     void recordReset();
-    void recordValue(const std::string& name, const std::string& value) { m_values[name] = value; }
+    void recordValue(const std::string& name, const std::string& value);
     void recordPrepared(const std::string& connectionName) { m_prepared.insert(connectionName); }
 
 private:
+    /// Idle connections are the only memory of sessions that have ended, so each keeps little.
+    static constexpr std::size_t maxKeptBytes = 16 << 10;
+
     SessionState::Values m_values;
+    std::size_t m_valueBytes = 0;
     std::set<std::string> m_prepared;
 };
 
