--- a/packages/pooler/tests/LoanMessageTest.cpp
+++ b/packages/pooler/tests/LoanMessageTest.cpp
@@ -15,11 +15,11 @@
 
 TEST(LoanMessage, RequestRoundTrips)
 {
-    const LoanRequest request { "service", Eligibility::PrimaryOnly, 2, milliseconds(300), milliseconds(1000), { "a", "b" }, milliseconds(1500), false };
+    const LoanRequest request { "service", "account", Eligibility::PrimaryOnly, 2, milliseconds(300), milliseconds(1000), { "a", "b" }, milliseconds(1500), false };
     const auto line = LoanMessage::formatRequest(request);
     const auto parsed = LoanMessage::parseRequest(withoutLineEnd(line));
     CHECK_TRUE(parsed.has_value());
-    CHECK_TRUE(parsed->service == request.service && parsed->eligibility == request.eligibility && parsed->priority == 2);
+    CHECK_TRUE(parsed->service == request.service && parsed->account == request.account && parsed->eligibility == request.eligibility && parsed->priority == 2);
     CHECK_TRUE(parsed->maxWait == request.maxWait && parsed->answerTimeout == request.answerTimeout && parsed->excluded == request.excluded);
     CHECK_TRUE(parsed->maxStaleness == request.maxStaleness && !parsed->waitsForEndpoint);
 }
