Limits of clients: tests of sessions, refusals with their id, time of movement

Cause: the session counted its time of movement from when it began to wait, so that one which had waited for long counted as stalled with its next long message. A refused long message had no line with its id. JSON answers of the store and of peers are parsed into several times their length, which was not counted.

Change: the time of movement is that of the complete message; a refused message is logged as a statement; answers over HTTP count eight times their length. Tests: bounds of a session and its end after 16 refusals; BUSY and ABORTED for messages without room; sessions that wait keep their place, and new connections are refused at the descriptor limit; SessionState.

--- a/packages/engine/src/HttpClient.cpp
+++ b/packages/engine/src/HttpClient.cpp
@@ -15,6 +15,8 @@
     constexpr std::uint64_t maxBodyBytes = 64 << 20;
     /// Answers up to this size are not counted in the memory budget.
     constexpr std::uint64_t uncountedAnswerBytes = 16 << 10;
+    /// A growing body exists twice for a moment, and the caller parses JSON into several times its length.
+    constexpr std::uint64_t answerFactor = 8;
     /// A connection fails if sent data stays unacknowledged for this long.
     constexpr std::chrono::milliseconds deadPeerTimeout { 1500 };
 
@@ -90,15 +92,14 @@
         co_return reply;
     }
     http::response_parser<http::string_body> parser;
-    // Twice the size, because a growing string exists twice for a moment.
-    parser.body_limit(std::min<std::uint64_t>(maxBodyBytes, MemoryBudget::ofProcess().available(MemoryUse::Answer) / 2));
+    parser.body_limit(std::min<std::uint64_t>(maxBodyBytes, MemoryBudget::ofProcess().available(MemoryUse::Answer) / answerFactor));
     if (const auto [ec, n] = co_await http::async_read_header(connection->socket, connection->buf, parser, asTuple); ec) {
         m_idle.clear();
         co_return reply;
     }
     MemoryHold hold;
     const auto length = parser.content_length();
-    if (length && *length > uncountedAnswerBytes && !hold.resize(MemoryUse::Answer, 2 * *length)) {
+    if (length && *length > uncountedAnswerBytes && !hold.resize(MemoryUse::Answer, answerFactor * *length)) {
         m_idle.clear();
         co_return reply;
     }
--- a/packages/pooler/src/ClientSession.cpp
+++ b/packages/pooler/src/ClientSession.cpp
@@ -130,7 +130,7 @@
         m_isIdle = false;
         if (status == ChannelStatus::Ok) {
             if (heldMemory() > 0)
-                MemoryBudget::ofProcess().recordMovement(*this, m_waitsSince);
+                MemoryBudget::ofProcess().recordMovement(*this, BootClock::now());
             co_return true;
         }
         if (status == ChannelStatus::Incomplete) {
@@ -161,8 +161,10 @@
     if (status != ChannelStatus::Ok) {
         if (status == ChannelStatus::TimedOut)
             m_metrics.clientRefused("silent");
-        if (status == ChannelStatus::TooLong)
+        if (status == ChannelStatus::TooLong) {
+            m_metrics.clientRefused("too_long");
             co_await send(WireDialect::error(ErrorCode::TooLarge, "the line exceeds 1 MiB"));
+        }
         co_return false;
     }
     const auto message = WireDialect::parseClientLine(line);
@@ -213,7 +215,7 @@
             if (bytes > 0) {
                 const bool hasRoom = co_await reserveWork(work, bytes);
                 if (!hasRoom) {
-                    const bool isRefused = co_await refuseLongMessage();
+                    const bool isRefused = co_await refuseLongMessage(line);
                     if (!isRefused)
                         break;
                     continue;
--- a/packages/pooler/src/ClientSession.h
+++ b/packages/pooler/src/ClientSession.h
@@ -38,7 +38,7 @@
 private:
     Task<bool> startSession();
     Task<bool> answerQuery(const ClientMessage& message);
-    Task<bool> refuseLongMessage();
+    Task<bool> refuseLongMessage(std::string_view line);
     /// Memory to count while a message is served; 0 for a short one of a session with little state.
     std::size_t workBytes(std::size_t messageBytes) const;
     /// Counts what is needed to serve a long message, and waits for room. Returns false if there is none; the message has
--- a/packages/pooler/src/ClientSessionLimits.cpp
+++ b/packages/pooler/src/ClientSessionLimits.cpp
@@ -17,6 +17,8 @@
     /// A complete message waits this long for memory before it is refused; less than what clients wait for an answer.
     constexpr milliseconds workWait { 1000 };
     constexpr milliseconds workRetryInterval { 20 };
+    /// Holds the id of a message; the rest of a refused one is not parsed.
+    constexpr std::size_t parsedPrefixBytes = 512;
     constexpr std::string_view shortOfMemory = "the host is short of memory";
 
 } // namespace
@@ -72,14 +74,18 @@
     co_return true;
 }
 
-Task<bool> ClientSession::refuseLongMessage()
+Task<bool> ClientSession::refuseLongMessage(std::string_view line)
 {
+    const auto beginning = WireDialect::parseClientLine(line.substr(0, parsedPrefixBytes));
+    const auto since = BootClock::now();
     StatementAnswer answer;
     if (m_runner.transactionState() == TransactionState::None)
         answer.setError(ErrorCode::Busy, shortOfMemory, RetryPolicy::defaultRetryAfter);
     else
         answer.setError(ErrorCode::Aborted, shortOfMemory);
     answer.state = m_runner.transactionState();
+    if (beginning)
+        logAnswer(*beginning, answer, since);
     const auto text = formatAnswer(answer);
     co_return co_await send(text);
 }
--- /dev/null
+++ b/packages/pooler/tests/ClientLimitsTest.cpp
@@ -0,0 +1,130 @@
+#include "PoolerFixture.h"
+#include "kumquatbank/engine/MemoryBudget.h"
+#include "kumquatbank/routing/SessionState.h"
+
+#include <CppUTest/TestHarness.h>
+#include <fmt/format.h>
+
+using namespace kumquatbank;
+using std::chrono::milliseconds;
+
+namespace {
+
+const std::string database = EmulatedPlatform::databaseName(0, ReadPolicy::ReadYourWrites);
+
+/// Fills the memory budget of the process, as answers that no client reads do.
+class FullBudget {
+public:
+    FullBudget()
+        : m_bytes(MemoryBudget::ofProcess().available(MemoryUse::Answer))
+    {
+        MemoryBudget::ofProcess().reserve(nullptr, MemoryUse::Answer, m_bytes, BootClock::now());
+    }
+    ~FullBudget() { MemoryBudget::ofProcess().release(nullptr, m_bytes); }
+    FullBudget(const FullBudget&) = delete;
+    FullBudget& operator=(const FullBudget&) = delete;
+
+private:
+    std::size_t m_bytes;
+};
+
+const std::string longWrite = "WRITE item " + std::string(6000, 'x');
+
+} // namespace
+
+TEST_GROUP(ClientLimits) {
+    static PoolerFixture & makeFixture(std::function<void(PoolerSettings&)> adjust = {}) { return *new PoolerFixture({}, 1, 1, false, 1, std::move(adjust));
+}
+}
+;
+
+// Guards against a session without a bound, and against one that goes on for ever against its refusals.
+TEST(ClientLimits, ASessionOverItsBoundIsRefusedAndThenClosed)
+{
+    auto& fixture = makeFixture();
+    fixture.run([](PoolerFixture& f) -> Task<void> {
+        co_await f.waitUntilReady(0);
+        TestClient client(f.io());
+        co_await client.start(f.clientAddress(0), database);
+        for (std::size_t n = 0; n < SessionState::maxNames; ++n) {
+            auto text = fmt::format("SET name{} value", n);
+            const auto set = co_await client.query(std::move(text));
+            CHECK_TRUE(set.isSuccess());
+        }
+        const auto refused = co_await client.query("SET another value");
+        STRCMP_EQUAL("TOOBIG", refused.code().c_str());
+        const auto replaced = co_await client.query("SET name1 other");
+        CHECK_TRUE(replaced.isSuccess());
+        auto last = refused;
+        int refusals = 0;
+        while (!last.ready.empty() && refusals < 20) {
+            last = co_await client.query("SET another value");
+            ++refusals;
+        }
+        LONGS_EQUAL(17, refusals); // The answers to 16, and the end of the connection.
+    }(fixture));
+}
+
+// Guards against a transaction that is committed without a statement that was refused for memory, and against a refusal that
+// lasts longer than the shortage.
+TEST(ClientLimits, ALongMessageWithoutRoomIsRefusedAndEndsItsTransaction)
+{
+    auto& fixture = makeFixture();
+    fixture.run([](PoolerFixture& f) -> Task<void> {
+        co_await f.waitUntilReady(0);
+        TestClient single(f.io());
+        TestClient transaction(f.io());
+        co_await single.start(f.clientAddress(0), database);
+        co_await transaction.start(f.clientAddress(0), database);
+        // Long values raise the memory that each later message needs, while they are read within the input buffer.
+        const std::string value = "SET name " + std::string(5000, 'x');
+        auto first = value;
+        co_await single.query(std::move(first));
+        auto second = value;
+        co_await transaction.query(std::move(second));
+        co_await transaction.query("BEGIN");
+        co_await transaction.query("WRITE item x");
+        {
+            const FullBudget full;
+            const auto busy = co_await single.query("WRITE other x");
+            STRCMP_EQUAL("BUSY", busy.code().c_str());
+            const auto aborted = co_await transaction.query("WRITE item y");
+            STRCMP_EQUAL("ABORTED", aborted.code().c_str());
+            BYTES_EQUAL('E', aborted.state());
+        }
+        const auto commit = co_await transaction.query("COMMIT");
+        STRCMP_EQUAL("ABORTED", commit.code().c_str());
+        auto text = longWrite;
+        const auto served = co_await single.query(std::move(text));
+        CHECK_TRUE(served.isSuccess());
+    }(fixture));
+}
+
+// Guards against new connections that take the descriptors of the process, or the place of sessions that wait.
+TEST(ClientLimits, SessionsThatWaitKeepTheirPlaceAndNewOnesAreRefused)
+{
+    auto& fixture = makeFixture([](PoolerSettings& settings) { settings.maxDescriptors = 264; });
+    fixture.run([](PoolerFixture& f) -> Task<void> {
+        co_await f.waitUntilReady(0);
+        std::vector<std::unique_ptr<TestClient>> sessions;
+        TestClient::Answer started;
+        while (sessions.size() < 100) {
+            auto client = std::make_unique<TestClient>(f.io());
+            started = co_await client->start(f.clientAddress(0), database);
+            if (started.ready.empty())
+                break;
+            sessions.push_back(std::move(client));
+        }
+        LONGS_EQUAL(40, sessions.size());
+        co_await f.sleep(milliseconds(1200));
+        for (const auto& session : sessions) {
+            const auto answer = co_await session->query("READ item");
+            CHECK_TRUE(answer.isSuccess());
+        }
+        sessions.pop_back();
+        co_await f.sleep(milliseconds(50));
+        TestClient next(f.io());
+        started = co_await next.start(f.clientAddress(0), database);
+        CHECK_FALSE(started.ready.empty());
+    }(fixture));
+}
--- a/packages/routing/tests/SessionStateTest.cpp
+++ b/packages/routing/tests/SessionStateTest.cpp
@@ -10,6 +10,59 @@
     ConnectionState connection;
 };
 
+// Guards against a session whose values grow without a bound, and against one that is refused for replacing its own.
+TEST(SessionState, ValuesAndPreparedStatementsAreBoundedTogether)
+{
+    const auto statement = [](StatementKind kind, std::string name, std::size_t bytes) {
+        Statement made;
+        made.kind = kind;
+        made.name = std::move(name);
+        made.argument = std::string(bytes, 'x');
+        return made;
+    };
+    const auto longest = statement(StatementKind::SetValue, "long", 1 << 20);
+    CHECK_TRUE(session.admits(longest));
+    session.apply(longest);
+    CHECK_TRUE(session.admits(longest));
+    CHECK_FALSE(session.admits(statement(StatementKind::Prepare, "other", 1 << 20)));
+    session.apply(statement(StatementKind::SetValue, "long", 1));
+    for (std::size_t n = 1; n < SessionState::maxNames; ++n)
+        session.apply(statement(n % 2 == 0 ? StatementKind::SetValue : StatementKind::Prepare, std::to_string(n), 10));
+    CHECK_FALSE(session.admits(statement(StatementKind::SetValue, "new", 1)));
+    CHECK_TRUE(session.admits(statement(StatementKind::SetValue, "long", 2)));
+    session.apply(statement(StatementKind::Deallocate, "1", 0));
+    CHECK_TRUE(session.admits(statement(StatementKind::SetValue, "new", 1)));
+}
+
+// The bound would drift if a replaced or removed entry were counted further.
+TEST(SessionState, RemovedEntriesAreNotCounted)
+{
+    Statement prepare;
+    prepare.kind = StatementKind::Prepare;
+    prepare.name = "name";
+    for (const auto* shape : { "READ item", "READ another item" }) {
+        prepare.argument = shape;
+        session.apply(prepare);
+        LONGS_EQUAL(prepare.name.size() + prepare.argument.size() + SessionState::bytesPerName, session.bytes);
+    }
+    prepare.kind = StatementKind::Deallocate;
+    session.apply(prepare);
+    LONGS_EQUAL(0, session.bytes);
+}
+
+// A connection that kept much would hold memory of sessions that have ended.
+TEST(SessionState, AConnectionWithLongValuesIsNotSmallUntilAReset)
+{
+    CHECK_TRUE(connection.isSmall());
+    connection.recordValue("a", std::string(20'000, 'x'));
+    CHECK_FALSE(connection.isSmall());
+    connection.recordValue("a", "1");
+    CHECK_TRUE(connection.isSmall());
+    connection.recordValue("b", std::string(20'000, 'x'));
+    connection.recordReset();
+    CHECK_TRUE(connection.isSmall());
+}
+
 TEST(SessionState, SetsOnlyDifferingValues)
 {
     session.values = { { "a", "1" }, { "b", "2" } };
