Tell clients that owe a message why they are closed; count such borrowers

Cause: a client whose message stayed incomplete, or that sent no START, was closed without the refusal that could still be sent; borrowers with half a line or one too long were closed without a count.

--- a/packages/pooler/src/ClientSession.cpp
+++ b/packages/pooler/src/ClientSession.cpp
@@ -135,7 +135,7 @@
         }
         if (status == ChannelStatus::Incomplete) {
             m_metrics.clientRefused("incomplete");
-            refuse("the message was not completed in time");
+            co_await send(WireDialect::error(ErrorCode::Timeout, "the message was not completed in time"));
         }
         if (status == ChannelStatus::TimedOut) {
             EventLog::warn("transaction_idle", { { "session", m_number }, { "database", m_database }, { "limit_ms", idleLimit->count() } });
@@ -159,8 +159,10 @@
     std::string_view line;
     const auto status = co_await m_channel.readLine(line, BootClock::now() + startTimeout);
     if (status != ChannelStatus::Ok) {
-        if (status == ChannelStatus::TimedOut)
+        if (status == ChannelStatus::TimedOut) {
             m_metrics.clientRefused("silent");
+            co_await send(WireDialect::error(ErrorCode::Timeout, "no START in time"));
+        }
         if (status == ChannelStatus::TooLong) {
             m_metrics.clientRefused("too_long");
             co_await send(WireDialect::error(ErrorCode::TooLarge, "the line exceeds 1 MiB"));
--- a/packages/pooler/src/ConnectionLender.cpp
+++ b/packages/pooler/src/ConnectionLender.cpp
@@ -92,7 +92,8 @@
     Visitor visitor(std::move(opened), *this);
     auto& channel = visitor.channel;
     std::string_view line;
-    while (co_await channel.readLine(line, BootClock::now() + channelIdleTime) == ChannelStatus::Ok) {
+    auto status = ChannelStatus::Ok;
+    while ((status = co_await channel.readLine(line, BootClock::now() + channelIdleTime)) == ChannelStatus::Ok) {
         auto loanRequest = LoanMessage::parseRequest(line);
         if (!loanRequest) {
             EventLog::warn("loan_request_unreadable", { { "bytes", line.size() } });
@@ -104,6 +105,8 @@
         visitor.isServed = false;
         visitor.waitsSince = BootClock::now();
     }
+    if (status == ChannelStatus::TooLong || status == ChannelStatus::Incomplete)
+        m_metrics.clientRefused(status == ChannelStatus::TooLong ? "too_long" : "incomplete");
     channel.close();
 }
 
