--- a/packages/pooler/include/kumquatbank/pooler/PoolerSettings.h
+++ b/packages/pooler/include/kumquatbank/pooler/PoolerSettings.h
@@ -31,6 +31,9 @@
     /// which crashed databases are usually back with their logs.
     std::chrono::milliseconds memberRetention { 10'000 };
     LimitBound limitBound {}; ///< Promise on the operations of each account that has a limit.
+    /// Memory of this process. Without the setting, that of the smallest hosts.
+    int memoryMb = 160;
+    std::optional<int> maxDescriptors {}; ///< Of this process; absent: its RLIMIT_NOFILE.
     unsigned logLinesPerSecond = 100; ///< For served requests; failures have a separate limit.
     unsigned failureLinesPerSecond = 500;
     bool endpointPacing = false; ///< Whether the use of endpoints is limited by their answers.
--- a/packages/pooler/src/PoolerMetrics.cpp
+++ b/packages/pooler/src/PoolerMetrics.cpp
@@ -1,6 +1,7 @@
 #include "PoolerMetrics.h"
 
 #include "kumquatbank/engine/EventLog.h"
+#include "kumquatbank/engine/MemoryBudget.h"
 
 #include <array>
 #include <prometheus/text_serializer.h>
@@ -44,6 +45,7 @@
     , m_limitRequests(family(m_registry, prometheus::BuildCounter(), "kumquatbank_limit_requests_total", "Requests to the coordinator of limits by outcome"))
     , m_limitExchanges(family(m_registry, prometheus::BuildCounter(), "kumquatbank_limit_exchanges_total", "Requests of this coordinator to others by outcome"))
     , m_limitTokens(family(m_registry, prometheus::BuildCounter(), "kumquatbank_limit_tokens_total", "Tokens that this coordinator granted, by receiver"))
+    , m_refused(family(m_registry, prometheus::BuildCounter(), "kumquatbank_clients_refused_total", "Clients that were refused or closed because they take up too much, by reason"))
     , m_primarySilence(family(m_registry, prometheus::BuildGauge(), "kumquatbank_primary_silence_seconds", "Time since the primary last answered"))
     , m_waiting(family(m_registry, prometheus::BuildGauge(), "kumquatbank_waiting_requests", "Requests that wait for a connection"))
     , m_pace(family(m_registry, prometheus::BuildGauge(), "kumquatbank_endpoint_pace", "Concurrent uses of an endpoint that its answers allow this host"))
@@ -57,6 +59,7 @@
     , m_configVersion(family(m_registry, prometheus::BuildGauge(), "kumquatbank_config_version", "Version of the configuration in force").Add({}))
     , m_storeEra(family(m_registry, prometheus::BuildGauge(), "kumquatbank_store_era", "Era of the newest answer of the store; rises when it comes back from an older copy").Add({}))
     , m_droppedLogLines(family(m_registry, prometheus::BuildGauge(), "kumquatbank_dropped_log_lines", "Log lines left out since the start").Add({}))
+    , m_memoryHeld(family(m_registry, prometheus::BuildGauge(), "kumquatbank_memory_held_bytes", "Memory of input, output and session state that the budget counts").Add({}))
 {
 }
 
@@ -135,6 +138,12 @@
 void PoolerMetrics::limitExchangeCompleted(std::string_view outcome) { m_limitExchanges.Add({ { "outcome", std::string(outcome) } }).Increment(); }
 void PoolerMetrics::limitTokensGranted(std::string_view receiver, double tokens) { m_limitTokens.Add({ { "receiver", std::string(receiver) } }).Increment(tokens); }
 void PoolerMetrics::retryRefused(const std::string& service) { m_refusedRetries.Add({ { "service", service } }).Increment(); }
+
+void PoolerMetrics::clientRefused(std::string_view reason)
+{
+    m_refused.Add({ { "reason", std::string(reason) } }).Increment();
+    m_refusalLog.record(reason);
+}
 void PoolerMetrics::sessionOpened() { m_sessions.Increment(); }
 void PoolerMetrics::sessionClosed() { m_sessions.Decrement(); }
 void PoolerMetrics::setConfigVersion(std::int64_t version) { m_configVersion.Set(static_cast<double>(version)); }
@@ -170,6 +179,7 @@
 
 std::string PoolerMetrics::serialize()
 {
+    m_memoryHeld.Set(static_cast<double>(MemoryBudget::ofProcess().used()));
     m_droppedLogLines.Set(static_cast<double>(EventLog::droppedLines()));
     return prometheus::TextSerializer().Serialize(m_registry.Collect());
 }
--- a/packages/pooler/src/PoolerMetrics.h
+++ b/packages/pooler/src/PoolerMetrics.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "RefusalLog.h"
 #include "kumquatbank/routing/StatementError.h"
 
 #include <array>
@@ -60,6 +61,10 @@
     void limitTokensGranted(std::string_view receiver, double tokens);
     /// Records that a statement was not sent again because the retry budget of the service is used up.
     void retryRefused(const std::string& service);
+    /// Records a client, of any address, that was refused or closed because it takes up too much.
+    void clientRefused(std::string_view reason);
+    /// Writes the due log lines about refused clients.
+    void logRefusals() { m_refusalLog.writeDue(BootClock::now()); }
     void setConfigVersion(std::int64_t version);
     void setStoreEra(std::uint64_t era);
     void setPrimarySilence(const std::string& service, double seconds);
@@ -99,6 +104,7 @@
     prometheus::Family<prometheus::Counter>& m_limitRequests;
     prometheus::Family<prometheus::Counter>& m_limitExchanges;
     prometheus::Family<prometheus::Counter>& m_limitTokens;
+    prometheus::Family<prometheus::Counter>& m_refused;
     prometheus::Family<prometheus::Gauge>& m_primarySilence;
     prometheus::Family<prometheus::Gauge>& m_waiting;
     prometheus::Family<prometheus::Gauge>& m_pace;
@@ -112,6 +118,8 @@
     prometheus::Gauge& m_configVersion;
     prometheus::Gauge& m_storeEra;
     prometheus::Gauge& m_droppedLogLines;
+    prometheus::Gauge& m_memoryHeld;
+    RefusalLog m_refusalLog;
 
     struct RouteSeries {
         std::map<std::string, prometheus::Counter*, std::less<>> byOutcome;
--- a/packages/pooler/src/PoolerSettings.cpp
+++ b/packages/pooler/src/PoolerSettings.cpp
@@ -1,5 +1,6 @@
 #include "kumquatbank/pooler/PoolerSettings.h"
 
+#include "DescriptorPlan.h"
 #include "kumquatbank/core/JsonText.h"
 #include "kumquatbank/core/TextFile.h"
 
@@ -48,15 +49,19 @@
   // Whether the answers of each database decide how many statements it gets at a time, and databases that fail far more
   // than their peers get no reads but probes. Optional; takes effect at the next start.
   "endpointPacing": false,
+  // Memory of this process in MiB, and the descriptors that it may open. What clients hold stays below them. Optional;
+  // without maxDescriptors, the limit of the process (RLIMIT_NOFILE) holds.
+  "memoryMb": 160,
+  "maxDescriptors": 4096,
   // Log lines a second: of served statements, and of everything else.
   "logLinesPerSecond": 100,
   "failureLinesPerSecond": 500
 }
 )";
 
-    constexpr std::array<std::string_view, 22> knownKeys { "host", "dataCentre", "region", "processorShare", "processorSpeed", "clientAddress", "readyAddress",
+    constexpr std::array<std::string_view, 24> knownKeys { "host", "dataCentre", "region", "processorShare", "processorSpeed", "clientAddress", "readyAddress",
         "peerAddress", "loanAddress", "metricsAddress", "storeAddress", "promotionAddress", "seeds", "graceSeconds", "databaseDrainMs", "memberRetentionMs",
-        "limitWindowSeconds", "limitOverage", "limitSlack", "endpointPacing",
+        "limitWindowSeconds", "limitOverage", "limitSlack", "endpointPacing", "memoryMb", "maxDescriptors",
         "logLinesPerSecond", "failureLinesPerSecond" };
 
     constexpr int maxGraceSeconds = 3600;
@@ -66,6 +71,10 @@
     constexpr double maxLimitOverage = 10;
     constexpr double maxLimitSlack = 1e6;
     constexpr int maxLogLines = 1'000'000;
+    /// Half of it is for the program; the rest has room for a message of 1 MiB and its copies.
+    constexpr int minMemoryMb = 32;
+    constexpr int maxMemoryMb = 1 << 20;
+    constexpr int maxDescriptorLimit = 1 << 24;
     constexpr double maxProcessorShare = 1024;
     constexpr int maxProcessorSpeed = 1024;
 
@@ -214,6 +223,9 @@
     settings.limitBound.window = std::chrono::seconds(reader.number("limitWindowSeconds", 1, maxLimitWindowSeconds, static_cast<int>(settings.limitBound.window.count())));
     settings.limitBound.overage = reader.nonNegative("limitOverage", maxLimitOverage, settings.limitBound.overage);
     settings.limitBound.slack = reader.nonNegative("limitSlack", maxLimitSlack, settings.limitBound.slack);
+    settings.memoryMb = reader.number("memoryMb", minMemoryMb, maxMemoryMb, settings.memoryMb);
+    if (json.contains("maxDescriptors"))
+        settings.maxDescriptors = reader.number("maxDescriptors", DescriptorPlan::minLimit, maxDescriptorLimit, DescriptorPlan::minLimit);
     settings.logLinesPerSecond = static_cast<unsigned>(reader.number("logLinesPerSecond", 0, maxLogLines, static_cast<int>(settings.logLinesPerSecond)));
     settings.failureLinesPerSecond = static_cast<unsigned>(reader.number("failureLinesPerSecond", 0, maxLogLines, static_cast<int>(settings.failureLinesPerSecond)));
     settings.endpointPacing = reader.flag("endpointPacing", settings.endpointPacing);
--- a/packages/pooler/src/SessionContext.h
+++ b/packages/pooler/src/SessionContext.h
@@ -3,6 +3,7 @@
 #include "ServiceRegistry.h"
 #include "SessionTracker.h"
 #include "StatementAnswer.h"
+#include "kumquatbank/engine/MemoryBudget.h"
 
 namespace kumquatbank {
 
@@ -54,8 +55,11 @@
     /// Returns whether an open transaction may run another statement. Its client's access may have been withdrawn.
     bool mayContinue(const ClientGrant& grant) const { return m_registry.access().mayContinue(grant, BootClock::now()); }
 
-    /// Applies a statement that changes only the session state: a value or a prepared statement.
-    void applyLocally(const Statement& statement);
+    /// Counts the session state for @p holder, which must outlive this object.
+    void setMemoryHolder(MemoryHolder& holder) { m_stateHold = MemoryHold(&holder); }
+    /// Applies a statement that changes only the session state: a value or a prepared statement. Sets an error in @p answer
+    /// instead if the session exceeds its bounds or the memory budget has no room.
+    void applyLocally(const Statement& statement, StatementAnswer& answer);
     /// Returns whether the statement writes; empty if it names a prepared statement that the session does not have.
     std::optional<bool> writes(const Statement& statement) const;
     void recordCommit(std::optional<LogPosition> position);
@@ -89,6 +93,8 @@
     PoolerMetrics& m_metrics;
     const SessionTracker& m_tracker;
     SessionState m_state;
+    MemoryHold m_stateHold;
+    int m_refusedStates = 0; ///< Consecutive statements that the state had no room for.
     std::optional<KeyDigest> m_key;
     DisconnectWatch* m_clientWatch = nullptr;
     BootTime m_lastCommitAt {};
