Closed connections of an endpoint whose entry is gone are counted

Cause: kumquatbank_connections_closed_total left out the idle connections of an endpoint that was removed.

Change: they are closed with the reason "gone".

--- a/packages/pooler/src/DatabaseService.cpp
+++ b/packages/pooler/src/DatabaseService.cpp
@@ -186,6 +186,7 @@
         if (m_primary == it->first)
             setPrimary("", "entry removed");
         m_scheduler.removeEndpoint(it->first);
+        m_pool.closeAllIdle(endpoint, "gone");
         it = m_endpoints.erase(it);
     }
 }
