--- a/packages/pooler/src/DatabaseService.cpp
+++ b/packages/pooler/src/DatabaseService.cpp
@@ -196,6 +196,7 @@
         m_scheduler.removeEndpoint(it->first);
         if (m_pacer)
             m_pacer->removeEndpoint(it->first);
+        m_pool.closeAllIdle(endpoint, "gone");
         it = m_endpoints.erase(it);
     }
 }
