DisconnectWatch: no state before the first watch

Cause: each session and each loan allocated the state of a watch, though most never wait in a queue. Change: it is created by the first start(). Conclusion: no allocation and no system call for requests that are granted at once.

--- a/packages/engine/include/kumquatbank/engine/DisconnectWatch.h
+++ b/packages/engine/include/kumquatbank/engine/DisconnectWatch.h
@@ -29,7 +29,11 @@
 
 private:
     struct State;
-    std::shared_ptr<State> m_state; ///< Shared with the pending operations, which may outlive this object.
+    LineChannel& m_channel;
+    const std::chrono::milliseconds m_halfCloseGrace;
+    /// Shared with the pending operations, which may outlive this object. Null before the first start(): most sessions have
+    /// never waited.
+    std::shared_ptr<State> m_state;
 };
 
 } // namespace kumquatbank
--- a/packages/engine/src/DisconnectWatch.cpp
+++ b/packages/engine/src/DisconnectWatch.cpp
@@ -72,7 +72,8 @@
 };
 
 DisconnectWatch::DisconnectWatch(LineChannel& channel, std::chrono::milliseconds halfCloseGrace)
-    : m_state(std::make_shared<State>(channel, halfCloseGrace))
+    : m_channel(channel)
+    , m_halfCloseGrace(halfCloseGrace)
 {
 }
 
@@ -80,6 +81,8 @@
 
 void DisconnectWatch::start(std::function<void()> onDisconnect)
 {
+    if (!m_state)
+        m_state = std::make_shared<State>(m_channel, m_halfCloseGrace);
     m_state->onDisconnect = std::move(onDisconnect);
     m_state->startedAt = BootClock::now();
     m_state->isActive = true;
@@ -88,11 +91,13 @@
 
 void DisconnectWatch::stop()
 {
+    if (!m_state)
+        return;
     m_state->isActive = false;
     m_state->onDisconnect = nullptr;
     m_state->timer.cancel();
 }
 
-bool DisconnectWatch::hasDisconnected() const { return m_state->hasDisconnected; }
+bool DisconnectWatch::hasDisconnected() const { return m_state && m_state->hasDisconnected; }
 
 } // namespace kumquatbank
