Limits: test of a first statement that is sent long after BEGIN

Cause: the second token of a late operation had no test. Tested: pooler_tests group Limit (4 tests).

--- a/packages/pooler/tests/LimitTest.cpp
+++ b/packages/pooler/tests/LimitTest.cpp
@@ -142,6 +142,34 @@
     CHECK_TRUE(above.succeeded <= LimitBound().operationsPerWindow(usualLimit));
 }
 
+// Guards against operations that are admitted, wait, and reach a database in a later window.
+TEST(Limit, LateFirstStatementNeedsAnotherToken)
+{
+    PoolerFixture fixture({}, 1);
+    putLimit(fixture, usualLimit);
+    fixture.run(fixture.sleep(warmUp));
+    TestClient client(fixture.io());
+    const auto query = [](PoolerFixture& f, TestClient& c, std::string text) -> Task<void> {
+        if (text.empty())
+            co_await c.start(f.clientAddress(), EmulatedPlatform::databaseName(0, ReadPolicy::Primary), accountKey);
+        else
+            STRCMP_EQUAL_TEXT("", (co_await c.query(text)).code().c_str(), text.c_str());
+    };
+    fixture.run(query(fixture, client, ""));
+    for (const auto* text : { "BEGIN", "WRITE w", "COMMIT", "BEGIN" })
+        fixture.run(query(fixture, client, text));
+    // Nothing is produced any more, and another client uses what is left.
+    putLimit(fixture, RateLimit { 0, 0 });
+    fixture.run(fixture.sleep(LimitTimes::sendAfterGrant + milliseconds(400)));
+    const auto others = sendFrom(fixture, { 0 }, milliseconds(500), milliseconds(2));
+    CHECK_TRUE(others.succeeded < LimitBound().slack && others.refused > 0);
+    fixture.run([](TestClient& c) -> Task<void> {
+        const auto answer = co_await c.query("WRITE w");
+        STRCMP_EQUAL("BUSY", answer.code().c_str());
+        STRCMP_CONTAINS("limit", answer.result.c_str());
+    }(client));
+}
+
 // Guards against counting where nothing is limited.
 TEST(Limit, AccountWithoutLimitIsNotHeldUp)
 {
