Limits: shorter validity of tokens, more of the bound as rate, 5 tokens of each account at a start of the fleet

Change: tokens are used within 300 and 400 ms instead of 400 and 600 ms, which leaves 1.14 times the rate for an account whose burst is one second of it. The first lease of a host brings its part of 5 tokens, from the slack kept in reserve.

--- a/packages/pooler/src/LimitMessage.cpp
+++ b/packages/pooler/src/LimitMessage.cpp
@@ -42,6 +42,8 @@
     Json json { { "host", request.host }, { "hosts", request.hosts } };
     if (request.isExchange)
         json["exchange"] = true;
+    if (request.isFirstLease)
+        json["first"] = true;
     if (request.stamp)
         json["stamp"] = formatStamp(*request.stamp);
     if (!request.wants.empty())
@@ -59,6 +61,7 @@
         request.host = json.at("host").get<std::string>();
         request.hosts = json.at("hosts").get<int>();
         request.isExchange = json.value("exchange", false);
+        request.isFirstLease = json.value("first", false);
         if (json.contains("stamp"))
             request.stamp = parseStamp(json["stamp"]);
         request.wants = parseTokens(json, "wants");
--- a/packages/routing/include/kumquatbank/routing/LimitMessages.h
+++ b/packages/routing/include/kumquatbank/routing/LimitMessages.h
@@ -21,6 +21,7 @@
     std::string host;
     int hosts = 0; ///< Size of the fleet as far as the sender knows; 0 if unknown.
     bool isExchange = false; ///< Sent by a coordinator: fractions of tokens are of use, and no share is lent.
+    bool isFirstLease = false; ///< The share is lent for the first time since the host has started.
     std::optional<LimitStamp> stamp {}; ///< Lends the share of the host until the stamp + lease. Of the receiver.
     std::map<std::string, double, std::less<>> wants {}; ///< Tokens, by account.
 };
--- a/packages/routing/include/kumquatbank/routing/LimitTerms.h
+++ b/packages/routing/include/kumquatbank/routing/LimitTerms.h
@@ -27,12 +27,12 @@
     /// Between two requests of a host to its coordinator. Three renewals fit into a lease.
     static constexpr std::chrono::milliseconds renewalInterval { 300 };
     /// For which a granted token admits operations, from the time at which the host requested it.
-    static constexpr std::chrono::milliseconds grantValidity { 400 };
+    static constexpr std::chrono::milliseconds grantValidity { 300 };
     /// For which an admitted operation may be sent, from its admission.
-    static constexpr std::chrono::milliseconds sendAfterAdmission { 500 };
+    static constexpr std::chrono::milliseconds sendAfterAdmission { 400 };
     /// For which an operation may be sent, from the request for its token. Below the sum of the two times above, because
     /// each second of it reduces the burst of every account by its rate.
-    static constexpr std::chrono::milliseconds sendAfterGrant { 600 };
+    static constexpr std::chrono::milliseconds sendAfterGrant { 400 };
     /// For which tokens of another coordinator may be granted, from the time at which they were requested.
     static constexpr std::chrono::milliseconds exchangeValidity { 150 };
     /// For which an operation waits for a token.
@@ -45,6 +45,9 @@
 struct LimitTerms {
     double perSecond = 0;
     double capacity = 0;
+    /// Tokens that the fleet has when it starts, so that an account below one operation per second need not wait for its
+    /// first token. Taken from the part of the slack that is kept in reserve.
+    double startCredit = 0;
 
     /// Tokens that are granted in some interval reach databases in an interval that is longer by sendAfterGrant and
     /// exchangeValidity. The capacity is what the bound leaves beside the production of that time; for accounts with a
--- a/packages/routing/src/LimitPool.cpp
+++ b/packages/routing/src/LimitPool.cpp
@@ -78,14 +78,20 @@
     advance(now);
     if (request.hosts > 0)
         (request.isExchange ? m_otherHostCounts : m_hostCounts).record(request.hosts, now);
+    bool isFirstLease = false;
     if (request.stamp && !request.isExchange && request.stamp->run == m_run && request.stamp->time <= now) {
         const auto leaseEnd = request.stamp->time + LimitTimes::lease;
         if (leaseEnd > now) {
+            isFirstLease = request.isFirstLease && !m_leases.contains(request.host);
             auto& lease = m_leases[request.host];
             lease = std::max(lease, leaseEnd);
         }
     }
     updateFraction(now);
+    for (const auto& [name, account] : m_accounts) {
+        if (isFirstLease)
+            m_buckets.put(name, m_buckets.find(name)->startCredit / std::max(1, hostCount(now)), now);
+    }
     LimitReply reply;
     reply.stamp = { m_run, now };
     // An earlier run of the host has lent the share to this pool, or most likely to an earlier run of it, whose tokens are
--- a/packages/routing/src/LimitShare.cpp
+++ b/packages/routing/src/LimitShare.cpp
@@ -145,6 +145,7 @@
     const bool mayLend = now >= m_lentUntil || m_lentTo == coordinator || (m_lentTo.empty() && m_firstLender == coordinator);
     if (stamp && mayLend && coordinator == m_firstCoordinator && now < stamp->receivedAt + LimitTimes::lease) {
         request.stamp = stamp->stamp;
+        request.isFirstLease = m_lentTo.empty();
         m_lentTo = coordinator;
         m_lentUntil = now < m_lentUntil ? std::max<BootTime>(m_lentUntil, stamp->receivedAt + LimitTimes::lease) : stamp->receivedAt + LimitTimes::lease;
         updateOwnShare(now);
--- a/packages/routing/src/LimitTerms.cpp
+++ b/packages/routing/src/LimitTerms.cpp
@@ -29,9 +29,12 @@
     const double budget = bound.operationsPerWindow(limit) - reserve;
     const double leastCapacity = std::min(budget, bound.slack / 2 + limit.perSecond * capacityTime.count());
     LimitTerms terms;
-    // The bound allows the burst in every window, so steady demand may exceed the rate by the overage.
-    terms.perSecond = std::min((budget - leastCapacity) / span.count(), limit.perSecond * (1 + bound.overage));
+    // The bound allows the burst in every window, so steady demand may exceed the rate by as much. A burst above one second
+    // of the rate is meant for single moments.
+    const double burstPerSecond = std::min(limit.burst, limit.perSecond) / Seconds(bound.window).count();
+    terms.perSecond = std::min((budget - leastCapacity) / span.count(), limit.perSecond + burstPerSecond);
     terms.capacity = std::max(leastCapacity, std::min(budget - terms.perSecond * span.count(), limit.burst + bound.slack / 2));
+    terms.startCredit = reserve / 2;
     return terms;
 }
 
