LimitPool: a pool that has just started lends no share at first contact

Cause: a coordinator told hosts in the first second after its start that nobody else counts their shares. If it was down before and comes back together with its hosts, the coordinator that replaced it still counts them for up to a lease, and the tokens of that time are produced twice. Change: only a pool that holds the host's own lease says so. Tested: routing_tests. LimitTerms (StayWithinTheBound, LeaveTheRateToUsualAccounts) failed before and after; this change does not touch them.

--- a/packages/routing/src/LimitPool.cpp
+++ b/packages/routing/src/LimitPool.cpp
@@ -33,7 +33,6 @@
 
 LimitPool::LimitPool(std::uint64_t run, BootTime now)
     : m_run(run)
-    , m_startedAt(now)
     , m_buckets(now)
 {
 }
@@ -88,9 +87,9 @@
     updateFraction(now);
     LimitReply reply;
     reply.stamp = { m_run, now };
-    // An earlier run of the host has lent the share to this pool, or most likely to an earlier run of it, whose tokens are
-    // gone. Without this, a fleet that restarts as a whole admits nothing for the time of a lease.
-    reply.mayLendAtOnce = m_leases.contains(request.host) || now < m_startedAt + LimitTimes::lease;
+    // An earlier run of the host has lent the share to this pool, so that no other one counts it. A pool that has just started
+    // cannot know this: the share may be lent to a coordinator that was first while this one was down.
+    reply.mayLendAtOnce = m_leases.contains(request.host);
     reply.hosts = request.isExchange ? ownHostCount(now) : hostCount(now);
     for (const auto& [name, wants] : request.wants) {
         const auto it = m_accounts.find(name);
--- a/packages/routing/tests/LimitFleet.cpp
+++ b/packages/routing/tests/LimitFleet.cpp
@@ -162,9 +162,11 @@
 void LimitFleet::admit(const Host& host, const std::string& account, BootTime sendUntil)
 {
     ++m_counts[account].admitted;
-    // One in two operations is sent as late as it may.
     const auto latest = std::max(Duration(0), sendUntil - clock(host));
-    const auto sentAfter = uniform() < 0.5 ? latest : uniform(latest);
+    // One in two operations is sent as late as it may.
+    auto sentAfter = uniform() < 0.5 ? latest : uniform(latest);
+    if (m_shape.sendsLateUntil)
+        sentAfter = m_now < *m_shape.sendsLateUntil ? latest : Duration(0);
     after(sentAfter + uniform(databaseDelay), [this, account] { m_arrivals[account].push_back(m_now); });
 }
 
--- a/packages/routing/tests/LimitFleet.h
+++ b/packages/routing/tests/LimitFleet.h
@@ -22,6 +22,8 @@
         double lossProbability = 0;
         double lateProbability = 0; ///< Of a delay of up to 3 s.
         double duplicateProbability = 0;
+        /// If set, operations admitted before this time are sent as late as they may, and later ones at once.
+        std::optional<BootTime> sendsLateUntil {};
         /// Whether a coordinator counts a share from the receipt of a request instead of from its stamp: the fault that
         /// the stamps prevent.
         bool countsFromReceipt = false;
--- a/packages/routing/tests/LimitFleetTest.cpp
+++ b/packages/routing/tests/LimitFleetTest.cpp
@@ -170,3 +170,33 @@
     CHECK_TRUE(counts.admitted > 4000);
     CHECK_TRUE_TEXT(counts.refused == 0 || counts.lastRefusal <= diedAt + LimitTimes::lease + seconds(1), fmt::format("{} refused, the last after {} ms", counts.refused, toMs(counts.lastRefusal - diedAt)).c_str());
 }
+
+// Guards against shares that are counted twice after a restart: by the coordinator that a host had lent its share to, and by
+// one that started at the same time as the host.
+TEST(LimitFleet, BoundHoldsWhenHostsRestartTogetherWithTheirFirstCoordinator)
+{
+    double worst = -1e9;
+    for (unsigned seed = 1; seed <= 10; ++seed) {
+        LimitFleet fleet({}, seed);
+        fleet.setLimits({ { "large", { 300, 300 } } }, milliseconds(0));
+        fleet.runFor(seconds(5));
+        std::vector<int> successors; // The second coordinators, which have the shares when the first ones come back.
+        for (int region = 0; region < 3; ++region) {
+            fleet.kill(fleet.coordinator(region), seconds(10));
+            successors.push_back(fleet.coordinator(region) + 3);
+        }
+        fleet.runFor(milliseconds(9990));
+        for (int n = 0; n < hosts; ++n) {
+            if (std::ranges::find(successors, n) == successors.end())
+                fleet.kill(n, milliseconds(10));
+        }
+        auto users = allHosts();
+        for (int n = 0; n < hosts / 3; ++n)
+            users.insert(users.end(), successors.begin(), successors.end());
+        fleet.setDemand("large", 3000, users);
+        fleet.shape().sendsLateUntil = fleet.now() + seconds(2);
+        fleet.runFor(seconds(10));
+        worst = std::max(worst, fleet.worstExcess("large", bound));
+    }
+    CHECK_TRUE_TEXT(worst <= 0, fmt::format("{:.1f} operations above the bound", worst).c_str());
+}
