--- a/packages/routing/include/kumquatbank/routing/LimitPool.h
+++ b/packages/routing/include/kumquatbank/routing/LimitPool.h
@@ -65,6 +65,7 @@
     bool mayOthersGive(const Account& account, BootTime now) const;
 
     std::uint64_t m_run;
+    BootTime m_startedAt;
     LimitBuckets m_buckets;
     std::map<std::string, Account, std::less<>> m_accounts;
     std::map<std::string, BootTime> m_leases; ///< End of the lease, by host.
--- a/packages/routing/src/LimitPool.cpp
+++ b/packages/routing/src/LimitPool.cpp
@@ -26,6 +26,8 @@
     constexpr milliseconds shortageMemory { 300 };
     constexpr milliseconds minRetryAfter { 20 };
     constexpr milliseconds maxRetryAfter { 2000 };
+    /// Part of the lent shares that a pool counts in the first lease time after its start.
+    constexpr double youngPoolPart = 0.5;
     /// Upper bound on the number of tokens in one request, against values that do not come from this program.
     constexpr double maxWanted = 1e6;
 
@@ -33,6 +35,7 @@
 
 LimitPool::LimitPool(std::uint64_t run, BootTime now)
     : m_run(run)
+    , m_startedAt(now)
     , m_buckets(now)
 {
 }
@@ -57,7 +60,10 @@
 void LimitPool::updateFraction(BootTime now)
 {
     const int hosts = std::max<int>(hostCount(now), static_cast<int>(m_leases.size()));
-    m_buckets.setFraction(hosts == 0 ? 0 : static_cast<double>(m_leases.size()) / hosts, now);
+    // Until a lease after the start, some shares may be counted by another coordinator as well. Half of their production
+    // keeps the total within the bound.
+    const double part = now < m_startedAt + LimitTimes::lease ? youngPoolPart : 1;
+    m_buckets.setFraction(hosts == 0 ? 0 : part * static_cast<double>(m_leases.size()) / hosts, now);
 }
 
 void LimitPool::advance(BootTime now)
@@ -93,9 +99,10 @@
     }
     LimitReply reply;
     reply.stamp = { m_run, now };
-    // An earlier run of the host has lent the share to this pool, so that no other one counts it. A pool that has just started
-    // cannot know this: the share may be lent to a coordinator that was first while this one was down.
-    reply.mayLendAtOnce = m_leases.contains(request.host);
+    // An earlier run of the host has lent the share to this pool, or to an earlier run of it, whose tokens are gone. Without
+    // this, a fleet that restarts as a whole admits nothing for the time of a lease. A pool that has just started cannot rule
+    // out that a coordinator which replaced it still counts the share; see updateFraction().
+    reply.mayLendAtOnce = m_leases.contains(request.host) || now < m_startedAt + LimitTimes::lease;
     reply.hosts = request.isExchange ? ownHostCount(now) : hostCount(now);
     for (const auto& [name, wants] : request.wants) {
         const auto it = m_accounts.find(name);
