Lenders tell the borrower that it waits when a connection has to be opened for its account

Cause: a lender with a free permit but without an idle connection of the account opens one before it replies. Where this takes longer than the borrower's first reply time-out (250 ms), the borrower takes the lender for lost, leaves it for a second and asks other hosts, which open connections as well. With accounts, openings are frequent. Change: mayWait() is true if no connection of the account is idle at the endpoint that would be used; without an account as before. Seen: a database that takes 350 ms to open a connection got 3 connections for one statement; 1 with the change. Tested: pooler_tests groups AccountConnections, Limit, AccountQueue, Disconnect.

--- a/packages/pooler/src/DatabaseService.cpp
+++ b/packages/pooler/src/DatabaseService.cpp
@@ -454,7 +454,14 @@
 bool DatabaseService::mayWait(const ConnectionRequest& request) const
 {
     const bool hasFloor = !request.freshness || currentFloor(request.freshness->maxStaleness, request.freshness->ownCommit);
-    return !hasFloor || m_scheduler.expectedWait(request.permit) > milliseconds(0);
+    if (!hasFloor || m_scheduler.expectedWait(request.permit) > milliseconds(0))
+        return true;
+    if (request.account.empty())
+        return false;
+    // A connection that has to be opened for the account may take as long as the connect time-out.
+    const auto best = m_scheduler.bestEndpoint(request.permit);
+    const auto endpoint = best ? find(*best) : nullptr;
+    return !endpoint || std::ranges::none_of(endpoint->idle, [&](const IdleConnection& idle) { return idle.connection->account() == request.account; });
 }
 
 Task<tl::expected<ConnectionLease, AcquireFailure>> DatabaseService::acquire(ConnectionRequest request, const SessionState& session)
--- a/packages/pooler/tests/AccountConnectionsTest.cpp
+++ b/packages/pooler/tests/AccountConnectionsTest.cpp
@@ -114,3 +114,24 @@
         CHECK_TRUE(f.platform().primary(0).openedConnections() - openedBefore <= 2);
     }(fixture));
 }
+
+// Guards against a lender that is taken for lost while it opens a connection of another account: its borrowers would leave it
+// for a second, and open connections beyond its share.
+TEST(AccountConnections, LenderMayTakeLongToOpenAConnection)
+{
+    PoolerFixture fixture(scarceShape(), hosts, 1);
+    fixture.run([](PoolerFixture& f) -> Task<void> {
+        f.platform().config().routes.at(primaryDb).targetLatency = milliseconds(1000);
+        addAccounts(f.platform());
+        co_await f.sleep(discoveryTime);
+        const int holder = f.holder(f.platform().database(0, 0).entry().service, hosts, f.region(0));
+        TestClient client(f.io());
+        const auto key = keyOf(0);
+        co_await client.start(f.clientAddress((holder + 1) % hosts), primaryDb, key);
+        const auto openedBefore = f.platform().primary(0).openedConnections();
+        f.platform().primary(0).behaviour().connect = milliseconds(350);
+        const auto answer = co_await client.query("WRITE item x");
+        CHECK_TRUE_TEXT(answer.isSuccess(), answer.result.c_str());
+        LONGS_EQUAL(1, f.platform().primary(0).openedConnections() - openedBefore);
+    }(fixture));
+}
