HttpClient: answers of the store make room for themselves

Cause: the length of an answer was compared with the room that was left in the memory budget before any client could be closed for it. Clients that do not take their answers keep the budget full, and then every answer of the store or of a peer failed, short ones included. Change: an answer of known length is only subject to the reservation, which closes such clients; one of unknown length may always be as long as an uncounted one.

--- a/packages/engine/src/HttpClient.cpp
+++ b/packages/engine/src/HttpClient.cpp
@@ -3,6 +3,7 @@
 #include "OperationTimer.h"
 #include "kumquatbank/engine/LineChannel.h"
 
+#include <algorithm>
 #include <boost/beast/http.hpp>
 
 namespace kumquatbank {
@@ -92,7 +93,7 @@
         co_return reply;
     }
     http::response_parser<http::string_body> parser;
-    parser.body_limit(std::min<std::uint64_t>(maxBodyBytes, MemoryBudget::ofProcess().available(MemoryUse::Answer) / answerFactor));
+    parser.body_limit(maxBodyBytes);
     if (const auto [ec, n] = co_await http::async_read_header(connection->socket, connection->buf, parser, asTuple); ec) {
         m_idle.clear();
         co_return reply;
@@ -103,6 +104,10 @@
         m_idle.clear();
         co_return reply;
     }
+    if (!length) {
+        const std::uint64_t room = MemoryBudget::ofProcess().available(MemoryUse::Answer) / answerFactor;
+        parser.body_limit(std::clamp(room, uncountedAnswerBytes, maxBodyBytes));
+    }
     if (const auto [ec, n] = co_await http::async_read(connection->socket, connection->buf, parser, asTuple); ec) {
         m_idle.clear();
         co_return reply;
--- a/packages/engine/tests/HttpListenerTest.cpp
+++ b/packages/engine/tests/HttpListenerTest.cpp
@@ -2,6 +2,7 @@
 
 #include "FreeAddress.h"
 #include "kumquatbank/engine/HttpClient.h"
+#include "kumquatbank/engine/MemoryBudget.h"
 
 #include <CppUTest/TestHarness.h>
 #include <list>
@@ -30,6 +31,23 @@
     return answer;
 }
 
+/// Holds the whole memory budget as output that its client does not take.
+struct IdleReader : MemoryHolder {
+    bool isClosed = false;
+
+    IdleReader() { MemoryBudget::ofProcess().reserve(this, MemoryUse::Answer, MemoryBudget::ofProcess().available(MemoryUse::Answer), BootClock::now()); }
+    ~IdleReader() override { MemoryBudget::ofProcess().release(this, heldMemory()); }
+    IdleReader(const IdleReader&) = delete;
+    IdleReader& operator=(const IdleReader&) = delete;
+
+    Phase memoryPhase() const override { return Phase::Answering; }
+    void closeForMemory() override
+    {
+        isClosed = true;
+        MemoryBudget::ofProcess().release(this, heldMemory());
+    }
+};
+
 } // namespace
 
 TEST_GROUP(HttpListener) {};
@@ -88,3 +106,30 @@
     io.run();
     LONGS_EQUAL(500, result.status);
 }
+
+// Guards against clients that do not take their answers and so cut the process off from the store: its answers were refused
+// by their length before any of these clients was closed.
+TEST(HttpListener, AnswersToTheProcessMakeRoomForThemselves)
+{
+    for (const std::size_t bytes : { 100, 15'000, 100'000 }) {
+        asio::io_context io(1);
+        const auto address = freeAddress();
+        const HttpListener listener(io, address, [bytes](HttpRequest) -> Task<HttpResponse> { co_return HttpResponse { 200, std::string(bytes, 'x') }; });
+        HttpClient client(io, address);
+        HttpResult result;
+        std::optional<IdleReader> reader;
+        const auto ask = [&]() -> Task<void> {
+            HttpCall call;
+            call.target = "/";
+            reader.emplace();
+            result = co_await client.call(std::move(call), std::chrono::milliseconds(1000));
+            io.stop();
+        };
+        asio::co_spawn(io, ask(), asio::detached);
+        io.run();
+        CHECK_TRUE(result.outcome == HttpResult::Outcome::Completed);
+        LONGS_EQUAL(200, result.status);
+        LONGS_EQUAL(bytes, result.body.size());
+        CHECK_TRUE(reader->isClosed == (bytes > 16 << 10));
+    }
+}
