Memory budget: a failed search for a connection to close is not repeated at once

Change: a failed search is not repeated within 20 ms for as much memory or more, and a stopped connection waits twice as long after each attempt, up to 320 ms.

--- a/packages/engine/include/kumquatbank/engine/MemoryBudget.h
+++ b/packages/engine/include/kumquatbank/engine/MemoryBudget.h
@@ -66,6 +66,10 @@
     /// Holders with less are never closed: closing them frees no memory to speak of.
     static constexpr std::size_t minClosableBytes = 32 << 10;
 
+    /// Refused callers try again, and thousands may do so at once. A search that found no holder to close is therefore not
+    /// repeated within this time for as much memory or more.
+    static constexpr std::chrono::milliseconds searchInterval { 20 };
+
     /// @p totalBytes: to distribute.
     explicit MemoryBudget(std::size_t totalBytes)
         : m_total(totalBytes)
@@ -93,6 +97,16 @@
     std::uint64_t refusals(MemoryUse use) const { return m_refusals.at(static_cast<std::size_t>(use)); }
 
 private:
+    /// A search that found no holder to close.
+    struct FailedSearch {
+        BootTime at {};
+        std::size_t wanted = 0; ///< Bytes, with those that the requester had.
+    };
+
+    static std::size_t wantedBytes(const MemoryHolder* requester, std::size_t bytes) { return bytes + (requester == nullptr ? 0 : requester->m_held); }
+    static bool isStalled(const MemoryHolder& holder, BootTime now) { return now - holder.m_movedAt >= stallTime; }
+    bool hasJustFailed(const MemoryHolder* requester, MemoryUse use, std::size_t bytes, BootTime now) const;
+    void recordFailedSearch(const MemoryHolder* requester, MemoryUse use, std::size_t bytes, BootTime now);
     bool isClosable(const MemoryHolder& victim, const MemoryHolder* requester, MemoryUse use, std::size_t bytes, BootTime now) const;
     MemoryHolder* selectVictim(const MemoryHolder* requester, MemoryUse use, std::size_t bytes, BootTime now) const;
     std::size_t fairShare() const;
@@ -102,6 +116,7 @@
     std::size_t m_closing = 0; ///< Held by connections that are being closed.
     std::uint64_t m_closed = 0;
     std::array<std::uint64_t, 4> m_refusals {};
+    std::array<FailedSearch, 4> m_failedSearches {};
     std::set<MemoryHolder*> m_holders; ///< That hold anything.
     std::map<std::string, AccountMemory> m_accounts;
 };
--- a/packages/engine/src/LineChannel.cpp
+++ b/packages/engine/src/LineChannel.cpp
@@ -16,8 +16,10 @@
     /// Holds nearly every statement. An idle session keeps a buffer of this size; what 2,048 bytes needed more pays for its
     /// place in the memory budget.
     constexpr std::size_t initialInputBytes = 1536;
-    /// Interval at which a channel that has stopped reading looks for room in the memory budget.
+    /// A channel that has stopped reading looks for room in the memory budget after the first time, then after twice as long
+    /// up to the second one. At 20 ms throughout, some thousand stopped channels take more processor time than a host has.
     constexpr std::chrono::milliseconds memoryRetryInterval { 20 };
+    constexpr std::chrono::milliseconds maxMemoryRetryInterval { 320 };
     constexpr int keepAliveProbes = 2;
     constexpr std::string_view lineTerminator = "\r\n";
 
@@ -107,6 +109,7 @@
 Task<ChannelStatus> LineChannel::readLine(std::string_view& line, BootTime deadline)
 {
     releaseSpareInput();
+    auto retryInterval = memoryRetryInterval;
     while (!extractLine(line)) {
         if (m_end - m_begin > m_maxLineBytes)
             co_return ChannelStatus::TooLong;
@@ -119,9 +122,13 @@
         if (!reserveReadSpace()) {
             if (BootClock::now() >= until)
                 co_return expired;
-            co_await sleepFor(static_cast<asio::io_context&>(m_socket.get_executor().context()), memoryRetryInterval);
+            co_await sleepFor(static_cast<asio::io_context&>(m_socket.get_executor().context()), retryInterval);
+            // Answers of databases, which have no holder, are few and must not wait longer than necessary.
+            if (m_inputHold.holder() != nullptr)
+                retryInterval = std::min(retryInterval * 2, maxMemoryRetryInterval);
             continue;
         }
+        retryInterval = memoryRetryInterval;
         OperationTimer timer(m_socket, until);
         const auto [ec, n] = co_await m_socket.async_read_some(asio::buffer(m_readBuffer.data() + m_end, m_readBuffer.size() - m_end), asTuple);
         if (n == 0 && timer.hasExpired())
--- a/packages/engine/src/MemoryBudget.cpp
+++ b/packages/engine/src/MemoryBudget.cpp
@@ -46,9 +46,21 @@
         return requester == nullptr ? phase != MemoryHolder::Phase::InTransaction : std::tuple(phase, requester->m_held) < std::tuple(requester->memoryPhase(), victim.m_held);
     if (phase == MemoryHolder::Phase::InTransaction)
         return false;
-    const bool isStalled = now - victim.m_movedAt >= stallTime;
-    const auto wanted = bytes + (requester == nullptr ? 0 : requester->m_held);
-    return isStalled || (phase == MemoryHolder::Phase::Waiting && use != MemoryUse::Input && victim.m_held / closableRatio > wanted);
+    return isStalled(victim, now) || (phase == MemoryHolder::Phase::Waiting && use != MemoryUse::Input && victim.m_held / closableRatio > wantedBytes(requester, bytes));
+}
+
+bool MemoryBudget::hasJustFailed(const MemoryHolder* requester, MemoryUse use, std::size_t bytes, BootTime now) const
+{
+    const auto& failed = m_failedSearches.at(static_cast<std::size_t>(use));
+    return now - failed.at < searchInterval && wantedBytes(requester, bytes) >= failed.wanted;
+}
+
+void MemoryBudget::recordFailedSearch(const MemoryHolder* requester, MemoryUse use, std::size_t bytes, BootTime now)
+{
+    // For answers, the result depends on the requester. It also does if the requester is what another one could close.
+    if (use == MemoryUse::Answer || (requester != nullptr && isClosable(*requester, nullptr, use, bytes, now)))
+        return;
+    m_failedSearches.at(static_cast<std::size_t>(use)) = { now, wantedBytes(requester, bytes) };
 }
 
 MemoryHolder* MemoryBudget::selectVictim(const MemoryHolder* requester, MemoryUse use, std::size_t bytes, BootTime now) const
@@ -72,9 +84,13 @@
 {
     // Memory of connections that are being closed is free soon; no more of them are closed than needed.
     while (available(use) + m_closing < bytes) {
+        if (hasJustFailed(holder, use, bytes, now))
+            break;
         auto* const victim = selectVictim(holder, use, bytes, now);
-        if (victim == nullptr)
+        if (victim == nullptr) {
+            recordFailedSearch(holder, use, bytes, now);
             break;
+        }
         victim->m_isClosing = true;
         m_closing += victim->m_held;
         ++m_closed;
--- a/packages/engine/tests/MemoryBudgetTest.cpp
+++ b/packages/engine/tests/MemoryBudgetTest.cpp
@@ -15,8 +15,13 @@
 struct Client : MemoryHolder {
     Phase phase = Phase::Waiting;
     bool isClosed = false;
+    mutable int examined = 0; ///< How often it was considered for closing.
 
-    Phase memoryPhase() const override { return phase; }
+    Phase memoryPhase() const override
+    {
+        ++examined;
+        return phase;
+    }
     void closeForMemory() override { isClosed = true; }
 };
 
@@ -128,3 +133,35 @@
     CHECK_FALSE(budget.reserve(&large, MemoryUse::Answer, megabyte, start + milliseconds(5000)));
     CHECK_FALSE(small.isClosed);
 }
+
+// Guards against thousands of stopped connections that each examine all others whenever they look for room: the process had
+// no time left for anything else.
+TEST(MemoryBudget, ASearchThatFoundNoClientIsNotRepeatedAtOnce)
+{
+    MemoryBudget budget(4 * megabyte);
+    Client holder;
+    holder.phase = MemoryHolder::Phase::InTransaction;
+    CHECK_TRUE(budget.reserve(&holder, MemoryUse::Input, 2 * megabyte, start));
+    Client requester;
+    for (int n = 0; n < 1000; ++n)
+        CHECK_FALSE(budget.reserve(&requester, MemoryUse::Input, 1000, start + milliseconds(5000)));
+    CHECK_TRUE(holder.examined <= 2);
+    holder.phase = MemoryHolder::Phase::Waiting;
+    CHECK_FALSE(budget.reserve(&requester, MemoryUse::Input, 1000, start + milliseconds(5000) + MemoryBudget::searchInterval));
+    CHECK_TRUE(holder.isClosed);
+}
+
+// Guards against a client that can be closed for a short message but stays, because a longer one was refused before.
+TEST(MemoryBudget, AFailedSearchDoesNotHinderAnotherOne)
+{
+    MemoryBudget budget(4 * megabyte);
+    Client large;
+    CHECK_TRUE(budget.reserve(&large, MemoryUse::Work, 3 * megabyte, start));
+    budget.recordMovement(large, start);
+    Client longMessage;
+    Client shortMessage;
+    CHECK_FALSE(budget.reserve(&longMessage, MemoryUse::Work, megabyte, start));
+    CHECK_FALSE(large.isClosed);
+    CHECK_FALSE(budget.reserve(&shortMessage, MemoryUse::Work, megabyte / 2, start));
+    CHECK_TRUE(large.isClosed);
+}
