Long messages: attempts to get memory become rarer

Cause: each waiting message tried every 20 ms, and thousands may wait at once. Change: the time between two attempts doubles up to 160 ms. No test of its own: the outcome is the same.

--- a/packages/pooler/src/ClientSessionLimits.cpp
+++ b/packages/pooler/src/ClientSessionLimits.cpp
@@ -16,7 +16,9 @@
     constexpr std::size_t stateWorkFactor = 3;
     /// A complete message waits this long for memory before it is refused; less than what clients wait for an answer.
     constexpr milliseconds workWait { 1000 };
+    /// Between two attempts, doubled with each up to the second one.
     constexpr milliseconds workRetryInterval { 20 };
+    constexpr milliseconds maxWorkRetryInterval { 160 };
     /// Holds the id of a message; the rest of a refused one is not parsed.
     constexpr std::size_t parsedPrefixBytes = 512;
     constexpr std::string_view shortOfMemory = "the host is short of memory";
@@ -59,6 +61,7 @@
 Task<bool> ClientSession::reserveWork(MemoryHold& work, std::size_t bytes)
 {
     const auto until = BootClock::now() + workWait;
+    auto retryInterval = workRetryInterval;
     while (!work.resize(MemoryUse::Work, bytes)) {
         if (!m_channel.isOpen())
             co_return false;
@@ -69,7 +72,8 @@
                 m_runner.abortTransaction(shortOfMemory);
             co_return false;
         }
-        co_await sleepFor(m_io, workRetryInterval);
+        co_await sleepFor(m_io, retryInterval);
+        retryInterval = std::min(retryInterval * 2, maxWorkRetryInterval);
     }
     co_return true;
 }
