Memory budget: a failed transaction no longer protects its session

Cause: a session whose transaction had failed counted as one inside a transaction until its client sent ROLLBACK. Some tens of such sessions with many values kept the share of session state for good, and every new session was refused. Change: only an open transaction counts; one that has failed or was aborted by the idle limit has nothing left to lose.

--- a/packages/pooler/src/ClientSessionLimits.cpp
+++ b/packages/pooler/src/ClientSessionLimits.cpp
@@ -27,7 +27,8 @@
 
 MemoryHolder::Phase ClientSession::memoryPhase() const
 {
-    if (m_runner.isInTransaction())
+    // A transaction that has failed has nothing left to lose, and its client may leave it so for ever.
+    if (m_runner.transactionState() == TransactionState::Open)
         return Phase::InTransaction;
     return m_request != nullptr ? Phase::Answering : Phase::Waiting;
 }
--- a/packages/pooler/tests/ClientLimitsTest.cpp
+++ b/packages/pooler/tests/ClientLimitsTest.cpp
@@ -128,3 +128,33 @@
         CHECK_FALSE(started.ready.empty());
     }(fixture));
 }
+
+// Guards against sessions that keep the memory of the process for good, by many values and a transaction that has failed.
+TEST(ClientLimits, ASessionWithAFailedTransactionIsClosedForMemory)
+{
+    auto& fixture = makeFixture();
+    fixture.run([](PoolerFixture& f) -> Task<void> {
+        co_await f.waitUntilReady(0);
+        TestClient failed(f.io());
+        TestClient open(f.io());
+        for (auto* client : { &failed, &open }) {
+            co_await client->start(f.clientAddress(0), database);
+            for (int n = 0; n < 10; ++n) {
+                auto text = fmt::format("SET name{} {}", n, std::string(5000, 'x'));
+                co_await client->query(std::move(text));
+            }
+            co_await client->query("BEGIN");
+        }
+        {
+            const FullBudget full;
+            const auto aborted = co_await failed.query("WRITE item y");
+            STRCMP_EQUAL("ABORTED", aborted.code().c_str());
+            TestClient next(f.io());
+            co_await next.start(f.clientAddress(0), database);
+        }
+        const auto closed = co_await failed.query("ROLLBACK");
+        CHECK_TRUE(closed.ready.empty());
+        const auto kept = co_await open.query("WRITE item x");
+        CHECK_TRUE(kept.isSuccess());
+    }(fixture));
+}
