Client sessions: one inside a transaction is the last to make room

Cause: at the limit of descriptors, the client that had owed the rest of a message for longest was closed, also inside a transaction while a client outside one owed a message as well. Change: those inside a transaction come after all others.

--- a/packages/pooler/src/SessionList.cpp
+++ b/packages/pooler/src/SessionList.cpp
@@ -1,6 +1,7 @@
 #include "SessionList.h"
 
 #include <algorithm>
+#include <tuple>
 
 namespace kumquatbank {
 
@@ -36,8 +37,10 @@
     if (open.size() < limit)
         return true;
     const auto since = [](const auto& session) { return session->incompleteSince().value_or(BootTime::max()); };
-    const auto longest = std::ranges::min_element(open, {}, since);
-    if (longest == open.end() || since(*longest) > BootClock::now() - messageGrace)
+    const auto owedBefore = BootClock::now() - messageGrace;
+    std::erase_if(open, [&](const auto& session) { return since(session) > owedBefore; });
+    const auto longest = std::ranges::min_element(open, {}, [&](const auto& session) { return std::tuple(session->memoryPhase() == MemoryHolder::Phase::InTransaction, since(session)); });
+    if (longest == open.end())
         return false;
     (*longest)->closeForDescriptors();
     return true;
--- a/packages/pooler/tests/ClientLimitsTest.cpp
+++ b/packages/pooler/tests/ClientLimitsTest.cpp
@@ -158,3 +158,40 @@
         CHECK_TRUE(kept.isSuccess());
     }(fixture));
 }
+
+// Guards against a session that is closed for another connection inside a transaction, while its client sends a long statement,
+// although a client outside one owes a message as well.
+TEST(ClientLimits, ASessionInATransactionIsTheLastToMakeRoom)
+{
+    auto& fixture = makeFixture([](PoolerSettings& settings) { settings.maxDescriptors = 264; });
+    fixture.run([](PoolerFixture& f) -> Task<void> {
+        co_await f.waitUntilReady(0);
+        const auto until = BootClock::now() + milliseconds(10'000);
+        std::vector<LineChannel> halves; // Clients that owe the rest of a message, the first one inside a transaction.
+        std::string_view line;
+        for (const std::string_view begin : { "QUERY 1 BEGIN\r\n", "" }) {
+            auto channel = co_await LineChannel::connect(f.io(), f.clientAddress(0), WireDialect::maxMessageBytes, milliseconds(1000), milliseconds(3000));
+            const auto text = fmt::format("START {} client\r\n{}QUERY 2 WRITE item x", database, begin);
+            co_await channel->write(text, until);
+            co_await channel->readLine(line, until);
+            halves.push_back(std::move(*channel));
+            co_await f.sleep(milliseconds(20));
+        }
+        std::vector<std::unique_ptr<TestClient>> sessions;
+        while (sessions.size() < 38) {
+            sessions.push_back(std::make_unique<TestClient>(f.io()));
+            co_await sessions.back()->start(f.clientAddress(0), database);
+        }
+        co_await f.sleep(milliseconds(1200));
+        TestClient next(f.io());
+        const auto started = co_await next.start(f.clientAddress(0), database);
+        CHECK_FALSE(started.ready.empty());
+        const std::string rest = "\r\n";
+        co_await halves.front().write(rest, until);
+        for (const std::string_view expected : { "DONE", "READY", "DONE", "READY" }) {
+            const auto status = co_await halves.front().readLine(line, until);
+            CHECK_TRUE(status == ChannelStatus::Ok && line.starts_with(expected));
+        }
+        CHECK_TRUE(halves.back().peerState() != PeerState::Open);
+    }(fixture));
+}
