--- a/packages/pooler/src/ConnectionLender.cpp
+++ b/packages/pooler/src/ConnectionLender.cpp
@@ -102,6 +102,7 @@
             if (!reply.empty()) {
                 if (!co_await send(channel, reply))
                     break;
+                visitor.waitsSince = BootClock::now();
                 continue;
             }
         }
--- a/packages/pooler/tests/ClientLimitsTest.cpp
+++ b/packages/pooler/tests/ClientLimitsTest.cpp
@@ -1,3 +1,4 @@
+#include "LimitMessage.h"
 #include "PoolerFixture.h"
 #include "kumquatbank/engine/MemoryBudget.h"
 #include "kumquatbank/routing/SessionState.h"
@@ -33,7 +34,7 @@
 } // namespace
 
 TEST_GROUP(ClientLimits) {
-    static PoolerFixture & makeFixture(std::function<void(PoolerSettings&)> adjust = {}) { return *new PoolerFixture({}, 1, 1, false, 1, std::move(adjust));
+    static PoolerFixture & makeFixture(std::function<void(PoolerSettings&)> adjust = {}, bool lends = false) { return *new PoolerFixture({}, 1, 1, lends, 1, std::move(adjust));
 }
 }
 ;
@@ -195,3 +196,27 @@
         CHECK_TRUE(halves.back().peerState() != PeerState::Open);
     }(fixture));
 }
+
+// Guards against the close of a channel that carries limits all the time, as the one that has waited longest for a loan.
+TEST(ClientLimits, AChannelInUseForLimitsKeepsItsPlaceAtTheLoanAddress)
+{
+    auto& fixture = makeFixture([](PoolerSettings& settings) { settings.maxDescriptors = 264; }, true);
+    fixture.run([](PoolerFixture& f) -> Task<void> {
+        co_await f.waitUntilReady(0);
+        const auto until = BootClock::now() + milliseconds(10'000);
+        std::vector<LineChannel> channels;
+        std::string_view line;
+        LimitRequest request;
+        request.host = "other";
+        const auto text = LimitMessage::formatRequest(request);
+        for (int n = 0; n < 10; ++n) {
+            auto channel = co_await LineChannel::connect(f.io(), f.loanAddress(0), WireDialect::maxMessageBytes, milliseconds(1000), milliseconds(3000));
+            channels.push_back(std::move(*channel));
+            co_await f.sleep(milliseconds(20));
+            co_await channels.front().write(text, until);
+            const auto status = co_await channels.front().readLine(line, until);
+            CHECK_TRUE_TEXT(status == ChannelStatus::Ok, std::to_string(n).c_str());
+        }
+        CHECK_TRUE(channels.at(1).peerState() == PeerState::Ended);
+    }(fixture));
+}
--- a/packages/pooler/tests/PoolerFixture.h
+++ b/packages/pooler/tests/PoolerFixture.h
@@ -60,6 +60,7 @@
     EmulatedPlatform& platform() { return *m_platform; }
     HostAddress clientAddress(int host = 0) const { return address(host, 0); }
     HostAddress peerAddress(int host) const { return address(host, 2); }
+    HostAddress loanAddress(int host) const { return address(host, 4); }
     PoolerProcess& process(int host) { return *m_processes.at(static_cast<std::size_t>(host)); }
     void startHost(int host);
     /// Hosts that are started from now on read their settings from files in @p folder.
