Loan address: requests of more than 128 KiB are refused

Cause: a request of up to 1 MiB was parsed as JSON. Change: the limit is 128 KiB; statements inside a loan may still be longer.

--- a/packages/pooler/src/ConnectionLender.cpp
+++ b/packages/pooler/src/ConnectionLender.cpp
@@ -17,6 +17,9 @@
     /// Upper bounds on the times that a borrower may request.
     constexpr milliseconds maxWait { 10'000 };
     constexpr milliseconds maxAnswerTimeout { 60'000 };
+    /// Of a request for a loan or for limits; statements inside a loan may be longer. Parsed JSON takes up to 80 times its
+    /// length, which is not counted in the memory budget. About 3,000 accounts fit into a request for limits.
+    constexpr std::size_t maxRequestBytes = 128 << 10;
     /// Suggested retry delay for a borrower if the service is not known on this host yet.
     constexpr milliseconds unknownServiceRetryAfter { 200 };
 
@@ -97,6 +100,10 @@
     std::string_view line;
     auto status = ChannelStatus::Ok;
     while ((status = co_await channel.readLine(line, BootClock::now() + channelIdleTime)) == ChannelStatus::Ok) {
+        if (line.size() > maxRequestBytes) {
+            status = ChannelStatus::TooLong;
+            break;
+        }
         if (LimitMessage::isRequest(line)) {
             const auto reply = m_limits.answer(line);
             if (!reply.empty()) {
--- a/packages/pooler/tests/ClientLimitsTest.cpp
+++ b/packages/pooler/tests/ClientLimitsTest.cpp
@@ -220,3 +220,23 @@
         CHECK_TRUE(channels.at(1).peerState() == PeerState::Ended);
     }(fixture));
 }
+
+// Guards against a request of 1 MiB between hosts, whose parsed form may take 80 MB.
+TEST(ClientLimits, ALongRequestAtTheLoanAddressIsNotParsed)
+{
+    auto& fixture = makeFixture({}, true);
+    fixture.run([](PoolerFixture& f) -> Task<void> {
+        co_await f.waitUntilReady(0);
+        const auto until = BootClock::now() + milliseconds(10'000);
+        for (const std::size_t bytes : { 10'000, 200'000 }) {
+            auto channel = co_await LineChannel::connect(f.io(), f.loanAddress(0), WireDialect::maxMessageBytes, milliseconds(1000), milliseconds(3000));
+            LimitRequest request;
+            request.host = std::string(bytes, 'x');
+            const auto text = LimitMessage::formatRequest(request);
+            co_await channel->write(text, until);
+            std::string_view line;
+            const auto status = co_await channel->readLine(line, until);
+            CHECK_TRUE(status == (bytes == 10'000 ? ChannelStatus::Ok : ChannelStatus::Closed));
+        }
+    }(fixture));
+}
