--- a/packages/pooler/src/DatabaseService.cpp
+++ b/packages/pooler/src/DatabaseService.cpp
@@ -205,7 +205,9 @@
 {
     if (id == m_primary)
         return;
-    EventLog::info("primary_changed", { { "service", m_name }, { "from", m_primary }, { "to", id }, { "evidence", evidence }, { "believed_for_ms", toMs(BootClock::now() - m_primarySince) } });
+    // A process that has just started has had no primary before.
+    const auto believedFor = m_primarySince == BootTime() ? -1 : toMs(BootClock::now() - m_primarySince);
+    EventLog::info("primary_changed", { { "service", m_name }, { "from", m_primary }, { "to", id }, { "evidence", evidence }, { "believed_for_ms", believedFor } });
     const auto previous = std::exchange(m_primary, id);
     m_primarySince = BootClock::now();
     if (m_pacer && !id.empty() && id != m_lastPrimary)
