--- a/packages/pooler/src/ConnectionLender.cpp
+++ b/packages/pooler/src/ConnectionLender.cpp
@@ -36,19 +36,19 @@
 } // namespace
 
 /// A channel that a borrower has opened.
-class ConnectionLender::Visitor : public MemoryHolder {
+class ConnectionLender::BorrowerChannel : public MemoryHolder {
 public:
-    Visitor(LineChannel opened, ConnectionLender& lender)
+    BorrowerChannel(LineChannel opened, ConnectionLender& lender)
         : channel(std::move(opened))
         , m_lender(lender)
     {
         channel.setMemoryHolder(*this);
-        m_lender.m_visitors.insert(this);
+        m_lender.m_channels.insert(this);
     }
-    ~Visitor() override { m_lender.m_visitors.erase(this); }
+    ~BorrowerChannel() override { m_lender.m_channels.erase(this); }
 
-    Visitor(const Visitor&) = delete;
-    Visitor& operator=(const Visitor&) = delete;
+    BorrowerChannel(const BorrowerChannel&) = delete;
+    BorrowerChannel& operator=(const BorrowerChannel&) = delete;
 
     Phase memoryPhase() const override { return isServed ? Phase::InTransaction : Phase::Waiting; }
     void closeForMemory() override
@@ -67,12 +67,12 @@
 
 bool ConnectionLender::makeRoom()
 {
-    const auto isOpen = [](const Visitor* visitor) { return visitor->channel.isOpen(); };
-    if (static_cast<std::size_t>(std::ranges::count_if(m_visitors, isOpen)) < m_channelLimit)
+    const auto isOpen = [](const BorrowerChannel* borrower) { return borrower->channel.isOpen(); };
+    if (static_cast<std::size_t>(std::ranges::count_if(m_channels, isOpen)) < m_channelLimit)
         return true;
     m_metrics.clientRefused("descriptors");
-    const auto longest = std::ranges::min_element(m_visitors, {}, [&](const Visitor* visitor) { return std::tuple(!isOpen(visitor), visitor->isServed, visitor->waitsSince); });
-    if (longest == m_visitors.end() || !isOpen(*longest) || (*longest)->isServed)
+    const auto longest = std::ranges::min_element(m_channels, {}, [&](const BorrowerChannel* borrower) { return std::tuple(!isOpen(borrower), borrower->isServed, borrower->waitsSince); });
+    if (longest == m_channels.end() || !isOpen(*longest) || (*longest)->isServed)
         return false;
     (*longest)->channel.close();
     return true;
@@ -95,8 +95,8 @@
 {
     if (!makeRoom())
         co_return;
-    Visitor visitor(std::move(opened), *this);
-    auto& channel = visitor.channel;
+    BorrowerChannel borrower(std::move(opened), *this);
+    auto& channel = borrower.channel;
     std::string_view line;
     auto status = ChannelStatus::Ok;
     while ((status = co_await channel.readLine(line, BootClock::now() + channelIdleTime)) == ChannelStatus::Ok) {
@@ -109,7 +109,7 @@
             if (!reply.empty()) {
                 if (!co_await send(channel, reply))
                     break;
-                visitor.waitsSince = BootClock::now();
+                borrower.waitsSince = BootClock::now();
                 continue;
             }
         }
@@ -118,11 +118,11 @@
             EventLog::warn("loan_request_unreadable", { { "bytes", line.size() } });
             break;
         }
-        visitor.isServed = true;
+        borrower.isServed = true;
         if (!co_await lend(channel, std::move(*loanRequest)))
             break;
-        visitor.isServed = false;
-        visitor.waitsSince = BootClock::now();
+        borrower.isServed = false;
+        borrower.waitsSince = BootClock::now();
     }
     if (status == ChannelStatus::TooLong || status == ChannelStatus::Incomplete)
         m_metrics.clientRefused(status == ChannelStatus::TooLong ? "too_long" : "incomplete");
--- a/packages/pooler/src/ConnectionLender.h
+++ b/packages/pooler/src/ConnectionLender.h
@@ -32,7 +32,7 @@
     /// Handles one request. Returns false if the channel can no longer be used.
     Task<bool> lend(LineChannel& channel, LoanRequest loanRequest);
 
-    class Visitor;
+    class BorrowerChannel;
     /// Closes the channel without a loan that has waited longest if there are too many. Returns false if there is none.
     bool makeRoom();
 
@@ -41,7 +41,7 @@
     PoolerMetrics& m_metrics;
     std::optional<StopSchedule> m_stop;
     std::set<Loan*> m_loans;
-    std::set<Visitor*> m_visitors;
+    std::set<BorrowerChannel*> m_channels;
     std::size_t m_channelLimit = 4096;
 };
 
--- a/packages/pooler/src/ServiceRegistry.h
+++ b/packages/pooler/src/ServiceRegistry.h
@@ -2,7 +2,7 @@
 
 #include "DatabaseService.h"
 #include "kumquatbank/routing/AccessHistory.h"
-#include "kumquatbank/routing/RetryBudget.h"
+#include "kumquatbank/routing/ServiceRetryBudget.h"
 
 namespace kumquatbank {
 
@@ -42,7 +42,7 @@
     std::shared_ptr<DatabaseService> find(const std::string& service) const;
     const std::map<std::string, std::shared_ptr<DatabaseService>>& services() const { return m_services; }
     /// The budget for the retries of a service; null without pacing, where retries are bounded for each statement only.
-    RetryBudget* retryBudget(const std::string& service) { return m_isPaced ? &m_retryBudgets[service] : nullptr; }
+    ServiceRetryBudget* retryBudget(const std::string& service) { return m_isPaced ? &m_retryBudgets[service] : nullptr; }
 
     /// Waits until a configuration is active; false if there is none at @p until or at the end of waits.
     Task<bool> waitForConfig(BootTime until);
@@ -75,7 +75,7 @@
     std::chrono::milliseconds m_drainTime { 0 };
     std::chrono::milliseconds m_memberRetention { 0 };
     std::map<std::string, std::shared_ptr<DatabaseService>> m_services;
-    std::map<std::string, RetryBudget> m_retryBudgets; ///< By service.
+    std::map<std::string, ServiceRetryBudget> m_retryBudgets; ///< By service.
     std::vector<std::shared_ptr<AutoResetEvent>> m_configWaiters;
     bool m_hasEndedConfigWait = false;
 };
--- a/packages/routing/include/kumquatbank/routing/AccountUse.h
+++ b/packages/routing/include/kumquatbank/routing/AccountDemand.h
@@ -6,7 +6,7 @@
 
 /// Recent use of one endpoint by one account: how often it needed a connection, and for how long it held them. Both
 /// averages decay, so that an account that stops sending loses its weight.
-class AccountUse {
+class AccountDemand {
 public:
     /// Records that the account needs a connection.
     void recordUse(BootTime now);
--- a/packages/routing/include/kumquatbank/routing/ConnectionCache.h
+++ b/packages/routing/include/kumquatbank/routing/ConnectionCache.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "kumquatbank/routing/AccountUse.h"
+#include "kumquatbank/routing/AccountDemand.h"
 
 #include <map>
 #include <optional>
@@ -70,7 +70,7 @@
 
 private:
     struct Account {
-        AccountUse use;
+        AccountDemand use;
         int idle = 0;
         int inUse = 0; ///< Includes connections that are being opened.
     };
--- a/packages/routing/include/kumquatbank/routing/RetryBudget.h
+++ b/packages/routing/include/kumquatbank/routing/ServiceRetryBudget.h
@@ -5,7 +5,7 @@
 /// Bounds the attempts that the proxy adds to the load of a service by sending statements again: at most a tenth of the
 /// statements, and a few more at once. Without it, endpoints that fail because they are overloaded get several times the
 /// load.
-class RetryBudget {
+class ServiceRetryBudget {
 public:
     /// Records a statement, before its first attempt.
     void recordStatement();
--- a/packages/routing/include/kumquatbank/routing/routing.h
+++ b/packages/routing/include/kumquatbank/routing/routing.h
@@ -4,9 +4,9 @@
 /// connections, and which position a read requires. Nothing here uses the network; time is always an argument.
 
 #include "kumquatbank/routing/AccessHistory.h"
+#include "kumquatbank/routing/AccountDemand.h"
 #include "kumquatbank/routing/AccountShare.h"
 #include "kumquatbank/routing/AccountUsage.h"
-#include "kumquatbank/routing/AccountUse.h"
 #include "kumquatbank/routing/ClientAccount.h"
 #include "kumquatbank/routing/ConnectionCache.h"
 #include "kumquatbank/routing/ConnectionSharing.h"
@@ -23,9 +23,9 @@
 #include "kumquatbank/routing/PermitRequest.h"
 #include "kumquatbank/routing/PromotionPolicy.h"
 #include "kumquatbank/routing/ReadFloor.h"
-#include "kumquatbank/routing/RetryBudget.h"
 #include "kumquatbank/routing/RoutingConfig.h"
 #include "kumquatbank/routing/ServicePacing.h"
+#include "kumquatbank/routing/ServiceRetryBudget.h"
 #include "kumquatbank/routing/ServiceScheduler.h"
 #include "kumquatbank/routing/SessionState.h"
 #include "kumquatbank/routing/Statement.h"
--- a/packages/routing/src/AccountUse.cpp
+++ b/packages/routing/src/AccountDemand.cpp
@@ -1,4 +1,4 @@
-#include "kumquatbank/routing/AccountUse.h"
+#include "kumquatbank/routing/AccountDemand.h"
 
 #include <algorithm>
 #include <cmath>
@@ -24,27 +24,27 @@
 
 } // namespace
 
-void AccountUse::recordUse(BootTime now)
+void AccountDemand::recordUse(BootTime now)
 {
     decay(now);
     m_uses += 1.0;
     m_lastUse = now;
 }
 
-void AccountUse::recordHold(std::chrono::nanoseconds held, BootTime now)
+void AccountDemand::recordHold(std::chrono::nanoseconds held, BootTime now)
 {
     decay(now);
     m_heldSeconds += Seconds(held).count();
 }
 
-double AccountUse::ratePerSecond(BootTime now) const
+double AccountDemand::ratePerSecond(BootTime now) const
 {
     const double average = m_uses * decayFactor(now) * perSecond();
     const double silence = Seconds(now - m_lastUse).count();
     return silence * average > plausibleSilence ? plausibleSilence / silence : average;
 }
 
-double AccountUse::ratePerSecondOf(int n, BootTime now) const
+double AccountDemand::ratePerSecondOf(int n, BootTime now) const
 {
     const double load = m_heldSeconds * decayFactor(now) * perSecond();
     double allInUse = 1.0;
@@ -53,9 +53,9 @@
     return ratePerSecond(now) * allInUse;
 }
 
-bool AccountUse::isForgotten(BootTime now) const { return m_uses * decayFactor(now) < forgottenBelowUses; }
+bool AccountDemand::isForgotten(BootTime now) const { return m_uses * decayFactor(now) < forgottenBelowUses; }
 
-void AccountUse::decay(BootTime now)
+void AccountDemand::decay(BootTime now)
 {
     const double factor = decayFactor(now);
     m_uses *= factor;
@@ -63,6 +63,6 @@
     m_updatedAt = now;
 }
 
-double AccountUse::decayFactor(BootTime now) const { return std::exp2(-Seconds(now - m_updatedAt) / halfLife); }
+double AccountDemand::decayFactor(BootTime now) const { return std::exp2(-Seconds(now - m_updatedAt) / halfLife); }
 
 } // namespace kumquatbank
--- a/packages/routing/tests/RetryBudgetTest.cpp
+++ b/packages/routing/tests/ServiceRetryBudgetTest.cpp
@@ -1,4 +1,4 @@
-#include "kumquatbank/routing/RetryBudget.h"
+#include "kumquatbank/routing/ServiceRetryBudget.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -7,7 +7,7 @@
 namespace {
 
 /// Number of retries of @p statements that each fail up to four times.
-int retriesOf(RetryBudget& budget, int statements)
+int retriesOf(ServiceRetryBudget& budget, int statements)
 {
     int retries = 0;
     for (int n = 0; n < statements; ++n) {
@@ -20,14 +20,14 @@
 
 } // namespace
 
-TEST_GROUP(RetryBudget)
+TEST_GROUP(ServiceRetryBudget)
 {
-    RetryBudget budget;
+    ServiceRetryBudget budget;
 };
 
 // Load pattern: every attempt fails, because the endpoints are overloaded. Five attempts a statement would be five times the
 // load.
-TEST(RetryBudget, RetriesAddATenthOfTheLoadWhenEverythingFails)
+TEST(ServiceRetryBudget, RetriesAddATenthOfTheLoadWhenEverythingFails)
 {
     const int first = retriesOf(budget, 100);
     CHECK_TRUE(first >= 9 && first <= 13);
@@ -36,7 +36,7 @@
 }
 
 // Load pattern: one statement in twenty fails once.
-TEST(RetryBudget, RareFailuresAreAllRetried)
+TEST(ServiceRetryBudget, RareFailuresAreAllRetried)
 {
     for (int n = 0; n < 1'000; ++n) {
         budget.recordStatement();
@@ -45,7 +45,7 @@
 }
 
 // Load pattern: a long time without failures, then all fail.
-TEST(RetryBudget, AQuietTimeDoesNotPayForAStorm)
+TEST(ServiceRetryBudget, AQuietTimeDoesNotPayForAStorm)
 {
     for (int n = 0; n < 100'000; ++n)
         budget.recordStatement();
