Review stand-ins: a replica's position has the term of its newest commit

A replica that receives nothing from a new primary keeps the term of its own log in its position, as a sound database does.

--- a/review/standins-2/tests/World.cpp
+++ b/review/standins-2/tests/World.cpp
@@ -242,12 +242,14 @@
     return static_cast<std::size_t>(std::ranges::count_if(m_log, [&](const Commit& commit) { return commit.receivedAt + lag <= now; }));
 }
 
-std::string Database::position() const { return std::to_string(m_term) + '.' + std::to_string(1000 + applied()); }
+std::uint64_t Database::termAt(std::size_t n) const { return n == 0 ? 1 : m_log[n - 1].term; }
+
+std::string Database::position() const { return std::to_string(termAt(applied())) + '.' + std::to_string(1000 + applied()); }
 
 std::string Database::statusRow() const
 {
     const auto lag = m_world.m_disruptions[m_id].lag.count();
-    return "ROW " + std::string(m_world.m_primary == m_id ? "primary " : "replica ") + std::to_string(m_term) + ' ' + std::to_string(m_term) + '.' + std::to_string(1000 + m_log.size()) + ' ' + std::to_string(m_term) + ' ' + std::to_string(lag) + " 0 1\r\nDONE -\r\n";
+    return "ROW " + std::string(m_world.m_primary == m_id ? "primary " : "replica ") + std::to_string(m_term) + ' ' + std::to_string(termAt(m_log.size())) + '.' + std::to_string(1000 + m_log.size()) + ' ' + std::to_string(m_term) + ' ' + std::to_string(lag) + " 0 1\r\nDONE -\r\n";
 }
 
 std::string Database::refuse(Session& session, const std::string& code)
@@ -266,7 +268,7 @@
         const auto dot = wanted.find('.');
         const auto term = std::stoull(wanted.substr(0, dot));
         const auto number = std::stoull(wanted.substr(dot + 1));
-        if (std::pair(m_term, std::uint64_t(1000 + applied())) < std::pair(std::uint64_t(term), std::uint64_t(number)))
+        if (std::pair(termAt(applied()), std::uint64_t(1000 + applied())) < std::pair(std::uint64_t(term), std::uint64_t(number)))
             return refuse(session, "LAGGING");
         text = rest;
         word = takeWord(rest);
--- a/review/standins-2/tests/World.h
+++ b/review/standins-2/tests/World.h
@@ -101,6 +101,8 @@
     std::string refuse(Session& session, const std::string& code);
     bool hasLostLead(const Session& session) const;
     std::size_t applied() const;
+    /// Term of the n-th commit of the log.
+    std::uint64_t termAt(std::size_t n) const;
     std::string position() const;
     std::string statusRow() const;
 
