Log and count refused commands on database connections

Cause: callers of review/6 got NOSTMT for a name whose PREPARE had been acknowledged. Logs and metrics could not tell the hypotheses apart (a refused PREPARE, a belief that outlived its connection, a name with two shapes): nothing names the connection that a statement used, and the reply to a PREPARE of the proxy is not logged.

Change: database connections have a number in logs. connection_command_refused and kumquatbank_connection_commands_refused_total name each PREPARE, SET or RESET that an endpoint refused, with its code and the transaction state; prepared_name_unknown tells whether the proxy expected the name on that connection. TransactionState moves from the adapter to routing, which decides on it.

--- a/packages/pooler/src/ConnectionLease.cpp
+++ b/packages/pooler/src/ConnectionLease.cpp
@@ -2,6 +2,7 @@
 
 #include "DatabaseService.h"
 #include "LenderLink.h"
+#include "kumquatbank/engine/EventLog.h"
 
 namespace kumquatbank {
 
@@ -52,6 +53,12 @@
         m_service->recordOutcome(*m_endpoint, outcome, sentAt);
 }
 
+void ConnectionLease::recordRefusedCommand(std::string_view command, std::string_view request, ErrorCode code, TransactionState state)
+{
+    m_service->metrics().connectionCommandRefused(m_service->name(), command, errorCodeName(code));
+    EventLog::warn("connection_command_refused", { { "request", request }, { "service", m_service->name() }, { "endpoint", endpointId() }, { "connection", m_connection->number() }, { "lender", lender() }, { "command", command }, { "code", errorCodeName(code) }, { "state", transactionStateName(state) } });
+}
+
 void ConnectionLease::returnConnection()
 {
     if (m_connection && m_lender)
--- a/packages/pooler/src/DatabaseConnection.cpp
+++ b/packages/pooler/src/DatabaseConnection.cpp
@@ -37,6 +37,12 @@
     co_return result;
 }
 
+std::uint64_t DatabaseConnection::nextNumber()
+{
+    static std::uint64_t number = 0;
+    return ++number;
+}
+
 Task<ExchangeStatus> DatabaseConnection::send(std::string commands, int replies, BootTime until)
 {
     if (m_channel.isClosedByPeer()) {
--- a/packages/pooler/src/DatabaseConnection.h
+++ b/packages/pooler/src/DatabaseConnection.h
@@ -43,6 +43,7 @@
     DatabaseConnection(LineChannel channel, std::string account)
         : m_channel(std::move(channel))
         , m_account(std::move(account))
+        , m_number(nextNumber())
     {
     }
 
@@ -56,6 +57,8 @@
     ConnectionState& state() { return m_state; }
     /// Account that the database was told; empty if it was told the name of a host.
     const std::string& account() const { return m_account; }
+    /// Number of the connection in logs; unique in this process, also for borrowed connections.
+    std::uint64_t number() const { return m_number; }
     /// Returns true if the connection is open, outside a transaction, has no pending replies and keeps little session state.
     bool isReusable() const { return m_channel.isOpen() && m_pendingReplies == 0 && m_transaction == TransactionState::None && m_state.isSmall(); }
     bool needsRollback() const { return m_channel.isOpen() && m_pendingReplies == 0 && m_transaction != TransactionState::None; }
@@ -66,8 +69,11 @@
     LineChannel releaseChannel() { return std::move(m_channel); }
 
 private:
+    static std::uint64_t nextNumber();
+
     LineChannel m_channel;
     std::string m_account;
+    std::uint64_t m_number;
     ConnectionState m_state;
     int m_pendingReplies = 0; ///< Replies that were requested and not yet received.
     TransactionState m_transaction = TransactionState::None;
--- a/packages/pooler/src/DatabaseService.h
+++ b/packages/pooler/src/DatabaseService.h
@@ -126,6 +126,7 @@
     bool hasStalledCommits() const;
     /// Refuses requests for the primary at once until then, because no endpoint can become primary before.
     void refuseWritesUntil(BootTime until) { m_writesRefusedUntil = until; }
+    PoolerMetrics& metrics() { return m_metrics; }
     ServiceScheduler& scheduler() { return m_scheduler; }
     const ServiceScheduler& scheduler() const { return m_scheduler; }
     std::size_t idleConnections() const;
--- a/packages/pooler/src/PoolerMetrics.cpp
+++ b/packages/pooler/src/PoolerMetrics.cpp
@@ -35,6 +35,7 @@
     , m_connections(family(m_registry, prometheus::BuildCounter(), "kumquatbank_connections_total", "Connection attempts to endpoints"))
     , m_connectionsNeeded(family(m_registry, prometheus::BuildCounter(), "kumquatbank_connections_needed_total", "New connections that requests needed, by reason"))
     , m_connectionsClosed(family(m_registry, prometheus::BuildCounter(), "kumquatbank_connections_closed_total", "Connections to endpoints that were closed, by reason"))
+    , m_refusedCommands(family(m_registry, prometheus::BuildCounter(), "kumquatbank_connection_commands_refused_total", "Commands of the proxy's own that endpoints refused, by command and code"))
     , m_idleConnections(family(m_registry, prometheus::BuildGauge(), "kumquatbank_idle_connections", "Idle connections to endpoints, by service"))
     , m_loans(family(m_registry, prometheus::BuildCounter(), "kumquatbank_loans_total", "Connections that other hosts asked for, by service and outcome"))
     , m_borrowed(family(m_registry, prometheus::BuildCounter(), "kumquatbank_borrowed_connections_total", "Connections that other hosts were asked for, by outcome"))
@@ -114,6 +115,11 @@
     m_connectionsClosed.Add({ { "service", service }, { "reason", std::string(reason) } }).Increment();
 }
 
+void PoolerMetrics::connectionCommandRefused(const std::string& service, std::string_view command, std::string_view code)
+{
+    m_refusedCommands.Add({ { "service", service }, { "command", std::string(command) }, { "code", std::string(code) } }).Increment();
+}
+
 void PoolerMetrics::setIdleConnections(const std::string& service, std::size_t connections)
 {
     m_idleConnections.Add({ { "service", service } }).Set(static_cast<double>(connections));
--- a/packages/pooler/src/PoolerMetrics.h
+++ b/packages/pooler/src/PoolerMetrics.h
@@ -41,6 +41,8 @@
     /// connection of another account was closed.
     void connectionNeeded(const std::string& service, std::string_view reason);
     void connectionClosed(const std::string& service, std::string_view reason);
+    /// Records that an endpoint refused a command of the proxy's own, such as the replay of a session's state.
+    void connectionCommandRefused(const std::string& service, std::string_view command, std::string_view code);
     void setIdleConnections(const std::string& service, std::size_t connections);
     /// Records the answer to a loan request of another host.
     void loanAnswered(const std::string& service, bool granted);
@@ -94,6 +96,7 @@
     prometheus::Family<prometheus::Counter>& m_connections;
     prometheus::Family<prometheus::Counter>& m_connectionsNeeded;
     prometheus::Family<prometheus::Counter>& m_connectionsClosed;
+    prometheus::Family<prometheus::Counter>& m_refusedCommands;
     prometheus::Family<prometheus::Gauge>& m_idleConnections;
     prometheus::Family<prometheus::Counter>& m_loans;
     prometheus::Family<prometheus::Counter>& m_borrowed;
--- a/packages/pooler/src/StatementExchange.cpp
+++ b/packages/pooler/src/StatementExchange.cpp
@@ -1,6 +1,7 @@
 #include "StatementExchange.h"
 
 #include "DatabaseService.h"
+#include "kumquatbank/engine/EventLog.h"
 
 namespace kumquatbank {
 
@@ -46,6 +47,9 @@
     std::vector<DatabaseReply> replies;
     const auto status = co_await connection.exchange(std::move(commands), replies, values.size() + (needsReset ? 1 : 0), until);
     const bool isDone = status == ExchangeStatus::Ok && std::ranges::all_of(replies, &DatabaseReply::isSuccess);
+    const auto refused = std::ranges::find_if(replies, [](const DatabaseReply& reply) { return reply.code.has_value(); });
+    if (refused != replies.end())
+        lease.recordRefusedCommand(needsReset && refused == replies.begin() ? "reset" : "set", "", *refused->code, refused->state);
     if (!isDone) {
         connection.close();
         lease.recordFailure("session replay");
@@ -67,8 +71,11 @@
     auto commands = prepared.preamble + WireDialect::query(id, prepared.text, floor) + (rollsBack ? WireDialect::rollback() : "");
     prepared.text = {}; // May be long, and is not needed while the answer is awaited.
     exchange.status = co_await connection.send(std::move(commands), prepared.preambleReplies + (rollsBack ? 2 : 1), until);
-    for (int n = 0; n <= prepared.preambleReplies && exchange.status == ExchangeStatus::Ok; ++n)
+    for (int n = 0; n <= prepared.preambleReplies && exchange.status == ExchangeStatus::Ok; ++n) {
         exchange.status = co_await connection.receive(exchange.reply, until);
+        if (n < prepared.preambleReplies && exchange.status == ExchangeStatus::Ok && exchange.reply.code)
+            lease.recordRefusedCommand("prepare", id, *exchange.reply.code, exchange.reply.state);
+    }
     if (exchange.status != ExchangeStatus::Ok) {
         lease.recordFailure(exchange.status == ExchangeStatus::TimedOut ? "no answer" : "connection broke");
         if (exchange.wasSent())
@@ -84,6 +91,8 @@
     lease.recordAnswer(exchange.sentAt);
     lease.service().recordStatement(lease.endpoint(), exchange.sentAt, exchange.reply.code == ErrorCode::Busy);
     lease.recordOutcome(outcomeOf(exchange.reply.code), exchange.sentAt);
+    if (exchange.reply.code == ErrorCode::UnknownStatement)
+        EventLog::warn("prepared_name_unknown", { { "request", id }, { "endpoint", lease.endpointId() }, { "connection", connection.number() }, { "lender", lease.lender() }, { "was_expected", prepared.connectionName.empty() } });
     if (!prepared.connectionName.empty() && exchange.reply.code != ErrorCode::UnknownStatement)
         connection.state().recordPrepared(prepared.connectionName);
     co_return exchange;
--- a/packages/routing/include/kumquatbank/routing/routing.h
+++ b/packages/routing/include/kumquatbank/routing/routing.h
@@ -32,4 +32,5 @@
 #include "kumquatbank/routing/StatementError.h"
 #include "kumquatbank/routing/StatementOutcome.h"
 #include "kumquatbank/routing/StopSchedule.h"
+#include "kumquatbank/routing/TransactionState.h"
 #include "kumquatbank/routing/WaitingQueue.h"
