Record a prepared name only after the endpoint has accepted its PREPARE

Cause: exchangeStatement() sends PREPARE and EXEC together and read both replies into one variable, so the reply to the PREPARE was lost; the name was recorded for every code of the EXEC but NOSTMT. In a plain transaction whose database has lost the lead, PREPARE gets READONLY and EXEC then MALFORMED, so the refused name was recorded.

Change: each reply to a PREPARE is read on its own; only a success records the name.

--- a/packages/pooler/src/StatementExchange.cpp
+++ b/packages/pooler/src/StatementExchange.cpp
@@ -73,7 +73,11 @@
     exchange.status = co_await connection.send(std::move(commands), prepared.preambleReplies + (rollsBack ? 2 : 1), until);
     for (int n = 0; n <= prepared.preambleReplies && exchange.status == ExchangeStatus::Ok; ++n) {
         exchange.status = co_await connection.receive(exchange.reply, until);
-        if (n < prepared.preambleReplies && exchange.status == ExchangeStatus::Ok && exchange.reply.code)
+        if (n >= prepared.preambleReplies || exchange.status != ExchangeStatus::Ok)
+            continue;
+        if (exchange.reply.isSuccess())
+            connection.state().recordPrepared(prepared.connectionName);
+        else
             lease.recordRefusedCommand("prepare", id, *exchange.reply.code, exchange.reply.state);
     }
     if (exchange.status != ExchangeStatus::Ok) {
@@ -93,8 +97,6 @@
     lease.recordOutcome(outcomeOf(exchange.reply.code), exchange.sentAt);
     if (exchange.reply.code == ErrorCode::UnknownStatement)
         EventLog::warn("prepared_name_unknown", { { "request", id }, { "endpoint", lease.endpointId() }, { "connection", connection.number() }, { "lender", lease.lender() }, { "was_expected", prepared.connectionName.empty() } });
-    if (!prepared.connectionName.empty() && exchange.reply.code != ErrorCode::UnknownStatement)
-        connection.state().recordPrepared(prepared.connectionName);
     co_return exchange;
 }
 
--- a/tools/emulator/EmulatedDatabase.cpp
+++ b/tools/emulator/EmulatedDatabase.cpp
@@ -218,6 +218,8 @@
     const bool ends = statement.kind == StatementKind::Commit || statement.kind == StatementKind::Rollback;
     if (session.state == TransactionState::Failed && !ends)
         co_return refuse(session, "MALFORMED");
+    if (session.state == TransactionState::Open && !session.isReadOnly && !ends && hasLostLead(session))
+        co_return refuse(session, "READONLY");
 
     switch (statement.kind) {
     case StatementKind::SetValue:
