Emulator and soak: refused and cut commands, leads that move under open transactions

Change: a database of the emulator refuses, cuts, repeats or answers with a wrong transaction state the next commands of one kind; it may take back what a rolled back transaction has set, which PROTOCOL leaves open.

--- a/scripts/pooler_soak.sh
+++ b/scripts/pooler_soak.sh
@@ -10,8 +10,11 @@
 # --max-connections N: of each database; with fewer than hosts, hosts lend each other connections. --regions N: of hosts.
 # --accounts N: clients send the keys of N accounts, which the operator takes away and gives back. With --planned, where no
 # host is cut off from the store, a withdrawn key must be refused 5 s after the store's acknowledgement at the latest.
+# --sessions: clients that depend on session values and prepared statements, commands of the proxies that databases refuse or
+# cut, and leads that move under open transactions. No answer may blame a client for that, no statement may run with other
+# values than its session set, and nothing may be kept that an answer promised not to be.
 # Usage: scripts/pooler_soak.sh [--seed N] [--seconds N] [--hosts N] [--sync N] [--odd] [--planned | --orders]
-#            [--max-connections N] [--regions N] [--accounts N]
+#            [--max-connections N] [--regions N] [--accounts N] [--sessions]
 set -euo pipefail
 cd "$(dirname "$0")/.."
 seed=1
@@ -21,6 +24,7 @@
 odd=
 planned=
 orders=
+sessions=
 max_connections=21
 regions=1
 accounts=0
@@ -32,6 +36,7 @@
     --sync) sync=$2 ;;
     --odd) odd=--odd-entries; shift; continue ;;
     --planned) planned=--planned; shift; continue ;;
+    --sessions) sessions=--session-troubles; shift; continue ;;
     --orders) planned=--planned orders=--orders; shift; continue ;;
     --max-connections) max_connections=$2 ;;
     --regions) regions=$2 ;;
@@ -55,7 +60,7 @@
 RANDOM=$seed
 
 [ -n "$planned" ] || fault_proxy_start "$hosts" --trouble-ms 700 --trouble-s "$trouble_seconds" --seed "$seed"
-emulator_start --trouble-ms 1500 --trouble-s "$trouble_seconds" --seed "$seed" --sync-replicas "$sync" $odd $planned \
+emulator_start --trouble-ms 1500 --trouble-s "$trouble_seconds" --seed "$seed" --sync-replicas "$sync" $odd $planned $sessions --kept-file "$pooler_dir/kept.txt" \
     --max-connections "$max_connections" ${orders:+--orders --second-store-port $((emulator_port + second_store_offset)) --absent-file "$pooler_dir/absent.txt"} \
     --ran-file "$pooler_dir/ran.txt" --accounts "$accounts" --withdrawn-file "$pooler_dir/withdrawn.txt"
 addresses=
@@ -69,6 +74,7 @@
 
 "$bin/tools/emulator/session_load" --proxies "$addresses" --clients 5 --seconds "$seconds" --seed "$seed" \
     --transaction-writes "$((1 + seed % 4))" ${planned:+--planned-work-clients 6} \
+    ${sessions:+--session-state-clients 4} --not-kept-file "$pooler_dir/not-kept.txt" \
     ${orders:+--extra-databases 2} --unknown-file "$pooler_dir/unknown.txt" --unanswered-file "$pooler_dir/unanswered.txt" \
     --accounts "$accounts" --key-file "$pooler_dir/keys.txt" \
     >"$pooler_dir/load.txt" &
@@ -133,6 +139,10 @@
     echo "violation: ran without an answer: $(echo $cut)"
     status=1
 fi
+if [ -n "$sessions" ] && kept=$(grep -Fxf "$pooler_dir/not-kept.txt" "$pooler_dir/kept.txt"); then
+    echo "violation: kept though an answer promised that nothing is: $(echo $kept)"
+    status=1
+fi
 # Without changes of routes, no answer may be NODB.
 if ! awk -v apply_ms=3000 -f scripts/unknown_databases.awk <(cat "$pooler_dir/absent.txt" 2>/dev/null) "$pooler_dir/unknown.txt"; then status=1; fi
 if [ "$accounts" -gt 0 ] && [ -n "$planned" ]; then
--- a/tools/emulator/EmulatedDatabase.cpp
+++ b/tools/emulator/EmulatedDatabase.cpp
@@ -43,6 +43,9 @@
     bool isReadOnly = false;
     Term term = 0;
     std::map<std::string, std::string> changes;
+    // Before the transaction.
+    std::map<std::string, std::string> earlierValues;
+    std::map<std::string, Statement> earlierPrepared;
 };
 
 EmulatedDatabase::EmulatedDatabase(asio::io_context& io, EndpointEntry entry, std::shared_ptr<EmulatedService> service)
@@ -117,11 +120,36 @@
     return fmt::format("{}.{}", applied.term, applied.position);
 }
 
-std::string EmulatedDatabase::ready(const Session& session)
+std::string EmulatedDatabase::ready(const Session& session, bool isWrong)
 {
     const auto state = session.state == TransactionState::None ? 'I' : session.state == TransactionState::Open ? 'T'
                                                                                                                : 'E';
-    return fmt::format("READY {} {}\r\n", state, position());
+    const auto wrongState = session.state == TransactionState::None ? 'T' : 'I';
+    return fmt::format("READY {} {}\r\n", isWrong ? wrongState : state, position());
+}
+
+std::optional<CommandDisturbance> EmulatedDatabase::takeDisturbance(std::string_view text)
+{
+    auto word = takeWord(text);
+    if (word == "AFTER") {
+        takeWord(text);
+        word = takeWord(text);
+    }
+    const auto it = m_behaviour.disturbances.find(std::string(word));
+    if (it == m_behaviour.disturbances.end() || it->second.count == 0)
+        return std::nullopt;
+    --it->second.count;
+    return it->second;
+}
+
+void EmulatedDatabase::rollBack(Session& session)
+{
+    if (m_behaviour.forgetsUncommitted && session.state != TransactionState::None) {
+        session.values = session.earlierValues;
+        session.prepared = session.earlierPrepared;
+    }
+    session.state = TransactionState::None;
+    session.changes.clear();
 }
 
 std::string EmulatedDatabase::refuse(Session& session, std::string_view code)
@@ -240,10 +268,11 @@
         session.transaction = ++m_nextTransaction;
         session.term = m_service->term();
         session.changes.clear();
+        session.earlierValues = session.values;
+        session.earlierPrepared = session.prepared;
         co_return "DONE -\r\n";
     case StatementKind::Rollback:
-        session.state = TransactionState::None;
-        session.changes.clear();
+        rollBack(session);
         co_return "DONE -\r\n";
     default:
         break;
@@ -268,21 +297,20 @@
     const bool needsLead = (writes && session.state == TransactionState::None) || inPlainTransaction;
     const bool hasLead = session.state == TransactionState::None ? m_service->isPrimary(m_entry.id) : !hasLostLead(session);
     if (needsLead && !hasLead && !commitsNothing) {
-        if (statement.kind == StatementKind::Commit) {
-            session.state = TransactionState::None;
-            session.changes.clear();
-        }
+        if (statement.kind == StatementKind::Commit)
+            rollBack(session);
         co_return refuse(session, "READONLY");
     }
     if (writes && session.state == TransactionState::Open && session.isReadOnly)
         co_return refuse(session, "READONLY");
     record(session, id, text, receivedAt);
     if (statement.kind == StatementKind::Commit) {
-        const bool wasFailed = session.state == TransactionState::Failed;
+        if (session.state == TransactionState::Failed) {
+            rollBack(session);
+            co_return refuse(session, "ABORTED");
+        }
         session.state = TransactionState::None;
         auto changes = std::exchange(session.changes, {});
-        if (wasFailed)
-            co_return refuse(session, "ABORTED");
         if (!changes.empty()) {
             const bool isKept = co_await commit(std::move(changes), id);
             if (!isKept)
@@ -345,8 +373,14 @@
     const std::string id(takeWord(rest));
     const std::string text(rest.substr(std::min<std::size_t>(rest.size(), 1)));
     const auto before = m_ran.size();
-    const auto result = co_await run(session, id, text);
-    if (result.empty()) {
+    const auto disturbance = takeDisturbance(text);
+    const auto happens = [&](CommandDisturbance::Kind kind) { return disturbance && disturbance->kind == kind; };
+    std::string result;
+    if (happens(CommandDisturbance::Kind::Refuse))
+        result = refuse(session, session.state == TransactionState::Failed ? "MALFORMED" : disturbance->code);
+    else
+        result = co_await run(session, id, text);
+    if (result.empty() || happens(CommandDisturbance::Kind::CutBefore)) {
         session.channel.close();
         co_return;
     }
@@ -355,8 +389,14 @@
         session.channel.close();
         co_return;
     }
-    const auto reply = result + ready(session);
+    auto reply = result + ready(session, happens(CommandDisturbance::Kind::WrongState));
+    if (happens(CommandDisturbance::Kind::CutInside))
+        reply.resize(reply.size() / 2);
+    if (happens(CommandDisturbance::Kind::AnswerTwice))
+        reply += reply;
     co_await session.channel.write(reply, until);
+    if (happens(CommandDisturbance::Kind::CutInside) || happens(CommandDisturbance::Kind::CutAfter))
+        session.channel.close();
 }
 
 Task<void> EmulatedDatabase::serve(asio::ip::tcp::socket socket)
--- a/tools/emulator/EmulatedDatabase.h
+++ b/tools/emulator/EmulatedDatabase.h
@@ -13,6 +13,22 @@
 
 namespace kumquatbank {
 
+/// What happens to the next commands of one kind, in the middle of a session.
+struct CommandDisturbance {
+    enum class Kind {
+        Refuse, ///< Answered with `code`, without being run.
+        CutBefore, ///< Run, and the connection ends before the answer.
+        CutInside, ///< Run, and the connection ends in the middle of the answer.
+        CutAfter, ///< Answered, and the connection ends.
+        AnswerTwice, ///< Answered, and the same answer once more.
+        WrongState, ///< Answered with another transaction state than the session has.
+    };
+
+    Kind kind = Kind::Refuse;
+    int count = 1; ///< Commands that are still to be disturbed.
+    std::string code = "READONLY";
+};
+
 /// How a database behaves; may change at any time.
 struct DatabaseBehaviour {
     std::chrono::milliseconds work { 1 }; ///< Time that a read, write or commit holds a slot.
@@ -22,6 +38,8 @@
     bool isSilent = false; ///< Accepts connections and answers nothing.
     std::set<std::string> unheardHosts {}; ///< What they send gets no answer, as over a link that is cut.
     bool refusesPause = false; ///< Does not know how to stop receiving.
+    std::map<std::string, CommandDisturbance> disturbances {}; ///< By the first word of the command, such as PREPARE.
+    bool forgetsUncommitted = false; ///< A rollback takes back values and prepared statements of its transaction.
     int answersToLose = 0; ///< So many answers to reads, writes and commits are lost after they ran.
 };
 
@@ -72,7 +90,11 @@
     Task<bool> takeSlot();
     void freeSlot();
     std::string position();
-    std::string ready(const Session& session);
+    std::string ready(const Session& session, bool isWrong = false);
+    /// Takes the disturbance of a command with this text, if one is due.
+    std::optional<CommandDisturbance> takeDisturbance(std::string_view text);
+    /// Ends the transaction of a session without a commit.
+    void rollBack(Session& session);
     std::string refuse(Session& session, std::string_view code);
     bool hasLostLead(const Session& session) const;
     std::string statusRow();
--- a/tools/emulator/EmulatedPlatform.cpp
+++ b/tools/emulator/EmulatedPlatform.cpp
@@ -98,6 +98,7 @@
     }
     std::ranges::copy(lateStatements(), std::back_inserter(found));
     std::ranges::copy(foreignStatements(), std::back_inserter(found));
+    std::ranges::copy(statementsWithOtherValues(), std::back_inserter(found));
     std::map<std::pair<std::string, std::uint64_t>, std::uint64_t> connections;
     for (const auto& statement : ran()) {
         if (statement.transaction == 0)
@@ -139,6 +140,36 @@
     return found;
 }
 
+std::vector<std::string> EmulatedPlatform::statementsWithOtherValues() const
+{
+    std::vector<std::string> found;
+    for (const auto& statement : ran()) {
+        // COMMIT names no item.
+        if (statement.text == "COMMIT")
+            continue;
+        const auto at = statement.text.find(fmt::format(" {}", valueItemPrefix));
+        const auto rest = at == std::string::npos ? std::string() : statement.text.substr(at + 1 + std::string_view(valueItemPrefix).size());
+        const auto expected = rest.substr(0, rest.find(' '));
+        const auto it = statement.values.find(std::string(checkedValue));
+        const auto actual = it == statement.values.end() ? std::string() : it->second;
+        if (actual != expected)
+            found.push_back(fmt::format("statement {} ran at {} with the value '{}' instead of '{}'", statement.id, statement.database, actual, expected));
+    }
+    return found;
+}
+
+bool EmulatedPlatform::moveLead(int service, int n)
+{
+    auto& group = this->service(service);
+    auto& next = database(service, n);
+    const auto& received = group.log(next.entry().id).received;
+    if (group.primary().empty() || group.isPrimary(next.entry().id) || !next.isRunning() || received.size() < group.survivingCommits().size())
+        return false;
+    group.promote(next.entry().id);
+    announceAll(group);
+    return true;
+}
+
 void EmulatedPlatform::announceEntries()
 {
     writeConfig();
--- a/tools/emulator/EmulatedPlatform.h
+++ b/tools/emulator/EmulatedPlatform.h
@@ -65,11 +65,20 @@
     std::map<std::string, std::set<std::string>>& accountKeys() { return m_accountKeys; }
     /// Name of an item that only clients of @p account use; violations() checks this.
     static std::string itemOf(const std::string& account, const std::string& item) { return account + accountSeparator + item; }
+    /// Value that the sessions of clients set which use itemWithValue().
+    static constexpr std::string_view checkedValue = "client";
+    /// Name of an item that is used only by sessions that set checkedValue to @p value; violations() checks this, and that
+    /// other sessions do not have that value.
+    static std::string itemWithValue(const std::string& value) { return valueItemPrefix + value; }
+    /// Makes database @p n the primary at once; the former one goes on as a replica, under its open transactions. Returns false
+    /// if it has not received every commit, so that some would be lost.
+    bool moveLead(int service, int n);
     /// Writes the entry of a database again after a change of its state or role.
     void announce(EmulatedDatabase& database, bool isDraining);
 
 private:
     static constexpr char accountSeparator = '/';
+    static constexpr const char* valueItemPrefix = "valued-";
 
     Task<HttpResponse> promote(HttpRequest request);
     Task<void> takeEffect(std::shared_ptr<EmulatedService> service, std::string id);
@@ -84,6 +93,8 @@
     std::vector<std::string> lateStatements() const;
     /// Statements on items of an account that ran on a connection of another one.
     std::vector<std::string> foreignStatements() const;
+    /// Statements that ran with the values of another session, or without those of their own.
+    std::vector<std::string> statementsWithOtherValues() const;
     void announceAll(const EmulatedService& service);
     void writeConfig();
 
--- a/tools/emulator/LoadReport.h
+++ b/tools/emulator/LoadReport.h
@@ -21,6 +21,9 @@
     void closed(std::string statement) { m_unanswered.push_back(std::move(statement)); }
     /// Statements without an answer.
     const std::vector<std::string>& unanswered() const { return m_unanswered; }
+    /// Records a COMMIT or a single statement whose answer promised that nothing is kept.
+    void promisedNotKept(std::string statement) { m_notKept.push_back(std::move(statement)); }
+    const std::vector<std::string>& notKept() const { return m_notKept; }
     /// Records that a process answered that it knows no route for @p database.
     void unknownDatabase(const std::string& database, BootTime sentAt);
     /// One line for each such answer: the database, and when it was asked for and answered, in ms since the machine started.
@@ -57,6 +60,7 @@
     std::deque<std::pair<BootTime, std::chrono::milliseconds>> m_delays; ///< Of the last second, by the time of the record.
     std::vector<std::string> m_violations;
     std::vector<std::string> m_unanswered;
+    std::vector<std::string> m_notKept;
     std::vector<std::string> m_unknownDatabases;
     std::vector<std::string> m_keyAnswers;
     int m_refusedUnknownKeys = 0;
--- a/tools/emulator/platform_emulator.cpp
+++ b/tools/emulator/platform_emulator.cpp
@@ -1,3 +1,4 @@
+#include "CommandDisturbances.h"
 #include "EmulatedPlatform.h"
 #include "KeyWithdrawals.h"
 #include "OddEntries.h"
@@ -49,6 +50,13 @@
         m_routes.emplace(m_io, m_platform, m_random());
     }
 
+    /// Also draws commands that are refused or cut in the middle of a session, and leads that move under open transactions.
+    void addSessionTroubles()
+    {
+        m_kinds.insert(m_kinds.end(), { disturbsCommand, disturbsCommand, disturbsCommand, disturbsCommand, movesLead, movesLead, movesLead });
+        m_disturbances.emplace(m_platform, m_shape, m_random());
+    }
+
     /// Also draws keys of @p accounts accounts that are taken away and given back.
     void addWithdrawals(int accounts)
     {
@@ -109,6 +117,13 @@
             case withdrawsKey:
                 asio::co_spawn(m_io, m_withdrawals->withdrawOne(), asio::detached);
                 break;
+            case disturbsCommand:
+                report(m_disturbances->disturbOne());
+                break;
+            case movesLead:
+                if (const auto moved = m_disturbances->moveLead(); !moved.empty())
+                    report(moved);
+                break;
             case leavesInTurn:
                 asio::co_spawn(m_io, leaveInTurn(), asio::detached);
                 break;
@@ -140,6 +155,8 @@
     static constexpr unsigned changesRoutes = 13;
     static constexpr unsigned leavesInTurn = 14;
     static constexpr unsigned withdrawsKey = 15;
+    static constexpr unsigned disturbsCommand = 16;
+    static constexpr unsigned movesLead = 17;
 
     int anyService() { return static_cast<int>(m_random() % static_cast<unsigned>(m_shape.services)); }
     int anyDatabase() { return static_cast<int>(m_random() % static_cast<unsigned>(m_shape.databasesPerService)); }
@@ -287,6 +304,7 @@
     milliseconds m_stay { 5000 }; ///< Of a database that leaves.
     std::optional<RouteChanges> m_routes;
     std::optional<KeyWithdrawals> m_withdrawals;
+    std::optional<CommandDisturbances> m_disturbances;
     int m_outages = 0; ///< Outages of the store that have not ended.
 };
 
@@ -320,6 +338,8 @@
         "announce-offset", "Added to the ports of databases in the store", cxxopts::value<std::uint16_t>()->default_value("0"))(
         "odd-entries", "Draw entries of another writer among the troubles")(
         "planned", "Draw planned work only")(
+        "session-troubles", "Draw commands that are refused or cut in the middle of a session, and leads that move under open transactions")(
+        "kept-file", "Write the ids of the statements whose commits are kept to this file", cxxopts::value<std::string>())(
         "orders", "Draw changes of routes as well, and databases that leave in turn")(
         "accounts", "Accounts whose keys are taken away and given back; 0: the configuration has no accounts", cxxopts::value<int>()->default_value("0"))(
         "withdrawn-file", "Write the times in which a key belonged to no account to this file", cxxopts::value<std::string>())(
@@ -353,6 +373,8 @@
         troubles.addOddEntries();
     if (arguments.count("orders"))
         troubles.addOrders();
+    if (arguments.count("session-troubles"))
+        troubles.addSessionTroubles();
     if (arguments["accounts"].as<int>() > 0)
         troubles.addWithdrawals(arguments["accounts"].as<int>());
     if (arguments.count("second-store-port")) {
@@ -377,6 +399,13 @@
         for (const auto& statement : platform.ran())
             ranFile << statement.id << '\n';
     }
+    if (arguments.count("kept-file")) {
+        std::ofstream keptFile(arguments["kept-file"].as<std::string>());
+        for (int service = 0; service < shape.services; ++service) {
+            for (const auto& commit : platform.service(service).survivingCommits())
+                keptFile << commit.statementId << '\n';
+        }
+    }
     if (arguments.count("absent-file") && troubles.routes()) {
         std::ofstream absentFile(arguments["absent-file"].as<std::string>());
         for (const auto& absence : troubles.routes()->absences())
--- a/tools/emulator/session_load.cpp
+++ b/tools/emulator/session_load.cpp
@@ -2,6 +2,7 @@
 #include "KeyWithdrawals.h"
 #include "LoadClient.h"
 #include "PlannedWorkClient.h"
+#include "SessionStateClient.h"
 #include "UnknownKeyClient.h"
 
 #include <cxxopts.hpp>
@@ -20,6 +21,7 @@
 using LoadClients = std::vector<std::unique_ptr<LoadClient>>;
 using UnknownKeyClients = std::vector<std::unique_ptr<UnknownKeyClient>>;
 using PlannedWorkClients = std::vector<std::unique_ptr<PlannedWorkClient>>;
+using SessionStateClients = std::vector<std::unique_ptr<SessionStateClient>>;
 
 /// Records how late the event loop runs.
 Task<void> watchDelays(asio::io_context& io, LoadReport& report)
@@ -32,10 +34,10 @@
     }
 }
 
-Task<void> runAll(asio::io_context& io, const LoadClients& clients, const PlannedWorkClients& plannedWorkClients, const UnknownKeyClients& unknownKeyClients, seconds duration, milliseconds pause, int statements)
+Task<void> runAll(asio::io_context& io, const LoadClients& clients, const PlannedWorkClients& plannedWorkClients, const UnknownKeyClients& unknownKeyClients, const SessionStateClients& sessionStateClients, seconds duration, milliseconds pause, int statements)
 {
     const auto until = BootClock::now() + duration;
-    auto left = clients.size() + plannedWorkClients.size() + unknownKeyClients.size();
+    auto left = clients.size() + plannedWorkClients.size() + unknownKeyClients.size() + sessionStateClients.size();
     const auto runOne = [&](LoadClient& client) -> Task<void> {
         co_await client.run(until, pause, statements);
         --left;
@@ -48,6 +50,12 @@
         co_await client.run(until);
         --left;
     };
+    const auto runSessionState = [&](SessionStateClient& client) -> Task<void> {
+        co_await client.run(until);
+        --left;
+    };
+    for (const auto& client : sessionStateClients)
+        asio::co_spawn(io, runSessionState(*client), asio::detached);
     for (const auto& client : unknownKeyClients)
         asio::co_spawn(io, runUnknown(*client), asio::detached);
     for (const auto& client : clients)
@@ -68,6 +76,8 @@
         "services", "Services of the emulated platform", cxxopts::value<int>()->default_value("3"))(
         "clients", "Clients of each database", cxxopts::value<int>()->default_value("10"))(
         "planned-work-clients", "Clients of each database that use a connection until it ends and expect an answer to every request that was read", cxxopts::value<int>()->default_value("0"))(
+        "session-state-clients", "Clients of each database that set values and prepare statements, and check that they are in force", cxxopts::value<int>()->default_value("0"))(
+        "not-kept-file", "Write the ids of statements whose answers promised that nothing is kept to this file", cxxopts::value<std::string>())(
         "extra-databases", "Databases extra-0, extra-1 and so on, with two clients of planned work each", cxxopts::value<int>()->default_value("0"))(
         "seconds", "Duration", cxxopts::value<int>()->default_value("20"))(
         "transaction-writes", "Writes of a transaction, with pauses between them", cxxopts::value<int>()->default_value("1"))(
@@ -95,6 +105,7 @@
     LoadReport report;
     LoadClients clients;
     PlannedWorkClients plannedWorkClients;
+    SessionStateClients sessionStateClients;
     UnknownKeyClients unknownKeyClients;
     const auto accounts = arguments["accounts"].as<int>();
     auto seed = arguments["seed"].as<unsigned>() * 100'000;
@@ -107,6 +118,8 @@
             }
             if (accounts > 0)
                 unknownKeyClients.push_back(std::make_unique<UnknownKeyClient>(io, EmulatedPlatform::databaseName(service, policy), proxies, ++seed, report));
+            for (int n = 0; n < arguments["session-state-clients"].as<int>(); ++n)
+                sessionStateClients.push_back(std::make_unique<SessionStateClient>(io, EmulatedPlatform::databaseName(service, policy), proxies, ++seed, report));
             for (int n = 0; n < arguments["planned-work-clients"].as<int>(); ++n)
                 plannedWorkClients.push_back(std::make_unique<PlannedWorkClient>(io, EmulatedPlatform::databaseName(service, policy), proxies, ++seed, report));
         }
@@ -115,7 +128,7 @@
         plannedWorkClients.push_back(std::make_unique<PlannedWorkClient>(io, EmulatedPlatform::extraDatabaseName(n / 2), proxies, ++seed, report));
     asio::co_spawn(io, watchDelays(io, report), asio::detached);
     const seconds duration(arguments["seconds"].as<int>());
-    asio::co_spawn(io, runAll(io, clients, plannedWorkClients, unknownKeyClients, duration, milliseconds(arguments["pause-ms"].as<int>()), arguments["transaction-writes"].as<int>()), asio::detached);
+    asio::co_spawn(io, runAll(io, clients, plannedWorkClients, unknownKeyClients, sessionStateClients, duration, milliseconds(arguments["pause-ms"].as<int>()), arguments["transaction-writes"].as<int>()), asio::detached);
     io.run();
     report.print(std::cout, duration);
     if (arguments.count("unanswered-file")) {
@@ -123,6 +136,11 @@
         for (const auto& id : report.unanswered())
             file << id << '\n';
     }
+    if (arguments.count("not-kept-file")) {
+        std::ofstream file(arguments["not-kept-file"].as<std::string>());
+        for (const auto& id : report.notKept())
+            file << id << '\n';
+    }
     if (arguments.count("unknown-file")) {
         std::ofstream file(arguments["unknown-file"].as<std::string>());
         for (const auto& line : report.unknownDatabases())
