Let only answers of the database change what a connection is taken to hold

Callers could see, each on a path of its own (tests that failed on in brackets): - MALFORMED for a legal EXEC whose PREPARE the database had refused [AStatementWhosePrepareWasRefusedIsAbortedAndNothingIsKept, ASingleStatementWhosePrepareWasRefusedIsRepeated, ARefusedPrepareOnALentConnectionIsNotTakenForDone, NoDisturbanceOfACommandReachesAnotherStatement]; - NOSTMT for a name that they had prepared, in a transaction or after the last attempt [ANameThatTheDatabaseLost...]; - NOSTMT, or statements without their values, after a rolled back transaction, where the database takes back what it has set [WhatARolledBackTransactionHasSetIsSetAgain]; - the answer to another statement, after a database answered more than was asked [AnAnswerThatNobodyAskedForReachesNoStatement]; - success and then a promise that nothing is kept, for a transaction that the database had left [ATransactionThatTheDatabaseHasLeftIsInDoubt].

Cause: StatementExchange, Loan, DatabaseConnection and DatabaseService each wrote parts of what a connection is taken to hold, some without looking at the answer, and nothing closed a connection whose answers did not fit.

Change: ConnectionState (routing, without network) is the only owner. DatabaseConnection tells it each command before it is sent and each reply when it arrives; no other code can change it. A reply that leaves the state open is a doubt, and the connection is closed. What an uncommitted transaction has set makes a reset due, which follows the rollback, off the client's way. The first prepared statement of a transaction is prepared before BEGIN, with it. The runners answer a refused preparation with BUSY (repeated) or ABORTED, both true: nothing was sent, or COMMIT was not. An unexpected end of a transaction that has written is INDOUBT.

Ruled out: waiting for the PREPARE before the EXEC (a round trip more each); preparing all names at BEGIN (up to 1,024).

--- a/packages/engine/include/kumquatbank/engine/LineChannel.h
+++ b/packages/engine/include/kumquatbank/engine/LineChannel.h
@@ -66,6 +66,8 @@
 
     /// Returns whether the remote end has closed the connection. Does not block and consumes no received data.
     bool isClosedByPeer();
+    /// Returns whether the connection is open and has no input that was not read. Does not block and consumes nothing.
+    bool isQuiet();
     /// Returns the state of the remote end; an end is noticed behind unread input as well. Does not block.
     PeerState peerState();
     /// Calls @p handler once there is input in the socket or the remote end has ended; with false if the wait was cancelled.
--- a/packages/engine/src/LineChannel.cpp
+++ b/packages/engine/src/LineChannel.cpp
@@ -210,6 +210,15 @@
     return n == 0 || (n < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
 }
 
+bool LineChannel::isQuiet()
+{
+    if (!m_socket.is_open() || hasBufferedInput())
+        return false;
+    char probe = 0;
+    const auto n = ::recv(m_socket.native_handle(), &probe, 1, MSG_PEEK | MSG_DONTWAIT);
+    return n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR);
+}
+
 PeerState LineChannel::peerState()
 {
     if (!m_socket.is_open())
--- a/packages/pooler/src/ConnectionLease.cpp
+++ b/packages/pooler/src/ConnectionLease.cpp
@@ -53,10 +53,12 @@
         m_service->recordOutcome(*m_endpoint, outcome, sentAt);
 }
 
-void ConnectionLease::recordRefusedCommand(std::string_view command, std::string_view request, ErrorCode code, TransactionState state)
+void ConnectionLease::recordRefusedCommand(ConnectionCommand::Kind command, std::string_view request, ErrorCode code)
 {
-    m_service->metrics().connectionCommandRefused(m_service->name(), command, errorCodeName(code));
-    EventLog::warn("connection_command_refused", { { "request", request }, { "service", m_service->name() }, { "endpoint", endpointId() }, { "connection", m_connection->number() }, { "lender", lender() }, { "command", command }, { "code", errorCodeName(code) }, { "state", transactionStateName(state) } });
+    m_service->metrics().connectionCommandRefused(m_service->name(), connectionCommandName(command), errorCodeName(code));
+    if (code == ErrorCode::ReadOnly)
+        m_service->recordNotPrimary(*m_endpoint);
+    EventLog::warn("connection_command_refused", { { "request", request }, { "service", m_service->name() }, { "endpoint", endpointId() }, { "connection", m_connection->number() }, { "lender", lender() }, { "command", connectionCommandName(command) }, { "code", errorCodeName(code) }, { "state", transactionStateName(m_connection->state().transaction()) } });
 }
 
 void ConnectionLease::returnConnection()
--- a/packages/pooler/src/ConnectionLease.h
+++ b/packages/pooler/src/ConnectionLease.h
@@ -46,9 +46,9 @@
     /// records it.
     void recordOutcome(StatementOutcome outcome, std::optional<BootTime> sentAt);
 
-    /// Counts and logs that the endpoint refused a command of the proxy's own. @p command: its name in logs and metrics.
-    /// @p request: id of the client's statement that needed it; may be empty.
-    void recordRefusedCommand(std::string_view command, std::string_view request, ErrorCode code, TransactionState state);
+    /// Counts and logs that the endpoint refused a command of the proxy's own. @p request: id of the client's statement that
+    /// needed it; may be empty.
+    void recordRefusedCommand(ConnectionCommand::Kind command, std::string_view request, ErrorCode code);
 
 private:
     void returnConnection();
--- a/packages/pooler/src/ConnectionLender.cpp
+++ b/packages/pooler/src/ConnectionLender.cpp
@@ -138,6 +138,7 @@
 Task<tl::expected<ConnectionLease, AcquireFailure>> ConnectionLender::acquireReset(LineChannel& channel, std::shared_ptr<DatabaseService> service, ConnectionRequest request, bool isAnnounced)
 {
     const SessionState noSession;
+    const std::string noRequest;
     while (true) {
         auto lease = co_await service->acquireOwn(request, noSession);
         if (!lease || !lease->connection().state().needsReset(noSession))
@@ -147,7 +148,7 @@
             co_await send(channel, queued); // A channel that is lost fails with the final reply as well.
         }
         // Before the first statement of the borrower is sent: a RESET sent with it may be refused alone.
-        const auto status = co_await replaySession(*lease, noSession, std::min<BootTime>(BootClock::now() + resetTimeout, request.permit.queueDeadline));
+        const auto status = co_await replaySession(*lease, noSession, noRequest, std::min<BootTime>(BootClock::now() + resetTimeout, request.permit.queueDeadline));
         if (status == ExchangeStatus::Ok)
             co_return lease;
         if (BootClock::now() >= request.permit.queueDeadline)
--- a/packages/pooler/src/ConnectionPool.cpp
+++ b/packages/pooler/src/ConnectionPool.cpp
@@ -82,7 +82,7 @@
     auto connection = std::move(it->connection);
     endpoint.idle.erase(it);
     endpoint.cache.removeIdle(connection->account());
-    if (!connection->hasClosed()) {
+    if (!connection->hasEnded()) {
         endpoint.cache.addInUse(connection->account());
         return connection;
     }
@@ -132,7 +132,8 @@
         return;
     }
     --endpoint.open;
-    m_metrics.connectionClosed(m_service, isReusable ? "surplus" : "broken");
+    m_metrics.connectionClosed(m_service, isReusable ? "surplus" : connection->state().isInDoubt() ? "in_doubt"
+                                                                                                   : "broken");
 }
 
 bool ConnectionPool::shouldKeep(const Endpoint& endpoint, const Rules& rules)
--- a/packages/pooler/src/DatabaseConnection.cpp
+++ b/packages/pooler/src/DatabaseConnection.cpp
@@ -1,5 +1,7 @@
 #include "DatabaseConnection.h"
 
+#include "kumquatbank/engine/EventLog.h"
+
 namespace kumquatbank {
 
 namespace {
@@ -26,13 +28,14 @@
         co_return result;
     result.roundTrip = std::chrono::duration_cast<std::chrono::microseconds>(BootClock::now() - connectStartedAt);
     auto connection = std::make_unique<DatabaseConnection>(std::move(*channel), account);
-    const auto start = WireDialect::start(endpoint.service, account.empty() ? hostName : account, endpoint.id);
-    if (co_await connection->send(start, 1, until) != ExchangeStatus::Ok)
+    CommandBatch start;
+    start.addStart(endpoint, account.empty() ? hostName : account);
+    if (co_await connection->send(std::move(start), until) != ExchangeStatus::Ok)
         co_return result;
     DatabaseReply reply;
     const auto status = co_await connection->receive(reply, until);
     result.refusal = reply.code;
-    if (status == ExchangeStatus::Ok && reply.isSuccess())
+    if (status == ExchangeStatus::Ok && reply.isSuccess() && connection->isReusable())
         result.connection = std::move(connection);
     co_return result;
 }
@@ -43,14 +46,26 @@
     return ++number;
 }
 
-Task<ExchangeStatus> DatabaseConnection::send(std::string commands, int replies, BootTime until)
+bool DatabaseConnection::hasEnded()
+{
+    const bool awaitsAnswers = m_state.pendingReplies() > 0;
+    if (!awaitsAnswers && m_channel.isQuiet())
+        return false;
+    if (awaitsAnswers || m_channel.isClosedByPeer())
+        return m_channel.isClosedByPeer();
+    EventLog::warn("connection_in_doubt", { { "connection", m_number }, { "account", m_account }, { "reason", "an answer to no command" } });
+    return true;
+}
+
+Task<ExchangeStatus> DatabaseConnection::send(CommandBatch batch, BootTime until)
 {
-    if (m_channel.isClosedByPeer()) {
+    if (m_state.isInDoubt() || hasEnded()) {
         m_channel.close();
         co_return ExchangeStatus::NotSent;
     }
-    m_pendingReplies += replies;
-    const auto status = co_await m_channel.write(commands, until);
+    for (auto& command : batch.takeCommands())
+        m_state.recordSent(std::move(command));
+    const auto status = co_await m_channel.write(batch.lines(), until);
     if (status == ChannelStatus::Ok)
         co_return ExchangeStatus::Ok;
     m_channel.close();
@@ -78,10 +93,10 @@
             co_return ExchangeStatus::Broken;
         }
         if (parsed.kind == DatabaseLine::Kind::Ready) {
-            reply.state = m_transaction = parsed.state;
+            reply.state = parsed.state;
             reply.position = parsed.position;
             reply.ready = line;
-            --m_pendingReplies;
+            recordReply(reply);
             m_channel.releaseSpareInput(); // The connection may be idle after this reply.
             co_return ExchangeStatus::Ok;
         }
@@ -93,13 +108,23 @@
     }
 }
 
-Task<ExchangeStatus> DatabaseConnection::exchange(std::string commands, std::vector<DatabaseReply>& replies, std::size_t n, BootTime until)
+Task<ExchangeStatus> DatabaseConnection::exchange(CommandBatch batch, std::vector<DatabaseReply>& replies, BootTime until)
 {
-    replies.assign(n, {});
-    auto status = co_await send(std::move(commands), static_cast<int>(n), until);
-    for (std::size_t i = 0; i < n && status == ExchangeStatus::Ok; ++i)
+    replies.assign(batch.size(), {});
+    auto status = co_await send(std::move(batch), until);
+    for (std::size_t i = 0; i < replies.size() && status == ExchangeStatus::Ok; ++i)
         status = co_await receive(replies[i], until);
     co_return status;
 }
 
+void DatabaseConnection::recordReply(const DatabaseReply& reply)
+{
+    const bool wasInDoubt = m_state.isInDoubt();
+    const auto before = m_state.transaction();
+    const auto command = m_state.recordReply(reply.code, reply.state);
+    if (wasInDoubt || !m_state.isInDoubt())
+        return;
+    EventLog::warn("connection_in_doubt", { { "connection", m_number }, { "account", m_account }, { "reason", m_state.doubt() }, { "command", connectionCommandName(command.kind) }, { "code", reply.code ? errorCodeName(*reply.code) : "ok" }, { "state_before", transactionStateName(before) }, { "state", transactionStateName(reply.state) } });
+}
+
 } // namespace kumquatbank
--- a/packages/pooler/src/DatabaseConnection.h
+++ b/packages/pooler/src/DatabaseConnection.h
@@ -1,9 +1,8 @@
 #pragma once
 
-#include "kumquatbank/adapter/WireDialect.h"
+#include "CommandBatch.h"
 #include "kumquatbank/engine/LineChannel.h"
-#include "kumquatbank/routing/EndpointEntry.h"
-#include "kumquatbank/routing/SessionState.h"
+#include "kumquatbank/routing/ConnectionState.h"
 
 #include <memory>
 
@@ -26,6 +25,7 @@
     NotSent, ///< The connection was closed before anything was sent.
     Broken,
     TimedOut,
+    Refused, ///< The endpoint refused a command of the proxy's own, which nothing of the client has followed.
 };
 
 /// One session on a database. The user sends commands and receives exactly one reply for each, in order.
@@ -47,36 +47,37 @@
     {
     }
 
-    /// Sends @p commands, which request @p replies replies in total.
-    Task<ExchangeStatus> send(std::string commands, int replies, BootTime until);
+    Task<ExchangeStatus> send(CommandBatch batch, BootTime until);
     Task<ExchangeStatus> receive(DatabaseReply& reply, BootTime until);
 
-    /// Sends commands and receives their @p n replies; stops at the first one that is missing.
-    Task<ExchangeStatus> exchange(std::string commands, std::vector<DatabaseReply>& replies, std::size_t n, BootTime until);
+    /// Sends commands and receives their replies; stops at the first one that is missing.
+    Task<ExchangeStatus> exchange(CommandBatch batch, std::vector<DatabaseReply>& replies, BootTime until);
 
-    ConnectionState& state() { return m_state; }
+    /// What the database holds for this connection, as its answers say.
+    const ConnectionState& state() const { return m_state; }
     /// Account that the database was told; empty if it was told the name of a host.
     const std::string& account() const { return m_account; }
     /// Number of the connection in logs; unique in this process, also for borrowed connections.
     std::uint64_t number() const { return m_number; }
-    /// Returns true if the connection is open, outside a transaction, has no pending replies and keeps little session state.
-    bool isReusable() const { return m_channel.isOpen() && m_pendingReplies == 0 && m_transaction == TransactionState::None && m_state.isSmall(); }
-    bool needsRollback() const { return m_channel.isOpen() && m_pendingReplies == 0 && m_transaction != TransactionState::None; }
-    bool hasClosed() { return m_channel.isClosedByPeer(); }
+    /// Returns true if the connection is open and another session can use it.
+    bool isReusable() const { return m_channel.isOpen() && m_state.isReusable(); }
+    /// Returns true if the connection is open and a clean-up makes it reusable.
+    bool needsCleanUp() const { return m_channel.isOpen() && m_state.needsCleanUp(); }
+    /// Returns true if the connection cannot be used any more: the database has closed it, or has sent what nothing asked for.
+    bool hasEnded();
     void close() { m_channel.close(); }
-    TransactionState transactionState() const { return m_transaction; }
     /// Moves the channel out; the connection must not be used afterwards.
     LineChannel releaseChannel() { return std::move(m_channel); }
 
 private:
     static std::uint64_t nextNumber();
+    /// Applies a complete reply to the state, and logs a doubt that it raises.
+    void recordReply(const DatabaseReply& reply);
 
     LineChannel m_channel;
     std::string m_account;
     std::uint64_t m_number;
     ConnectionState m_state;
-    int m_pendingReplies = 0; ///< Replies that were requested and not yet received.
-    TransactionState m_transaction = TransactionState::None;
 };
 
 } // namespace kumquatbank
--- a/packages/pooler/src/DatabaseService.cpp
+++ b/packages/pooler/src/DatabaseService.cpp
@@ -17,7 +17,7 @@
     constexpr milliseconds probeTimeout { 400 };
     /// Added to the reason of a refusal.
     constexpr std::string_view overShareReason = "; the account is over its share";
-    constexpr milliseconds rollbackTimeout { 1000 };
+    constexpr milliseconds cleanUpTimeout { 1000 };
     /// An endpoint receives no requests for this time after a failed connect, so that others are tried first. The pause
     /// grows with each failure in a row.
     constexpr milliseconds failurePause { 200 };
@@ -586,8 +586,8 @@
 void DatabaseService::returnConnection(const std::string& id, std::unique_ptr<DatabaseConnection> connection, BootTime since, std::optional<PermitCharge> charge)
 {
     const auto endpoint = find(id);
-    if (endpoint && connection->needsRollback()) {
-        asio::co_spawn(m_io, rollBack(endpoint, std::move(connection), since, std::move(charge)), asio::detached);
+    if (endpoint && connection->needsCleanUp()) {
+        asio::co_spawn(m_io, cleanUp(endpoint, std::move(connection), since, std::move(charge)), asio::detached);
         return;
     }
     const auto held = BootClock::now() - since;
@@ -605,13 +605,22 @@
         m_scheduler.release(id, holdTime, account);
 }
 
-Task<void> DatabaseService::rollBack(std::shared_ptr<Endpoint> endpoint, std::unique_ptr<DatabaseConnection> connection, BootTime since, std::optional<PermitCharge> charge)
+Task<void> DatabaseService::cleanUp(std::shared_ptr<Endpoint> endpoint, std::unique_ptr<DatabaseConnection> connection, BootTime since, std::optional<PermitCharge> charge)
 {
+    const auto& state = connection->state();
+    CommandBatch batch;
+    if (state.transaction() != TransactionState::None)
+        batch.addRollback();
+    if (state.isResetDue() || state.hasUncommittedState())
+        batch.addReset();
     std::vector<DatabaseReply> replies;
-    const auto status = co_await connection->exchange(WireDialect::rollback(), replies, 1, BootClock::now() + rollbackTimeout);
-    // Closing the connection rolls back as well; returnConnection() must not start another rollback.
-    if (status != ExchangeStatus::Ok || !connection->isReusable())
+    const auto status = co_await connection->exchange(std::move(batch), replies, BootClock::now() + cleanUpTimeout);
+    // Closing the connection rolls back as well; returnConnection() must not start another clean-up.
+    if (status != ExchangeStatus::Ok || !connection->isReusable()) {
+        const auto refused = std::ranges::find_if_not(replies, &DatabaseReply::isSuccess);
+        EventLog::warn("connection_not_cleaned", { { "service", m_name }, { "endpoint", endpoint->entry.id }, { "connection", connection->number() }, { "state", transactionStateName(state.transaction()) }, { "answered", status == ExchangeStatus::Ok }, { "code", refused != replies.end() ? errorCodeName(*refused->code) : "" } });
         connection->close();
+    }
     returnConnection(endpoint->entry.id, std::move(connection), since, std::move(charge));
 }
 
@@ -626,7 +635,10 @@
         const auto sentAt = BootClock::now();
         std::vector<DatabaseReply> replies;
         // Only a primary accepts a transaction that may write; opening the transaction runs no statement.
-        const auto status = co_await lease->connection().exchange(WireDialect::begin(false, std::nullopt) + WireDialect::rollback(), replies, 2, sentAt + probeTimeout);
+        CommandBatch batch;
+        batch.addBegin(false, std::nullopt);
+        batch.addRollback();
+        const auto status = co_await lease->connection().exchange(std::move(batch), replies, sentAt + probeTimeout);
         if (status != ExchangeStatus::Ok) {
             recordFailure(*endpoint, "probe");
         } else {
--- a/packages/pooler/src/DatabaseService.h
+++ b/packages/pooler/src/DatabaseService.h
@@ -150,7 +150,8 @@
     };
 
     Task<tl::expected<std::unique_ptr<DatabaseConnection>, ErrorCode>> open(std::shared_ptr<Endpoint> endpoint, std::string account, std::chrono::milliseconds timeout);
-    Task<void> rollBack(std::shared_ptr<Endpoint> endpoint, std::unique_ptr<DatabaseConnection> connection, BootTime since, std::optional<PermitCharge> charge);
+    /// Rolls back or resets a connection, and returns it or closes it if that fails.
+    Task<void> cleanUp(std::shared_ptr<Endpoint> endpoint, std::unique_ptr<DatabaseConnection> connection, BootTime since, std::optional<PermitCharge> charge);
     ConnectionPool::Rules poolRules() const;
     /// Records the answer of the queue to a request; requests without an account are not counted.
     void recordQueueAnswer(const PermitRequest& request, bool isOverShare, bool granted);
--- a/packages/pooler/src/LenderLink.cpp
+++ b/packages/pooler/src/LenderLink.cpp
@@ -143,8 +143,8 @@
 
 void LenderLink::returnLoan(std::unique_ptr<DatabaseConnection> connection)
 {
-    // A connection with pending replies is closed; the lender then closes its connection to the endpoint as well.
-    if (connection->isReusable() || connection->needsRollback())
+    // A connection with pending replies or in doubt is closed; the lender then closes its connection to the endpoint as well.
+    if (connection->isReusable() || connection->needsCleanUp())
         asio::co_spawn(m_io, sendReturn(connection->releaseChannel()), asio::detached);
 }
 
--- a/packages/pooler/src/Loan.cpp
+++ b/packages/pooler/src/Loan.cpp
@@ -21,7 +21,6 @@
     , m_channel(channel)
     , m_answerTimeout(answerTimeout)
     , m_stop(stop)
-    , m_needsReset(m_lease.connection().state().hasValues())
 {
 }
 
@@ -29,7 +28,7 @@
 {
     bool isServed = co_await readBatch();
     while (isServed) {
-        if (!m_batch.empty())
+        if (!m_isForwarded.empty())
             isServed = co_await exchangeBatch();
         if (m_isReturned && isServed)
             co_return End::Returned;
@@ -49,8 +48,8 @@
 
 Task<bool> Loan::readBatch()
 {
-    m_batch.clear();
-    m_outgoing.clear();
+    m_isForwarded.clear();
+    m_outgoing = {};
     m_batchHold.clear();
     do {
         std::string_view line;
@@ -65,28 +64,29 @@
             m_isReturned = true;
             co_return true;
         }
-        if (line.size() > uncountedBytes && !m_batchHold.resize(MemoryUse::Work, (m_outgoing.size() + line.size()) * batchFactor))
+        if (line.size() > uncountedBytes && !m_batchHold.resize(MemoryUse::Work, (m_outgoing.bytes() + line.size()) * batchFactor))
             co_return false;
         addLine(line);
-    } while (m_channel.hasBufferedInput() && m_outgoing.size() < maxBatchBytes);
+    } while (m_channel.hasBufferedInput() && m_outgoing.bytes() < maxBatchBytes);
     co_return true;
 }
 
 void Loan::addLine(std::string_view line)
 {
-    auto& command = m_batch.emplace_back();
-    const auto message = WireDialect::parseClientLine(line);
-    const auto* statement = message && message->statement ? &*message->statement : nullptr;
-    if (statement != nullptr && statement->kind == StatementKind::SetValue) {
-        command.valueName = statement->name;
-        command.value = statement->argument;
-    } else if (statement != nullptr && statement->kind == StatementKind::Prepare) {
-        // A pending reset is sent before the batch and discards prepared statements.
-        command.isAnsweredLocally = !m_needsReset && m_lease.connection().state().hasPrepared(statement->name);
-        command.preparedName = statement->name;
-    }
-    if (!command.isAnsweredLocally)
-        m_outgoing.append(line).append("\r\n");
+    auto command = WireDialect::classifyDatabaseCommand(line);
+    const bool isHeld = command.kind == ConnectionCommand::Kind::Prepare && !m_outgoing.mayClearPrepared() && m_lease.connection().state().hasPrepared(command.name);
+    m_isForwarded.push_back(!isHeld);
+    if (!isHeld)
+        m_outgoing.addForwarded(line, std::move(command));
+}
+
+std::string Loan::answerPrepare()
+{
+    const auto transaction = m_lease.connection().state().transaction();
+    // As the endpoint would answer: an earlier line of the batch may have failed the transaction.
+    if (transaction == TransactionState::Failed)
+        return WireDialect::error(ErrorCode::Malformed, "the transaction has failed") + WireDialect::ready(transaction);
+    return WireDialect::done() + WireDialect::ready(transaction);
 }
 
 void Loan::recordReply(const DatabaseReply& reply, BootTime sentAt)
@@ -98,9 +98,9 @@
     else if (reply.code == ErrorCode::ReadOnly)
         service.recordNotPrimary(endpoint);
     // The answer time of a single statement is known only if it was sent alone.
-    if (m_batch.size() == 1)
+    if (m_isForwarded.size() == 1)
         service.recordStatement(endpoint, sentAt, reply.code == ErrorCode::Busy);
-    m_lease.recordOutcome(outcomeOf(reply.code), m_batch.size() == 1 ? std::optional(sentAt) : std::nullopt);
+    m_lease.recordOutcome(outcomeOf(reply.code), m_isForwarded.size() == 1 ? std::optional(sentAt) : std::nullopt);
 }
 
 Task<bool> Loan::exchangeBatch()
@@ -108,23 +108,15 @@
     auto& connection = m_lease.connection();
     const auto sentAt = BootClock::now();
     const auto until = std::min<BootTime>(sentAt + m_answerTimeout, m_stop ? m_stop->answersEnd() : BootTime::max());
-    const bool sendsReset = std::exchange(m_needsReset, false);
-    const auto forwarded = std::ranges::count(m_batch, false, &Command::isAnsweredLocally);
     DatabaseReply reply;
     auto status = ExchangeStatus::Ok;
-    if (sendsReset)
-        m_outgoing.insert(0, WireDialect::reset());
-    if (forwarded > 0)
-        status = co_await connection.send(std::move(m_outgoing), static_cast<int>(forwarded) + (sendsReset ? 1 : 0), until);
-    if (status == ExchangeStatus::Ok && sendsReset) {
-        status = co_await connection.receive(reply, until);
-        connection.state().recordReset();
-    }
+    if (!m_outgoing.isEmpty())
+        status = co_await connection.send(std::move(m_outgoing), until);
     std::string answers;
     MemoryHold hold;
-    for (const auto& command : m_batch) {
-        if (command.isAnsweredLocally) {
-            answers += WireDialect::done() + WireDialect::ready(connection.transactionState());
+    for (const bool isForwarded : m_isForwarded) {
+        if (!isForwarded) {
+            answers += answerPrepare();
             continue;
         }
         if (status == ExchangeStatus::Ok)
@@ -135,10 +127,6 @@
                 m_lease.recordOutcome(StatementOutcome::Unanswered, sentAt);
             break;
         }
-        if (!command.valueName.empty() && reply.isSuccess())
-            connection.state().recordValue(command.valueName, command.value);
-        if (!command.preparedName.empty() && reply.isSuccess())
-            connection.state().recordPrepared(command.preparedName);
         recordReply(reply, sentAt);
         const auto size = answers.size() + reply.body.size();
         if (size > uncountedBytes && !hold.resize(MemoryUse::Answer, 2 * size)) {
@@ -151,7 +139,7 @@
         m_lease.service().recordAnswer(m_lease.endpoint(), sentAt);
     // Answers that arrived are sent to the borrower even if a later one is missing.
     const auto written = co_await m_channel.write(answers, BootClock::now() + m_answerTimeout);
-    co_return written == ChannelStatus::Ok&& status == ExchangeStatus::Ok;
+    co_return written == ChannelStatus::Ok&& status == ExchangeStatus::Ok && !connection.state().isInDoubt();
 }
 
 } // namespace kumquatbank
--- a/packages/pooler/src/Loan.h
+++ b/packages/pooler/src/Loan.h
@@ -25,17 +25,11 @@
     void closeIfUnusable();
 
 private:
-    /// A line of the borrower, and the session state that a successful answer changes.
-    struct Command {
-        bool isAnsweredLocally = false; ///< The statement is already prepared on the connection.
-        std::string preparedName;
-        std::string valueName;
-        std::string value;
-    };
-
     /// Reads all lines that have arrived, at least one. Returns false if the borrower's channel has closed.
     Task<bool> readBatch();
     void addLine(std::string_view line);
+    /// Returns the answer to a PREPARE of a statement that the connection holds.
+    std::string answerPrepare();
     /// Sends the batch to the endpoint and the answers to the borrower. Returns false if either exchange failed.
     Task<bool> exchangeBatch();
     /// Records the endpoint state that a reply indicates, for later requests.
@@ -46,10 +40,9 @@
     const std::chrono::milliseconds m_answerTimeout;
     const std::optional<StopSchedule>& m_stop;
     bool m_isIdle = false; ///< Waiting for a line of the borrower.
-    bool m_needsReset; ///< The connection holds values of another session.
     bool m_isReturned = false;
-    std::vector<Command> m_batch;
-    std::string m_outgoing; ///< Lines of the batch for the endpoint.
+    std::vector<bool> m_isForwarded; ///< For each line of the batch; false for one that is answered here.
+    CommandBatch m_outgoing; ///< Lines of the batch for the endpoint.
     MemoryHold m_batchHold;
 };
 
--- a/packages/pooler/src/MemberSurvey.cpp
+++ b/packages/pooler/src/MemberSurvey.cpp
@@ -30,8 +30,10 @@
     if (!lease)
         co_return reply;
     const auto sentAt = BootClock::now();
+    CommandBatch batch;
+    batch.addControl(command);
     std::vector<DatabaseReply> replies;
-    const auto exchanged = co_await lease->connection().exchange(std::move(command), replies, 1, sentAt + statusTimeout);
+    const auto exchanged = co_await lease->connection().exchange(std::move(batch), replies, sentAt + statusTimeout);
     if (exchanged != ExchangeStatus::Ok) {
         service->recordFailure(*endpoint, "status");
         co_return reply;
--- a/packages/pooler/src/StatementRunner.cpp
+++ b/packages/pooler/src/StatementRunner.cpp
@@ -22,6 +22,17 @@
         return AttemptResult::Retry;
     }
 
+    /// Ends an attempt whose statement has not run because the endpoint does not hold the session's state. The client has no
+    /// part in it. The connection is closed; a read that any endpoint may serve goes to another one.
+    AttemptResult refuseUnprepared(ConnectionLease& lease, bool needsPrimary, std::set<std::string>& excluded, StatementAnswer& answer)
+    {
+        lease.connection().close();
+        if (!needsPrimary)
+            excluded.insert(lease.endpointId());
+        answer.setError(ErrorCode::Busy, "the endpoint did not take over the state of the session; nothing has run", RetryPolicy::defaultRetryAfter);
+        return AttemptResult::Retry;
+    }
+
 } // namespace
 
 StatementRunner::StatementRunner(asio::io_context& io, ServiceRegistry& registry, PoolerMetrics& metrics, const SessionTracker& tracker)
@@ -201,21 +212,19 @@
     co_return co_await attemptOn(*lease, route, id, statement, writes, excluded, until, answer);
 }
 
-Task<AttemptResult> StatementRunner::beginPrimaryRead(ConnectionLease& lease, std::set<std::string>& excluded, BootTime until, StatementAnswer& answer)
+Task<AttemptResult> StatementRunner::beginPrimaryRead(ConnectionLease& lease, const std::string& id, const Statement& statement, std::set<std::string>& excluded, BootTime until, StatementAnswer& answer)
 {
     auto& service = lease.service();
-    const auto sentAt = BootClock::now();
-    std::vector<DatabaseReply> replies;
-    if (co_await lease.connection().exchange(WireDialect::begin(false, std::nullopt), replies, 1, until) != ExchangeStatus::Ok) {
-        lease.recordFailure("begin");
+    const auto begun = co_await beginTransaction(lease, m_context.state(), id, &statement, false, std::nullopt, until);
+    if (begun.status == ExchangeStatus::Refused)
+        co_return refuseUnprepared(lease, true, excluded, answer);
+    if (begun.status != ExchangeStatus::Ok)
         co_return refuseAttempt(lease, excluded, answer);
-    }
-    lease.recordAnswer(sentAt);
-    if (replies[0].isSuccess()) {
-        service.recordPrimary(lease.endpoint(), replies[0].position, sentAt);
+    if (begun.reply.isSuccess()) {
+        service.recordPrimary(lease.endpoint(), begun.reply.position, begun.sentAt);
         co_return AttemptResult::Done;
     }
-    if (replies[0].code == ErrorCode::ReadOnly)
+    if (begun.reply.code == ErrorCode::ReadOnly)
         service.recordNotPrimary(lease.endpoint());
     answer.setError(ErrorCode::Busy, "the primary is changing", RetryPolicy::defaultRetryAfter);
     co_return AttemptResult::Retry;
@@ -226,11 +235,15 @@
     auto& service = lease.service();
     const bool isPrimaryRead = !writes && route.policy == ReadPolicy::Primary;
     const auto attemptUntil = writes ? until : std::min(until, BootClock::now() + std::max<BootClock::duration>((until - BootClock::now()) / attemptTimeDivisor, minAttemptTimeout));
-    if (co_await replaySession(lease, m_context.state(), attemptUntil) != ExchangeStatus::Ok)
+    const bool needsPrimary = writes || isPrimaryRead;
+    const auto replayed = co_await replaySession(lease, m_context.state(), id, attemptUntil);
+    if (replayed == ExchangeStatus::Refused)
+        co_return refuseUnprepared(lease, needsPrimary, excluded, answer);
+    if (replayed != ExchangeStatus::Ok)
         co_return refuseAttempt(lease, excluded, answer);
     if (isPrimaryRead) {
         // Only a primary accepts a transaction that may write, so this read cannot run on a replaced primary.
-        if (co_await beginPrimaryRead(lease, excluded, attemptUntil, answer) == AttemptResult::Retry)
+        if (co_await beginPrimaryRead(lease, id, statement, excluded, attemptUntil, answer) == AttemptResult::Retry)
             co_return AttemptResult::Retry;
     } else if (!writes) {
         answer.floor = m_context.currentFloor(service, route);
@@ -240,6 +253,8 @@
         }
     }
     auto exchange = co_await exchangeStatement(lease, m_context.state(), id, statement, answer.floor, isPrimaryRead, attemptUntil);
+    if (exchange.status == ExchangeStatus::Refused)
+        co_return refuseUnprepared(lease, needsPrimary, excluded, answer);
     if (!exchange.wasSent())
         co_return refuseAttempt(lease, excluded, answer);
     if (writes)
@@ -254,7 +269,16 @@
         co_return AttemptResult::Retry;
     }
     const auto code = exchange.reply.code;
+    if (code == ErrorCode::Malformed && lease.connection().state().isInDoubt()) {
+        // The database was in another transaction state than its answers said, and refused a legal statement for that.
+        if (!writes)
+            co_return refuseUnprepared(lease, needsPrimary, excluded, answer);
+        answer.setError(ErrorCode::InDoubt, "the connection was in an unexpected transaction state");
+        co_return AttemptResult::Done;
+    }
     answer.setFromReply(std::move(exchange.reply.body), code);
+    if (code == ErrorCode::UnknownStatement)
+        co_return refuseUnprepared(lease, needsPrimary, excluded, answer);
     if (code)
         co_return handleFailure(lease, writes, excluded, answer);
     service.recordCaughtUp(lease.endpoint());
@@ -279,9 +303,6 @@
         if (!writes)
             excluded.insert(lease.endpointId());
         return AttemptResult::Retry;
-    case ErrorCode::UnknownStatement:
-        lease.connection().close();
-        return AttemptResult::Retry;
     case ErrorCode::Failed:
         return !writes && excluded.insert(lease.endpointId()).second && answer.attempts == 1 ? AttemptResult::Retry : AttemptResult::Done;
     default:
--- a/packages/pooler/src/StatementRunner.h
+++ b/packages/pooler/src/StatementRunner.h
@@ -51,7 +51,7 @@
     Task<StatementAnswer> runSingle(const Route& route, const std::string& account, const std::string& id, const Statement& statement);
     Task<AttemptResult> attempt(const Route& route, const std::string& account, const std::string& id, const Statement& statement, bool writes, std::set<std::string>& excluded, BootTime until, StatementAnswer& answer);
     Task<AttemptResult> attemptOn(ConnectionLease& lease, const Route& route, const std::string& id, const Statement& statement, bool writes, std::set<std::string>& excluded, BootTime until, StatementAnswer& answer);
-    Task<AttemptResult> beginPrimaryRead(ConnectionLease& lease, std::set<std::string>& excluded, BootTime until, StatementAnswer& answer);
+    Task<AttemptResult> beginPrimaryRead(ConnectionLease& lease, const std::string& id, const Statement& statement, std::set<std::string>& excluded, BootTime until, StatementAnswer& answer);
     AttemptResult handleFailure(ConnectionLease& lease, bool writes, std::set<std::string>& excluded, StatementAnswer& answer);
 
     ServiceRegistry& m_registry;
--- a/packages/pooler/src/TransactionRunner.cpp
+++ b/packages/pooler/src/TransactionRunner.cpp
@@ -6,6 +6,8 @@
 
 namespace {
 
+    constexpr std::string_view lostReason = "the connection to the endpoint was lost";
+    constexpr std::string_view unpreparedReason = "the endpoint did not take over the state of the session; nothing is kept";
     constexpr std::string_view withdrawnReason = "the access of the client was withdrawn during the transaction";
 
 } // namespace
@@ -79,12 +81,22 @@
     answer.state = TransactionState::Failed;
 }
 
+void TransactionRunner::failInDoubt(StatementAnswer& answer)
+{
+    constexpr std::string_view reason = "the endpoint ended the transaction without being asked";
+    fail(answer, reason);
+    if (!m_transaction->hasWritten)
+        return;
+    m_transaction->isOutcomeUnknown = true;
+    answer.setError(ErrorCode::InDoubt, reason);
+}
+
 BootTime TransactionRunner::deadline() const
 {
     return m_context.deadline(m_transaction->route);
 }
 
-Task<AttemptResult> TransactionRunner::openOnEndpoint(std::set<std::string>& excluded, BootTime until, StatementAnswer& answer)
+Task<AttemptResult> TransactionRunner::openOnEndpoint(const std::string& id, const Statement* first, std::set<std::string>& excluded, BootTime until, StatementAnswer& answer)
 {
     const auto route = m_transaction->route;
     const bool onReplica = m_transaction->isReadOnly && route.policy != ReadPolicy::Primary;
@@ -106,29 +118,26 @@
             co_return AttemptResult::Retry;
         }
     }
-    auto status = co_await replaySession(*lease, m_context.state(), until);
-    const bool wasReplayed = status == ExchangeStatus::Ok;
-    const auto sentAt = BootClock::now();
-    std::vector<DatabaseReply> replies;
-    if (wasReplayed)
-        status = co_await lease->connection().exchange(WireDialect::begin(onReplica, answer.floor), replies, 1, until);
-    if (status != ExchangeStatus::Ok) {
-        if (wasReplayed)
-            lease->recordFailure("begin");
-        excluded.insert(lease->endpointId());
-        answer.setError(ErrorCode::Busy, "the connection to the endpoint was lost", RetryPolicy::defaultRetryAfter);
+    StatementExchange begun;
+    begun.status = co_await replaySession(*lease, m_context.state(), id, until);
+    if (begun.status == ExchangeStatus::Ok)
+        begun = co_await beginTransaction(*lease, m_context.state(), id, first, onReplica, answer.floor, until);
+    if (begun.status != ExchangeStatus::Ok) {
+        const bool wasRefused = begun.status == ExchangeStatus::Refused;
+        if (onReplica || !wasRefused)
+            excluded.insert(lease->endpointId());
+        answer.setError(ErrorCode::Busy, wasRefused ? unpreparedReason : lostReason, RetryPolicy::defaultRetryAfter);
         co_return AttemptResult::Retry;
     }
-    lease->recordAnswer(sentAt);
-    if (replies[0].isSuccess()) {
+    if (begun.reply.isSuccess()) {
         if (!onReplica)
-            service.recordPrimary(endpoint, replies[0].position, sentAt);
+            service.recordPrimary(endpoint, begun.reply.position, begun.sentAt);
         m_transaction->lease = std::move(lease);
         co_return AttemptResult::Done;
     }
-    if (replies[0].code == ErrorCode::ReadOnly)
+    if (begun.reply.code == ErrorCode::ReadOnly)
         service.recordNotPrimary(endpoint);
-    else if (replies[0].code == ErrorCode::Lagging)
+    else if (begun.reply.code == ErrorCode::Lagging)
         service.recordLagging(endpoint);
     if (onReplica)
         excluded.insert(lease->endpointId());
@@ -136,7 +145,7 @@
     co_return AttemptResult::Retry;
 }
 
-Task<bool> TransactionRunner::pinConnection(BootTime until, StatementAnswer& answer)
+Task<bool> TransactionRunner::pinConnection(const std::string& id, const Statement* first, BootTime until, StatementAnswer& answer)
 {
     if (m_transaction->lease)
         co_return true;
@@ -144,7 +153,7 @@
     std::set<std::string> excluded;
     while (true) {
         ++answer.attempts;
-        const auto attemptResult = co_await openOnEndpoint(excluded, until, answer);
+        const auto attemptResult = co_await openOnEndpoint(id, first, excluded, until, answer);
         if (m_transaction->lease) {
             answer.code.reset();
             co_return true;
@@ -172,21 +181,32 @@
         co_return answer;
     }
     const auto until = deadline();
-    if (!co_await pinConnection(until, answer))
+    if (!co_await pinConnection(id, &statement, until, answer))
         co_return answer;
     auto& lease = *m_transaction->lease;
     answer.endpoint = lease.endpointId();
-    if (co_await replaySession(lease, m_context.state(), until) != ExchangeStatus::Ok) {
-        fail(answer, "the connection to the endpoint was lost");
+    const auto replayed = co_await replaySession(lease, m_context.state(), id, until);
+    if (replayed != ExchangeStatus::Ok) {
+        fail(answer, replayed == ExchangeStatus::Refused ? unpreparedReason : lostReason);
         co_return answer;
     }
     auto exchange = co_await exchangeStatement(lease, m_context.state(), id, statement, std::nullopt, false, until);
+    // The session has prepared the statement, so that the client has no part in an unknown name.
+    const bool isUnprepared = exchange.status == ExchangeStatus::Ok && exchange.reply.code == ErrorCode::UnknownStatement;
+    if (exchange.status == ExchangeStatus::Refused || isUnprepared) {
+        fail(answer, unpreparedReason);
+        co_return answer;
+    }
     if (exchange.status != ExchangeStatus::Ok) {
         fail(answer, "the endpoint did not answer");
         co_return answer;
     }
     m_transaction->hasWritten = m_transaction->hasWritten || *writeFlag;
     const auto code = exchange.reply.code;
+    if (!code && exchange.reply.state != TransactionState::Open) {
+        failInDoubt(answer);
+        co_return answer;
+    }
     answer.setFromReply(std::move(exchange.reply.body), code);
     if (code == ErrorCode::ReadOnly)
         lease.service().recordNotPrimary(lease.endpoint());
@@ -211,12 +231,15 @@
     m_isCommittingWrites = false;
     bool isPinned = false;
     if (!m_transaction->hasFailed)
-        isPinned = co_await pinConnection(until, answer);
+        isPinned = co_await pinConnection(id, nullptr, until, answer);
     if (!isPinned) {
         const auto abortReason = m_transaction->abortReason;
+        const bool isOutcomeUnknown = m_transaction->isOutcomeUnknown;
         m_transaction.reset();
         answer.state = TransactionState::None;
-        if (!answer.code)
+        if (isOutcomeUnknown)
+            answer.setError(ErrorCode::InDoubt, "the endpoint had ended the transaction without being asked");
+        else if (!answer.code)
             answer.setError(ErrorCode::Aborted, abortReason.empty() ? "the transaction had already failed" : abortReason);
         co_return answer;
     }
@@ -226,7 +249,8 @@
     m_isCommittingWrites = hasWritten;
     answer.endpoint = lease.endpointId();
     StatementExchange exchange;
-    if (co_await replaySession(lease, m_context.state(), until) == ExchangeStatus::Ok)
+    const auto replayed = co_await replaySession(lease, m_context.state(), id, until);
+    if (replayed == ExchangeStatus::Ok)
         exchange = co_await exchangeStatement(lease, m_context.state(), id, statement, std::nullopt, false, until);
     if (exchange.wasSent() && hasWritten)
         lease.service().recordCommitAnswer(exchange.status != ExchangeStatus::TimedOut, exchange.sentAt);
@@ -246,6 +270,9 @@
     }
     const auto code = exchange.reply.code;
     answer.setFromReply(std::move(exchange.reply.body), code);
+    // The proxy sends COMMIT only in a transaction that the endpoint has reported as open.
+    if (code == ErrorCode::Malformed)
+        answer.setError(hasWritten ? ErrorCode::InDoubt : ErrorCode::Aborted, "the endpoint did not know of the transaction at COMMIT");
     co_return answer;
 }
 
--- a/packages/pooler/src/TransactionRunner.h
+++ b/packages/pooler/src/TransactionRunner.h
@@ -12,6 +12,7 @@
     std::optional<ConnectionLease> lease;
     bool hasWritten = false;
     bool hasFailed = false;
+    bool isOutcomeUnknown = false; ///< The database has ended it without being asked, and may have kept its writes.
     std::string abortReason; ///< Why the proxy aborted the transaction between statements; reported by the next statement.
 };
 
@@ -47,9 +48,12 @@
     StatementAnswer refuseAfterFailure();
 
 private:
-    Task<bool> pinConnection(BootTime until, StatementAnswer& answer);
-    Task<AttemptResult> openOnEndpoint(std::set<std::string>& excluded, BootTime until, StatementAnswer& answer);
+    /// Opens the transaction on a connection if it has none. @p first: the statement that needs it; null for COMMIT.
+    Task<bool> pinConnection(const std::string& id, const Statement* first, BootTime until, StatementAnswer& answer);
+    Task<AttemptResult> openOnEndpoint(const std::string& id, const Statement* first, std::set<std::string>& excluded, BootTime until, StatementAnswer& answer);
     void fail(StatementAnswer& answer, std::string_view reason);
+    /// Ends a transaction that the database has left after a successful statement.
+    void failInDoubt(StatementAnswer& answer);
     BootTime deadline() const;
 
     SessionContext& m_context;
--- a/packages/routing/include/kumquatbank/routing/SessionState.h
+++ b/packages/routing/include/kumquatbank/routing/SessionState.h
@@ -4,7 +4,6 @@
 #include "kumquatbank/routing/Statement.h"
 
 #include <map>
-#include <set>
 #include <string>
 
 namespace kumquatbank {
@@ -46,33 +45,4 @@
 /// equal names that two clients chose for different statements do not collide.
 std::string preparedConnectionName(bool writes, std::string_view shape);
 
-/// Session state that a database connection holds from the sessions it served.
-class ConnectionState {
-public:
-    /// True if the connection holds values that the session has not set; only a reset removes them.
-    bool needsReset(const SessionState& session) const;
-
-    /// Values of the session that have to be set on the connection; after the reset if one is needed.
-    SessionState::Values missingValues(const SessionState& session) const;
-
-    bool hasValues() const { return !m_values.empty(); }
-    bool hasPrepared(const std::string& connectionName) const { return m_prepared.contains(connectionName); }
-    bool hasSameValuesAs(const SessionState& session) const { return m_values == session.values; }
-
-    /// False if the connection keeps more than a session in ordinary use sets; it is then closed after its use.
-    bool isSmall() const { return m_valueBytes <= maxKeptBytes && m_prepared.size() <= SessionState::maxNames; }
-
-    void recordReset();
-    void recordValue(const std::string& name, const std::string& value);
-    void recordPrepared(const std::string& connectionName) { m_prepared.insert(connectionName); }
-
-private:
-    /// Idle connections are the only memory of sessions that have ended, so each keeps little.
-    static constexpr std::size_t maxKeptBytes = 16 << 10;
-
-    SessionState::Values m_values;
-    std::size_t m_valueBytes = 0;
-    std::set<std::string> m_prepared;
-};
-
 } // namespace kumquatbank
--- a/packages/routing/include/kumquatbank/routing/StatementError.h
+++ b/packages/routing/include/kumquatbank/routing/StatementError.h
@@ -33,4 +33,10 @@
         || code == ErrorCode::Misrouted || code == ErrorCode::TooManyConnections || code == ErrorCode::Aborted;
 }
 
+/// True if a database that answers with the code may have run the command.
+constexpr bool mayHaveRun(ErrorCode code)
+{
+    return code == ErrorCode::Failed || code == ErrorCode::Timeout || code == ErrorCode::InDoubt || code == ErrorCode::Other;
+}
+
 } // namespace kumquatbank
--- a/packages/routing/src/SessionState.cpp
+++ b/packages/routing/src/SessionState.cpp
@@ -1,8 +1,6 @@
 #include "kumquatbank/routing/SessionState.h"
 
-#include <algorithm>
 #include <fmt/format.h>
-#include <iterator>
 #include <xxhash.h>
 
 namespace kumquatbank {
@@ -58,35 +56,4 @@
         prepared[statement.name] = { preparedConnectionName(statement.preparesWrite, statement.argument), statement.argument, statement.preparesWrite };
 }
 
-bool ConnectionState::needsReset(const SessionState& session) const
-{
-    return std::ranges::any_of(m_values, [&](const auto& item) { return !session.values.contains(item.first); });
-}
-
-SessionState::Values ConnectionState::missingValues(const SessionState& session) const
-{
-    if (needsReset(session))
-        return session.values;
-    SessionState::Values missing;
-    std::ranges::copy_if(session.values, std::inserter(missing, missing.end()), [&](const auto& item) {
-        const auto it = m_values.find(item.first);
-        return it == m_values.end() || it->second != item.second;
-    });
-    return missing;
-}
-
-void ConnectionState::recordReset()
-{
-    m_values.clear();
-    m_valueBytes = 0;
-    m_prepared.clear();
-}
-
-void ConnectionState::recordValue(const std::string& name, const std::string& value)
-{
-    m_valueBytes -= valueBytes(m_values, name);
-    m_valueBytes += entryBytes(name, value.size());
-    m_values[name] = value;
-}
-
 } // namespace kumquatbank
--- a/packages/routing/tests/SessionStateTest.cpp
+++ b/packages/routing/tests/SessionStateTest.cpp
@@ -7,7 +7,6 @@
 TEST_GROUP(SessionState)
 {
     SessionState session;
-    ConnectionState connection;
 };
 
 // Guards against a session whose values grow without a bound, and against one that is refused for replacing its own.
@@ -50,49 +49,6 @@
     LONGS_EQUAL(0, session.bytes);
 }
 
-// A connection that kept much would hold memory of sessions that have ended.
-TEST(SessionState, AConnectionWithLongValuesIsNotSmallUntilAReset)
-{
-    CHECK_TRUE(connection.isSmall());
-    connection.recordValue("a", std::string(20'000, 'x'));
-    CHECK_FALSE(connection.isSmall());
-    connection.recordValue("a", "1");
-    CHECK_TRUE(connection.isSmall());
-    connection.recordValue("b", std::string(20'000, 'x'));
-    connection.recordReset();
-    CHECK_TRUE(connection.isSmall());
-}
-
-TEST(SessionState, SetsOnlyDifferingValues)
-{
-    session.values = { { "a", "1" }, { "b", "2" } };
-    connection.recordValue("a", "1");
-    const auto missing = connection.missingValues(session);
-    LONGS_EQUAL(1, missing.size());
-    STRCMP_EQUAL("2", missing.at("b").c_str());
-    CHECK_FALSE(connection.needsReset(session));
-}
-
-// A value that another client left on the connection would change the effect of this client's statements.
-TEST(SessionState, ValueOfAnotherSessionRequiresAResetAndAllValues)
-{
-    session.values = { { "a", "1" } };
-    connection.recordValue("a", "1");
-    connection.recordValue("foreign", "x");
-    CHECK_TRUE(connection.needsReset(session));
-    LONGS_EQUAL(1, connection.missingValues(session).size());
-    connection.recordReset();
-    CHECK_FALSE(connection.needsReset(session));
-}
-
-TEST(SessionState, ResetClearsPreparedStatements)
-{
-    connection.recordPrepared("r1");
-    CHECK_TRUE(connection.hasPrepared("r1"));
-    connection.recordReset();
-    CHECK_FALSE(connection.hasPrepared("r1"));
-}
-
 // Two clients may choose the same name for different statements; on a shared connection the names must not collide.
 TEST(SessionState, ConnectionNamesDependOnKindAndShape)
 {
--- a/tools/emulator/EmulatedDatabase.cpp
+++ b/tools/emulator/EmulatedDatabase.cpp
@@ -17,6 +17,17 @@
         return word;
     }
 
+    /// Returns the first word of a command, behind the position that it may require.
+    std::string commandWord(std::string_view text)
+    {
+        auto word = takeWord(text);
+        if (word == "AFTER") {
+            takeWord(text);
+            word = takeWord(text);
+        }
+        return std::string(word);
+    }
+
     LogPosition parsePosition(std::string_view text)
     {
         const auto dot = text.find('.');
@@ -128,14 +139,9 @@
     return fmt::format("READY {} {}\r\n", isWrong ? wrongState : state, position());
 }
 
-std::optional<CommandDisturbance> EmulatedDatabase::takeDisturbance(std::string_view text)
+std::optional<CommandDisturbance> EmulatedDatabase::takeDisturbance(const std::string& word)
 {
-    auto word = takeWord(text);
-    if (word == "AFTER") {
-        takeWord(text);
-        word = takeWord(text);
-    }
-    const auto it = m_behaviour.disturbances.find(std::string(word));
+    const auto it = m_behaviour.disturbances.find(word);
     if (it == m_behaviour.disturbances.end() || it->second.count == 0)
         return std::nullopt;
     --it->second.count;
@@ -373,7 +379,10 @@
     const std::string id(takeWord(rest));
     const std::string text(rest.substr(std::min<std::size_t>(rest.size(), 1)));
     const auto before = m_ran.size();
-    const auto disturbance = takeDisturbance(text);
+    const auto command = commandWord(text);
+    ++m_commands[command];
+    m_roundTrips += session.channel.hasBufferedInput() ? 0 : 1;
+    const auto disturbance = takeDisturbance(command);
     const auto happens = [&](CommandDisturbance::Kind kind) { return disturbance && disturbance->kind == kind; };
     std::string result;
     if (happens(CommandDisturbance::Kind::Refuse))
@@ -403,6 +412,9 @@
 {
     ++m_connections;
     m_mostConnections = std::max(m_mostConnections, m_connections);
+    // Answers to commands that were sent together are written one by one.
+    boost::system::error_code ec; // Ignored: a socket without this option is still usable.
+    socket.set_option(asio::ip::tcp::no_delay(true), ec);
     const auto session = std::make_shared<Session>(LineChannel(std::move(socket), WireDialect::maxMessageBytes), ++m_nextConnection);
     m_sessions.insert(session);
     std::string_view line;
--- a/tools/emulator/EmulatedDatabase.h
+++ b/tools/emulator/EmulatedDatabase.h
@@ -67,6 +67,10 @@
     const EndpointEntry& entry() const { return m_entry; }
     DatabaseBehaviour& behaviour() { return m_behaviour; }
     const std::vector<RanStatement>& ran() const { return m_ran; }
+    /// Commands received so far, by their first word.
+    const std::map<std::string, std::uint64_t>& commands() const { return m_commands; }
+    /// Commands that were received so far without another one behind them, as the last ones of what was sent together.
+    std::uint64_t roundTrips() const { return m_roundTrips; }
     int connections() const { return m_connections; }
     int mostConnections() const { return m_mostConnections; }
     /// Connections that were opened so far, also those that were refused.
@@ -91,8 +95,8 @@
     void freeSlot();
     std::string position();
     std::string ready(const Session& session, bool isWrong = false);
-    /// Takes the disturbance of a command with this text, if one is due.
-    std::optional<CommandDisturbance> takeDisturbance(std::string_view text);
+    /// Takes the disturbance of a command that begins with this word, if one is due.
+    std::optional<CommandDisturbance> takeDisturbance(const std::string& word);
     /// Ends the transaction of a session without a commit.
     void rollBack(Session& session);
     std::string refuse(Session& session, std::string_view code);
@@ -107,6 +111,8 @@
     std::unique_ptr<TcpListener> m_listener;
     std::set<std::shared_ptr<Session>> m_sessions;
     std::vector<RanStatement> m_ran;
+    std::map<std::string, std::uint64_t> m_commands;
+    std::uint64_t m_roundTrips = 0;
     std::deque<std::shared_ptr<AutoResetEvent>> m_slotWaiters;
     int m_busySlots = 0;
     int m_connections = 0;
--- a/tools/emulator/EmulatedPlatform.cpp
+++ b/tools/emulator/EmulatedPlatform.cpp
@@ -78,6 +78,23 @@
     return all;
 }
 
+std::string EmulatedPlatform::describeCommands() const
+{
+    std::uint64_t connections = 0;
+    std::uint64_t roundTrips = 0;
+    std::map<std::string, std::uint64_t> commands;
+    for (const auto& database : m_databases) {
+        connections += database->openedConnections();
+        roundTrips += database->roundTrips();
+        for (const auto& [word, count] : database->commands())
+            commands[word] += count;
+    }
+    auto text = fmt::format("connections {} round trips {}", connections, roundTrips);
+    for (const auto& [word, count] : commands)
+        text += fmt::format(" {} {}", word, count);
+    return text;
+}
+
 std::vector<std::string> EmulatedPlatform::violations() const
 {
     std::vector<std::string> found;
--- a/tools/emulator/EmulatedPlatform.h
+++ b/tools/emulator/EmulatedPlatform.h
@@ -48,6 +48,8 @@
     EmulatedDatabase& primary(int service);
     const std::vector<OrderedPromotion>& promotions() const { return m_promotions; }
     std::vector<RanStatement> ran() const;
+    /// What all databases have received, as a line of text: connections, round trips, and commands by their first word.
+    std::string describeCommands() const;
     /// Broken promises that only the databases and the promote call can see; each as a line of text.
     std::vector<std::string> violations() const;
 
--- a/tools/emulator/platform_emulator.cpp
+++ b/tools/emulator/platform_emulator.cpp
@@ -416,6 +416,7 @@
         for (const auto& withdrawal : troubles.withdrawals()->withdrawals())
             withdrawnFile << withdrawal << '\n';
     }
+    std::cout << "received: " << platform.describeCommands() << '\n';
     const auto violations = platform.violations();
     for (const auto& what : violations)
         std::cout << "violation: " << what << '\n';
