--- a/tools/emulator/LoadClient.cpp
+++ b/tools/emulator/LoadClient.cpp
@@ -17,12 +17,6 @@
     /// Staleness bound of the emulated platform's routes.
     constexpr milliseconds staleness { 1500 };
 
-    bool promisesNothingKept(const std::string& code)
-    {
-        static const std::set<std::string, std::less<>> promises { "BUSY", "ABORTED", "LAGGING", "READONLY", "MISROUTED", "TOOMANY", "NODB", "NOAUTH" };
-        return promises.contains(code);
-    }
-
 } // namespace
 
 LoadClient::LoadClient(asio::io_context& io, std::string database, ReadPolicy policy, std::vector<HostAddress> proxies, unsigned seed, LoadReport& report)
@@ -119,7 +113,7 @@
         m_acknowledged.emplace_back(BootClock::now(), value);
         m_report.acknowledged(m_database, BootClock::now());
         m_ownSession = value;
-    } else if (promisesNothingKept(answer.code)) {
+    } else if (LoadReport::promisesNothingKept(answer.code)) {
         m_refused.insert(value);
     } else {
         changeItem();
--- a/tools/emulator/LoadReport.cpp
+++ b/tools/emulator/LoadReport.cpp
@@ -20,6 +20,12 @@
 
 } // namespace
 
+bool LoadReport::promisesNothingKept(const std::string& code)
+{
+    static constexpr std::array<std::string_view, 8> promises { "BUSY", "ABORTED", "LAGGING", "READONLY", "MISROUTED", "TOOMANY", "NODB", "NOAUTH" };
+    return std::ranges::find(promises, code) != promises.end();
+}
+
 void LoadReport::answered(const std::string& database, std::chrono::microseconds took, const std::string& code)
 {
     auto& known = m_classes[database];
--- a/tools/emulator/LoadReport.h
+++ b/tools/emulator/LoadReport.h
@@ -14,6 +14,9 @@
 /// What the clients of a load saw.
 class LoadReport {
 public:
+    /// Returns whether an answer with @p code promises that nothing of the client's attempt is kept.
+    static bool promisesNothingKept(const std::string& code);
+
     void answered(const std::string& database, std::chrono::microseconds took, const std::string& code);
     /// Records that a write was acknowledged, for the longest time between two.
     void acknowledged(const std::string& database, BootTime at);
--- a/tools/emulator/SessionStateClient.cpp
+++ b/tools/emulator/SessionStateClient.cpp
@@ -18,11 +18,6 @@
     constexpr unsigned maxStatements = 8;
     constexpr unsigned maxPauseMs = 120;
 
-    bool promisesNothingKept(std::string_view code)
-    {
-        return code == "BUSY" || code == "ABORTED" || code == "LAGGING" || code == "READONLY" || code == "MISROUTED" || code == "TOOMANY";
-    }
-
 } // namespace
 
 SessionStateClient::SessionStateClient(asio::io_context& io, std::string database, std::vector<HostAddress> proxies, unsigned seed, LoadReport& report)
@@ -108,7 +103,7 @@
 
 void SessionStateClient::noteEnd(const Answer& answer)
 {
-    if (promisesNothingKept(answer.code))
+    if (LoadReport::promisesNothingKept(answer.code))
         m_report.promisedNotKept(answer.id);
 }
 
