--- a/packages/pooler/src/DatabaseServiceConnections.cpp
+++ b/packages/pooler/src/DatabaseServiceConnections.cpp
@@ -258,12 +258,12 @@
         batch.addReset();
     std::vector<DatabaseReply> replies;
     const auto status = co_await connection->exchange(std::move(batch), replies, BootClock::now() + cleanUpTimeout);
+    const auto refused = std::ranges::find_if_not(replies, &DatabaseReply::isSuccess);
     // Closing the connection rolls back as well; returnConnection() must not start another clean-up.
-    if (status != ExchangeStatus::Ok || !connection->isReusable()) {
-        const auto refused = std::ranges::find_if_not(replies, &DatabaseReply::isSuccess);
-        EventLog::warn("connection_not_cleaned", { { "service", m_name }, { "endpoint", endpoint->entry.id }, { "connection", connection->number() }, { "state", transactionStateName(state.transaction()) }, { "answered", status == ExchangeStatus::Ok }, { "code", refused != replies.end() ? errorCodeName(*refused->code) : "" } });
+    if (status != ExchangeStatus::Ok || !connection->isReusable())
         connection->close();
-    }
+    if (status != ExchangeStatus::Ok || refused != replies.end())
+        EventLog::warn("connection_not_cleaned", { { "service", m_name }, { "endpoint", endpoint->entry.id }, { "connection", connection->number() }, { "state", transactionStateName(state.transaction()) }, { "answered", status == ExchangeStatus::Ok }, { "code", refused != replies.end() ? errorCodeName(*refused->code) : "" } });
     returnConnection(endpoint->entry.id, std::move(connection), since, std::move(charge));
 }
 
