Soak: a client that is told of the end of its transaction rolls it back

The trace: host-2 ended the transaction of session 3 after 3 s without a statement (transaction_idle), the answer to the next statement, a SET, was ABORTED; the client of the soak did not look at it and sent an EXEC, which gets MALFORMED as PROTOCOL says: "the transaction failed; ending it rolls back, and every other request receives MALFORMED". The proxy is right; the client now ends the transaction after any error, and prepares a name again whose PREPARE had an error. The check itself is as before.

--- a/tools/emulator/SessionStateClient.cpp
+++ b/tools/emulator/SessionStateClient.cpp
@@ -94,8 +94,10 @@
     if (m_prepared.insert(name).second) {
         const auto text = fmt::format("PREPARE {} {} shape-{}", name, writes ? "WRITE" : "READ", name.substr(1));
         const auto prepared = co_await query(text);
-        if (!prepared.code.empty())
+        if (!prepared.code.empty()) {
+            m_prepared.erase(name);
             co_return prepared;
+        }
     }
     const auto text = fmt::format("EXEC {} {}{}", name, EmulatedPlatform::itemWithValue(m_name), writes ? " x" : "");
     co_return co_await query(text);
@@ -114,16 +116,16 @@
     if (!begun.code.empty())
         co_return;
     for (auto left = 1 + m_random() % maxStatements; left > 0; --left) {
-        const auto answer = co_await execute(!isReadOnly);
+        auto answer = co_await execute(!isReadOnly);
+        co_await sleepFor(m_io, milliseconds(m_random() % maxPauseMs));
+        if (answer.code.empty() && m_random() % 6 == 0) {
+            const auto text = fmt::format("SET own-{} {}", m_random() % 3, ++m_value);
+            answer = co_await query(text);
+        }
         if (!answer.code.empty()) {
             co_await query("ROLLBACK");
             co_return;
         }
-        co_await sleepFor(m_io, milliseconds(m_random() % maxPauseMs));
-        if (m_random() % 6 == 0) {
-            const auto text = fmt::format("SET own-{} {}", m_random() % 3, ++m_value);
-            co_await query(text);
-        }
     }
     const bool commits = m_random() % 3 != 0;
     const auto ended = co_await query(commits ? "COMMIT" : "ROLLBACK");
