Answers of the store and of peers cost a bounded amount of memory

The hosts were ended as often as they started, and nobody was served.

Cause: an answer was counted by the length of its body, at a factor of eight, until the call ended. The parser began after that, took up to 27 times the text, read what no reader uses as deeply as the rest, and ObjectStore::list() kept the objects of all pages. The same held for hosts, the configuration, decisions, watches and answers of peers.

Ruled out by measuring: buffers of connections, the log, and the table of endpoints (docs/incidents/memory-of-answers.md).

Change: AnswerMemory owns what answers may cost. ObjectKind names the fields that the readers of a kind use; nothing else of an object is stored, and listings of endpoints are read object by object. The memory of a body is held for as long as the body, and that of a whole parsed text is bounded and reserved before it is parsed. A reader without room logs it, counts it, keeps what is in force and tries again; a watch without room is replaced by a listing.

--- a/packages/core/include/kumquatbank/core/JsonText.h
+++ b/packages/core/include/kumquatbank/core/JsonText.h
@@ -2,6 +2,7 @@
 
 #include <nlohmann/json.hpp>
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 #include <tl/expected.hpp>
@@ -31,6 +32,20 @@
     /// As parse(), with a discarded value in place of the error.
     static nlohmann::json parseOrDiscard(std::string_view text);
 
+    /// The part of an object that its reader uses.
+    struct Selection {
+        std::span<const std::string_view> keys; ///< Of the members that are read; the others are skipped.
+        bool isFlat = true; ///< Arrays and objects are skipped as well, because the reader uses plain values only.
+        std::size_t maxStringBytes = 0; ///< Longer strings are skipped as well; 0 for no limit.
+    };
+
+    /// Parses the selected members of an object. The whole text has to be readable, but what is skipped takes no memory. A
+    /// selected member whose value was skipped is missing from the result.
+    static tl::expected<nlohmann::json, std::string> parseSelected(std::string_view text, const Selection& selection);
+
+    /// Upper bound of the heap memory, in bytes, that the result of parse() takes. Does not check the text.
+    static std::size_t parsedBytes(std::string_view text);
+
     /// The members of an object: their keys as written between the quotes, and their values as text.
     using Members = std::vector<std::pair<std::string_view, std::string_view>>;
 
--- a/packages/core/src/JsonText.cpp
+++ b/packages/core/src/JsonText.cpp
@@ -1,6 +1,7 @@
 #include "kumquatbank/core/JsonText.h"
 
 #include <algorithm>
+#include <bitset>
 
 namespace kumquatbank {
 
@@ -51,8 +52,10 @@
             while (m_at < m_text.size()) {
                 const char symbol = m_text[m_at];
                 if (symbol == '"') {
+                    const auto stringBegin = m_at;
                     if (!skipString())
                         return {};
+                    countString(m_at - stringBegin);
                     if (depth == 0)
                         return m_text.substr(begin, m_at - begin);
                     continue;
@@ -61,6 +64,7 @@
                 if (depth == 0 && (closes || symbol == ','))
                     break;
                 ++m_at;
+                countSymbol(symbol, depth);
                 if (symbol == '{' || symbol == '[')
                     m_deepest = std::max(m_deepest, ++depth);
                 else if (closes && --depth == 0)
@@ -72,12 +76,45 @@
             return value.substr(0, value.find_last_not_of(whitespace) + 1);
         }
 
+        /// Upper bound of the heap memory that the values taken so far need once they are parsed.
+        std::size_t parsedBytes() const { return m_parsedBytes; }
+
         /// Greatest nesting of the values taken so far.
         int deepest() const { return m_deepest; }
 
     private:
         void skipSpace() { m_at = std::min(m_text.find_first_not_of(whitespace, m_at), m_text.size()); }
 
+        // The parsed form is made of 16-byte values, maps with nodes of 80 bytes, vectors that double, and strings; each
+        // allocation has an overhead and is rounded up.
+        void countString(std::size_t length)
+        {
+            constexpr std::size_t stringObject = 48;
+            constexpr std::size_t inlineLength = 17; // With the quotes.
+            m_parsedBytes += stringObject + (length > inlineLength ? length + 16 : 0);
+        }
+
+        void countSymbol(char symbol, int depth)
+        {
+            constexpr std::size_t container = 64;
+            constexpr std::size_t arrayElement = 3 * 16; // While a vector grows, both copies exist.
+            constexpr std::size_t node = 112;
+            constexpr std::size_t countedKey = 48; // A key is part of its node and was counted as a string.
+            const auto level = static_cast<std::size_t>(depth);
+            if (symbol == '{' || symbol == '[') {
+                m_parsedBytes += container + (isInArray(level) ? arrayElement : 0);
+                if (level < m_arrays.size())
+                    m_arrays.set(level, symbol == '[');
+            } else if (symbol == ':') {
+                m_parsedBytes += node - countedKey;
+            } else if (symbol == ',' && isInArray(level)) {
+                m_parsedBytes += arrayElement;
+            }
+        }
+
+        /// @p level: number of containers that are open.
+        bool isInArray(std::size_t level) const { return level > m_arrays.size() || (level > 0 && m_arrays.test(level - 1)); }
+
         bool skipString()
         {
             for (++m_at; m_at < m_text.size(); ++m_at) {
@@ -95,8 +132,19 @@
         std::string_view m_text;
         std::size_t m_at = 0;
         int m_deepest = 0;
+        std::size_t m_parsedBytes = 0;
+        std::bitset<JsonText::maxDepth> m_arrays; ///< Which of the open containers are arrays, from the outermost.
     };
 
+    tl::unexpected<std::string> tooDeep() { return tl::unexpected("nested deeper than " + std::to_string(JsonText::maxDepth) + " levels"); }
+
+    /// The text of a parse error contains what was read last, which may be as long as the whole text.
+    tl::unexpected<std::string> unreadable(const Json::exception& e)
+    {
+        constexpr std::size_t maxErrorBytes = 160;
+        return tl::unexpected(std::string(e.what()).substr(0, maxErrorBytes));
+    }
+
 } // namespace
 
 tl::expected<Json, std::string> JsonText::parse(std::string_view text, Comments comments)
@@ -104,14 +152,51 @@
     Scanner scanner(text);
     scanner.takeValue();
     if (scanner.deepest() > maxDepth)
-        return tl::unexpected("nested deeper than " + std::to_string(maxDepth) + " levels");
+        return tooDeep();
     try {
         return Json::parse(text, nullptr, true, comments == Comments::Ignored);
     } catch (const Json::exception& e) {
-        return tl::unexpected(std::string(e.what()));
+        return unreadable(e);
     }
 }
 
+tl::expected<Json, std::string> JsonText::parseSelected(std::string_view text, const Selection& selection)
+{
+    Scanner scanner(text);
+    scanner.takeValue();
+    if (scanner.deepest() > maxDepth)
+        return tooDeep();
+    const auto isKept = [&](int depth, Json::parse_event_t event, Json& value) {
+        if (event == Json::parse_event_t::key)
+            return depth != 1 || std::ranges::find(selection.keys, value.get_ref<const std::string&>()) != selection.keys.end();
+        if (event == Json::parse_event_t::array_start)
+            return depth > 0 && !selection.isFlat;
+        if (event == Json::parse_event_t::object_start)
+            return depth == 0 || !selection.isFlat;
+        if (event == Json::parse_event_t::value && value.is_string() && selection.maxStringBytes > 0 && value.get_ref<const std::string&>().size() > selection.maxStringBytes)
+            value = Json(Json::value_t::discarded);
+        return true;
+    };
+    try {
+        auto parsed = Json::parse(text, isKept);
+        if (!parsed.is_object())
+            return tl::unexpected(std::string("not an object"));
+        // The parser leaves a discarded value in the place of what was skipped.
+        for (auto it = parsed.begin(); it != parsed.end();)
+            it = it->is_discarded() ? parsed.erase(it) : std::next(it);
+        return parsed;
+    } catch (const Json::exception& e) {
+        return unreadable(e);
+    }
+}
+
+std::size_t JsonText::parsedBytes(std::string_view text)
+{
+    Scanner scanner(text);
+    scanner.takeValue();
+    return scanner.parsedBytes();
+}
+
 Json JsonText::parseOrDiscard(std::string_view text)
 {
     auto parsed = parse(text);
--- a/packages/core/tests/JsonTextTest.cpp
+++ b/packages/core/tests/JsonTextTest.cpp
@@ -2,6 +2,8 @@
 
 #include <CppUTest/TestHarness.h>
 #include <algorithm>
+#include <array>
+#include <malloc.h>
 #include <random>
 
 using namespace kumquatbank;
@@ -93,3 +95,69 @@
     }
     CHECK_TRUE(accepted > rounds / 50);
 }
+
+namespace {
+
+std::string repeatedArray(std::string_view element, int count)
+{
+    std::string text = "[" + std::string(element);
+    for (int n = 1; n < count; ++n)
+        text.append(",").append(element);
+    return text + "]";
+}
+
+std::size_t heapInUse()
+{
+    const auto info = ::mallinfo2();
+    return info.uordblks + info.hblkhd;
+}
+
+} // namespace
+
+// Guards against a text that is let in and whose parsed form takes more memory than was counted for it.
+TEST(JsonText, BoundsTheMemoryOfWhatIsParsed)
+{
+    std::string members = R"({"0":0)";
+    for (int n = 1; n < 20'000; ++n)
+        members += ",\"" + std::to_string(n) + "\":{}";
+    const auto entry = R"({"name":"i-7f3a91c2","content":{"Service":"huvo11a","Address":"10.128.0.9:8080","Zone":"lj-tivoli","Slots":3}})";
+    const std::vector<std::string> texts { repeatedArray("{}", 100'000), repeatedArray("1", 100'000), repeatedArray("[[[]]]", 50'000), repeatedArray(R"("a")", 100'000), repeatedArray(R"("a string that is not stored inline")", 50'000), repeatedArray(entry, 5000), repeatedArray(R"({"a":1})", 50'000), members + "}", '"' + std::string(1'000'000, 'x') + '"' };
+    for (const auto& text : texts) {
+        const auto before = heapInUse();
+        const auto parsed = JsonText::parse(text);
+        const auto taken = heapInUse() - before;
+        CHECK_TRUE(parsed.has_value());
+        CHECK_TRUE_TEXT(JsonText::parsedBytes(text) >= taken, text.substr(0, 60).c_str());
+        // A bound far above what is needed would refuse what has room.
+        CHECK_TRUE_TEXT(JsonText::parsedBytes(text) <= 4 * taken, text.substr(0, 60).c_str());
+    }
+}
+
+TEST(JsonText, ReadsOnlySelectedMembers)
+{
+    constexpr std::array<std::string_view, 3> keys { "a", "b", "c" };
+    const auto long1 = repeatedArray("{}", 1000);
+    const auto parsed = JsonText::parseSelected(R"({"x":)" + long1 + R"(,"a":1,"y":{"a":2,"b":[3]},"b":"text","c":)" + long1 + "}", { keys, true, 10 });
+    CHECK_TRUE(parsed.has_value());
+    LONGS_EQUAL(2, parsed->size());
+    LONGS_EQUAL(1, parsed->at("a").get<int>());
+    STRCMP_EQUAL("text", parsed->at("b").get<std::string>().c_str());
+    // Nested values stay where they are wanted, and long strings do not.
+    const auto nestedValues = JsonText::parseSelected(R"({"a":{"x":[1,{"y":2}]},"b":"12345678901","c":[]})", { keys, false, 10 });
+    CHECK_TRUE(nestedValues.has_value());
+    LONGS_EQUAL(2, nestedValues->size());
+    LONGS_EQUAL(2, nestedValues->at("a").at("x").at(1).at("y").get<int>());
+}
+
+// Guards against an entry that is used although a part of it cannot be read, and against an exception for what is no object.
+TEST(JsonText, AnUnreadableTextHasNoSelectedMembers)
+{
+    constexpr std::array<std::string_view, 1> keys { "a" };
+    for (const auto& text : { std::string(R"({"a":1,"x":1e400})"), std::string("{\"a\":1,\"x\":\"\xff\"}"), std::string(R"({"a":1,"x":)"), std::string("[1]"), std::string("null"), std::string("\"a\""), std::string(), R"({"a":1,"x":)" + nested('[', ']', 200'000) + "}" }) {
+        const auto parsed = JsonText::parseSelected(text, { keys, true, 10 });
+        CHECK_TRUE_TEXT(!parsed.has_value(), text.substr(0, 60).c_str());
+    }
+    // What is quoted of a text that cannot be read does not make the message long.
+    const auto failed = JsonText::parse('"' + std::string(1'000'000, 'x'));
+    CHECK_TRUE(failed.error().size() < 200);
+}
--- a/packages/engine/include/kumquatbank/engine/HttpClient.h
+++ b/packages/engine/include/kumquatbank/engine/HttpClient.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "kumquatbank/engine/AnswerMemory.h"
 #include "kumquatbank/engine/Async.h"
 
 #include <boost/beast/core/flat_buffer.hpp>
@@ -16,6 +17,7 @@
     std::string target;
     std::map<std::string, std::string> headers;
     std::string body; ///< JSON; empty for a request without a body.
+    AnswerReader reader = AnswerReader::Other; ///< For whose memory the answer is counted.
 };
 
 /// The response to a call, or the reason why there is none.
@@ -30,6 +32,8 @@
     int status = 0;
     boost::beast::http::fields headers;
     std::string body;
+    MemoryHold memory; ///< Counted for the body.
+    bool hasNoRoom = false; ///< There was a response, but no memory for its body.
 
     bool isSuccess() const { return outcome == Outcome::Completed && status >= 200 && status < 300; }
     /// Text for logs: the HTTP status code, or the kind of failure.
--- a/packages/engine/src/HttpClient.cpp
+++ b/packages/engine/src/HttpClient.cpp
@@ -16,8 +16,8 @@
     constexpr std::uint64_t maxBodyBytes = 64 << 20;
     /// Answers up to this size are not counted in the memory budget.
     constexpr std::uint64_t uncountedAnswerBytes = 16 << 10;
-    /// A growing body exists twice for a moment, and the caller parses JSON into several times its length.
-    constexpr std::uint64_t answerFactor = 8;
+    /// A body without a known length grows, and exists twice for a moment.
+    constexpr std::uint64_t growthFactor = 2;
     /// A connection fails if sent data stays unacknowledged for this long.
     constexpr std::chrono::milliseconds deadPeerTimeout { 1500 };
 
@@ -39,7 +39,7 @@
     case Outcome::NotSent:
         return "not_sent";
     case Outcome::NoResponse:
-        return "no_answer";
+        return hasNoRoom ? "no_room" : "no_answer";
     case Outcome::Completed:
         break;
     }
@@ -95,20 +95,32 @@
     http::response_parser<http::string_body> parser;
     parser.body_limit(maxBodyBytes);
     if (const auto [ec, n] = co_await http::async_read_header(connection->socket, connection->buf, parser, asTuple); ec) {
+        reply.hasNoRoom = ec == http::error::body_limit;
+        if (reply.hasNoRoom)
+            AnswerMemory::ofProcess().recordRefusal(call.reader, parser.content_length().value_or(maxBodyBytes));
         m_idle.clear();
         co_return reply;
     }
-    MemoryHold hold;
+    auto& answers = AnswerMemory::ofProcess();
     const auto length = parser.content_length();
-    if (length && *length > uncountedAnswerBytes && !hold.resize(MemoryUse::Answer, answerFactor * *length)) {
+    if (length && *length > uncountedAnswerBytes && !answers.add(reply.memory, call.reader, *length)) {
+        reply.hasNoRoom = true;
         m_idle.clear();
         co_return reply;
     }
     if (!length) {
-        const std::uint64_t room = MemoryBudget::ofProcess().available(MemoryUse::Answer) / answerFactor;
+        const std::uint64_t room = MemoryBudget::ofProcess().available(MemoryUse::Answer) / growthFactor;
         parser.body_limit(std::clamp(room, uncountedAnswerBytes, maxBodyBytes));
     }
     if (const auto [ec, n] = co_await http::async_read(connection->socket, connection->buf, parser, asTuple); ec) {
+        reply.hasNoRoom = ec == http::error::body_limit;
+        if (reply.hasNoRoom)
+            AnswerMemory::ofProcess().recordRefusal(call.reader, parser.content_length().value_or(maxBodyBytes));
+        m_idle.clear();
+        co_return reply;
+    }
+    if (!length && !answers.add(reply.memory, call.reader, parser.get().body().capacity())) {
+        reply.hasNoRoom = true;
         m_idle.clear();
         co_return reply;
     }
--- a/packages/engine/tests/HttpListenerTest.cpp
+++ b/packages/engine/tests/HttpListenerTest.cpp
@@ -133,3 +133,26 @@
         CHECK_TRUE(reader->isClosed == (bytes > 16 << 10));
     }
 }
+
+// Guards against an answer that is let in for its length and is no longer counted while its reader still has it.
+TEST(HttpListener, AnAnswerIsCountedWhileItIsHeld)
+{
+    asio::io_context io(1);
+    const auto address = freeAddress();
+    const HttpListener listener(io, address, [](HttpRequest) -> Task<HttpResponse> { co_return HttpResponse { 200, std::string(100'000, 'x') }; });
+    HttpClient client(io, address);
+    const auto before = MemoryBudget::ofProcess().used();
+    HttpResult result;
+    const auto ask = [&]() -> Task<void> {
+        HttpCall call;
+        call.target = "/";
+        result = co_await client.call(std::move(call), std::chrono::milliseconds(1000));
+        io.stop();
+    };
+    asio::co_spawn(io, ask(), asio::detached);
+    io.run();
+    LONGS_EQUAL(200, result.status);
+    LONGS_EQUAL(before + 100'000, MemoryBudget::ofProcess().used());
+    result = {};
+    LONGS_EQUAL(before, MemoryBudget::ofProcess().used());
+}
--- a/packages/pooler/src/HostDirectory.cpp
+++ b/packages/pooler/src/HostDirectory.cpp
@@ -15,7 +15,8 @@
 
 namespace {
 
-    constexpr const char* hostKind = "kumquatbank-hosts";
+    constexpr std::array<std::string_view, 7> hostFields { "peerAddress", "loanAddress", "dataCentre", "region", "weight", "incarnation", "renewals" };
+    constexpr ObjectKind hostKind { "kumquatbank-hosts", AnswerReader::Hosts, hostFields, {}, true };
     constexpr milliseconds callTimeout { 1500 };
     constexpr milliseconds retryDelay { 300 };
     /// Retry delay once the hosts have been listed.
--- a/packages/pooler/src/PeerService.cpp
+++ b/packages/pooler/src/PeerService.cpp
@@ -1,6 +1,5 @@
 #include "PeerService.h"
 
-#include "kumquatbank/core/JsonText.h"
 #include "kumquatbank/engine/EventLog.h"
 #include "kumquatbank/engine/KeepRunning.h"
 #include "kumquatbank/engine/Random.h"
@@ -73,6 +72,7 @@
     const auto keep = client;
     HttpCall request;
     request.target = std::move(target);
+    request.reader = AnswerReader::Peers;
     co_return co_await keep->call(std::move(request), timeout);
 }
 
@@ -148,9 +148,11 @@
     const auto target = fmt::format("/v1/primary?service={}&endpoint={}", boost::urls::encode(service, boost::urls::unreserved_chars), boost::urls::encode(endpoint, boost::urls::unreserved_chars));
     const auto queryOne = [this, reports, missing, waiter, target](std::size_t n, HostAddress peer) -> Task<void> {
         const auto reply = co_await call(peer, target, peerQueryTimeout);
-        const auto body = reply.isSuccess() ? JsonText::parseOrDiscard(reply.body) : Json();
+        const auto parsed = reply.isSuccess() ? AnswerMemory::ofProcess().parse(AnswerReader::Peers, reply.body) : std::nullopt;
         auto& report = (*reports)[n];
-        const auto flag = [&body](const char* key) { return body.is_object() && body.contains(key) && body[key].is_boolean() && body[key].get<bool>(); };
+        const auto flag = [&parsed](const char* key) {
+            return parsed && parsed->value.is_object() && parsed->value.contains(key) && parsed->value[key].is_boolean() && parsed->value[key].get<bool>();
+        };
         // A host that does not monitor the primary has no information about it.
         report.answered = flag("watches");
         report.reachesPrimary = report.answered && flag("seen");
@@ -276,7 +278,12 @@
 bool PeerService::applyUpdates(const std::string& body, BootTime requestedAt, const std::string& peer)
 {
     try {
-        const auto updates = JsonText::parseOrDiscard(body);
+        const auto parsed = AnswerMemory::ofProcess().parse(AnswerReader::Peers, body);
+        if (!parsed) {
+            m_sync.clearPeerUpdate();
+            return false;
+        }
+        const auto& updates = parsed->value;
         if (m_sync.applyFromPeer(updates.at("known"), peer))
             m_sync.recordPeerUpdate(requestedAt, durationOfMessage(updates.at("storeSilenceMs").get<std::int64_t>()));
         else
@@ -301,10 +308,12 @@
 bool PeerService::applyState(const std::string& body, const std::string& peer)
 {
     try {
-        const auto known = JsonText::parseOrDiscard(body);
-        m_sync.applyFromPeer(known, peer);
-        if (known.contains("hosts"))
-            m_hosts.applyFromPeer(known["hosts"]);
+        const auto parsed = AnswerMemory::ofProcess().parse(AnswerReader::Peers, body);
+        if (!parsed)
+            return true; // Without room, which has been logged; the next poll asks again.
+        m_sync.applyFromPeer(parsed->value, peer);
+        if (parsed->value.contains("hosts"))
+            m_hosts.applyFromPeer(parsed->value["hosts"]);
         return true;
     } catch (const Json::exception&) {
         return false;
--- a/packages/pooler/src/PoolerMetrics.cpp
+++ b/packages/pooler/src/PoolerMetrics.cpp
@@ -1,5 +1,6 @@
 #include "PoolerMetrics.h"
 
+#include "kumquatbank/engine/AnswerMemory.h"
 #include "kumquatbank/engine/EventLog.h"
 #include "kumquatbank/engine/MemoryBudget.h"
 
@@ -56,6 +57,7 @@
     , m_abandoned(family(m_registry, prometheus::BuildCounter(), "kumquatbank_abandoned_requests_total", "Requests that left the queue because their sender had disconnected"))
     , m_refusedRetries(family(m_registry, prometheus::BuildCounter(), "kumquatbank_refused_retries_total", "Statements that were not sent again because the retry budget of the service is used up"))
     , m_accountsOverShare(family(m_registry, prometheus::BuildGauge(), "kumquatbank_accounts_over_share", "Accounts that have recently used more than their share of the granted time"))
+    , m_answersWithoutRoom(family(m_registry, prometheus::BuildCounter(), "kumquatbank_answers_without_room_total", "Answers of the store and of other hosts for which there was no memory, by reader"))
     , m_sessions(family(m_registry, prometheus::BuildGauge(), "kumquatbank_sessions", "Open client sessions").Add({}))
     , m_configVersion(family(m_registry, prometheus::BuildGauge(), "kumquatbank_config_version", "Version of the configuration in force").Add({}))
     , m_storeEra(family(m_registry, prometheus::BuildGauge(), "kumquatbank_store_era", "Era of the newest answer of the store; rises when it comes back from an older copy").Add({}))
@@ -186,6 +188,11 @@
 std::string PoolerMetrics::serialize()
 {
     m_memoryHeld.Set(static_cast<double>(MemoryBudget::ofProcess().used()));
+    for (std::size_t n = 0; n < AnswerMemory::readerCount; ++n) {
+        const auto reader = static_cast<AnswerReader>(n);
+        auto& counter = m_answersWithoutRoom.Add({ { "reader", std::string(AnswerMemory::readerName(reader)) } });
+        counter.Increment(static_cast<double>(AnswerMemory::ofProcess().refusals(reader)) - counter.Value());
+    }
     m_droppedLogLines.Set(static_cast<double>(EventLog::droppedLines()));
     return prometheus::TextSerializer().Serialize(m_registry.Collect());
 }
--- a/packages/pooler/src/PoolerMetrics.h
+++ b/packages/pooler/src/PoolerMetrics.h
@@ -117,6 +117,7 @@
     prometheus::Family<prometheus::Counter>& m_abandoned;
     prometheus::Family<prometheus::Counter>& m_refusedRetries;
     prometheus::Family<prometheus::Gauge>& m_accountsOverShare;
+    prometheus::Family<prometheus::Counter>& m_answersWithoutRoom;
     prometheus::Gauge& m_sessions;
     prometheus::Gauge& m_configVersion;
     prometheus::Gauge& m_storeEra;
--- a/packages/pooler/src/PromotionController.cpp
+++ b/packages/pooler/src/PromotionController.cpp
@@ -15,7 +15,7 @@
 
 namespace {
 
-    constexpr const char* promotionKind = "kumquatbank-promotions";
+    constexpr ObjectKind promotionKind { "kumquatbank-promotions", AnswerReader::Promotions, PromotionDecision::fields, {}, true };
     constexpr milliseconds checkInterval { 100 };
     /// A primary is suspected after this time without an answer and primaryFailureThreshold failed attempts to reach
     /// it.
--- a/packages/pooler/src/StoreSync.cpp
+++ b/packages/pooler/src/StoreSync.cpp
@@ -37,8 +37,6 @@
     constexpr milliseconds maxRetryDelay { 800 };
     /// The same for a subscriber, which receives from followers that the store is back.
     constexpr milliseconds maxSubscriberRetryDelay { 3200 };
-    /// Entries that cannot be read are told apart in the log up to this number; further ones are logged each time.
-    constexpr std::size_t maxSkippedEntries = 1024;
 
 } // namespace
 
@@ -47,9 +45,12 @@
     , m_store(std::move(store))
     , m_registry(registry)
     , m_metrics(metrics)
+    , m_reader([&registry](const std::string& service) { return registry.config() && registry.config()->services.contains(service); })
 {
     m_config.kind = StoreCodec::configKind;
+    m_config.objects = &StoreCodec::configs();
     m_endpoints.kind = StoreCodec::endpointKind;
+    m_endpoints.objects = &StoreCodec::endpoints();
 }
 
 void StoreSync::start()
@@ -134,15 +135,28 @@
 
 Task<bool> StoreSync::listOnce(Cursor& cursor)
 {
-    auto listing = co_await m_store->list(cursor.kind, false, callTimeout);
+    const bool isEndpoints = &cursor == &m_endpoints;
+    EndpointReader::Listing entries;
+    ObjectStore::ObjectVisitor visit;
+    std::size_t objects = 0;
+    if (isEndpoints) {
+        visit = [this, &entries, &objects](const StoreObject& object) {
+            ++objects;
+            return m_reader.addTo(entries, object);
+        };
+    }
+    const auto listing = co_await m_store->list(*cursor.objects, false, callTimeout, visit);
     if (!recordOutcome(cursor, "list", listing.status, listing.detail))
         co_return false;
-    EventLog::info("store_listed", { { "kind", cursor.kind }, { "objects", listing.objects.size() }, { "revision", listing.revision.number }, { "era", listing.revision.era } });
+    EventLog::info("store_listed", { { "kind", cursor.kind }, { "objects", objects + listing.objects.size() }, { "revision", listing.revision.number }, { "era", listing.revision.era } });
     cursor.revision = listing.revision;
     cursor.isPopulated = true;
-    applyListing(cursor, listing.objects, listing.revision);
+    if (isEndpoints)
+        applyEndpoints(std::move(entries), listing.revision);
+    for (const auto& object : listing.objects)
+        applyChange(cursor, { object, false });
     publishEndpoints(cursor);
-    if (&cursor == &m_endpoints)
+    if (isEndpoints)
         m_entriesKnownAt = cursor.lastAnswer;
     co_return true;
 }
@@ -151,9 +165,10 @@
 {
     const auto since = cursor.revision;
     const auto wait = m_role == Role::Follower ? followerWatchWait : watchWait;
-    auto changes = co_await m_store->watch(cursor.kind, since, wait, wait + watchAnswerTimeout);
+    auto changes = co_await m_store->watch(*cursor.objects, since, wait, wait + watchAnswerTimeout);
     const bool isOk = recordOutcome(cursor, "watch", changes.status, changes.detail);
-    const bool isOutdated = changes.status == StoreStatus::HistoryGone || changes.status == StoreStatus::Restored || (changes.status == StoreStatus::Ok && changes.revision < since);
+    // Changes that find no room are read as a listing, page by page.
+    const bool isOutdated = changes.status == StoreStatus::HistoryGone || changes.status == StoreStatus::Restored || changes.status == StoreStatus::NoRoom || (changes.status == StoreStatus::Ok && changes.revision < since);
     if (cursor.revision == since && isOutdated) {
         EventLog::info("store_history_gone", { { "kind", cursor.kind }, { "revision", since.number }, { "revision_era", since.era }, { "era", m_store->era() }, { "status", changes.detail } });
         requestListing(cursor);
@@ -194,10 +209,13 @@
     }
     const auto version = config->version;
     auto shared = StoreCodec::withoutKeys(content, *config);
-    if (m_registry.apply(std::make_shared<const RoutingConfig>(std::move(*config)), source))
+    if (m_registry.apply(std::make_shared<const RoutingConfig>(std::move(*config)), source)) {
         m_configContent = std::move(shared);
-    else if (version < m_registry.config()->version)
+        if (m_reader.hasOmitted())
+            requestListing(m_endpoints);
+    } else if (version < m_registry.config()->version) {
         EventLog::warn("older_config_ignored", { { "version", version }, { "in_force", m_registry.config()->version }, { "source", source } });
+    }
 }
 
 bool StoreSync::hasNewerThan(std::int64_t configVersion, StoreRevision endpointRevision) const
@@ -242,33 +260,26 @@
         return true;
     }
     // All items are parsed before any state changes, so that an unreadable item leaves the current entries intact.
-    std::vector<StoreObject> objects;
+    EndpointReader::Listing entries;
     for (const auto& item : state.at("endpoints")) {
-        auto& object = objects.emplace_back();
+        StoreObject object;
         object.name = item.at("name").get<std::string>();
         object.content = item.at("content");
+        if (!m_reader.addTo(entries, object))
+            return false;
     }
     m_endpoints.revision = revision;
     m_endpoints.isPopulated = true;
-    applyListing(m_endpoints, objects, revision);
+    applyEndpoints(std::move(entries), revision);
     EventLog::info("endpoints_from_peer", { { "source", source }, { "revision", revision.number }, { "era", revision.era }, { "endpoints", m_table.entries().size() } });
     publishEndpoints(m_endpoints);
     return true;
 }
 
-void StoreSync::applyListing(const Cursor& cursor, const std::vector<StoreObject>& objects, StoreRevision revision)
+void StoreSync::applyEndpoints(EndpointReader::Listing listing, StoreRevision revision)
 {
-    if (&cursor == &m_config) {
-        for (const auto& object : objects)
-            applyChange(cursor, { object, false });
-        return;
-    }
-    EndpointTable::Entries entries;
-    for (const auto& object : objects) {
-        if (auto entry = parseEndpoint(object))
-            entries.insert_or_assign(object.name, std::move(*entry));
-    }
-    for (const auto& id : m_table.replace(std::move(entries), revision.era, BootClock::now()))
+    m_reader.finish(listing);
+    for (const auto& id : m_table.replace(std::move(listing.entries), revision.era, BootClock::now()))
         EventLog::info("endpoint_entry_outdated", { { "endpoint", id }, { "revision", revision.number }, { "era", revision.era } });
     m_entriesRevision = revision;
 }
@@ -286,30 +297,14 @@
         return;
     }
     if (change.isRemoved)
-        m_skippedEntries.erase(object.name);
-    auto entry = change.isRemoved ? std::nullopt : parseEndpoint(object);
+        m_reader.forget(object.name);
+    auto entry = change.isRemoved ? std::nullopt : m_reader.read(object, m_table.entries());
     if (entry)
         m_table.set(std::move(*entry));
     else
         m_table.remove(object.name, BootClock::now());
 }
 
-std::optional<EndpointEntry> StoreSync::parseEndpoint(const StoreObject& object)
-{
-    auto entry = StoreCodec::parseEndpoint(object);
-    if (entry) {
-        m_skippedEntries.erase(object.name);
-        return std::move(*entry);
-    }
-    const auto known = m_skippedEntries.find(object.name);
-    if (known != m_skippedEntries.end() && known->second == entry.error())
-        return std::nullopt;
-    if (known != m_skippedEntries.end() || m_skippedEntries.size() < maxSkippedEntries)
-        m_skippedEntries[object.name] = entry.error();
-    EventLog::warn("endpoint_entry_skipped", { { "endpoint", object.name }, { "revision", object.revision.number }, { "error", entry.error() } });
-    return std::nullopt;
-}
-
 void StoreSync::publishEndpoints(const Cursor& cursor)
 {
     if (&cursor == &m_endpoints && cursor.isPopulated)
--- a/packages/pooler/src/StoreSync.h
+++ b/packages/pooler/src/StoreSync.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "EndpointReader.h"
 #include "ServiceRegistry.h"
 #include "kumquatbank/adapter/ObjectStore.h"
 #include "kumquatbank/routing/EndpointTable.h"
@@ -51,7 +52,8 @@
 private:
     /// Progress of one kind's loop.
     struct Cursor {
-        std::string kind;
+        std::string kind; ///< For logs.
+        const ObjectKind* objects = nullptr;
         StoreRevision revision; ///< To watch from; number 0 requests a listing.
         BootTime lastAnswer {};
         bool isLost = false;
@@ -70,10 +72,8 @@
     void applyConfig(const nlohmann::json& content, std::string_view source);
     /// Applies one change reported by a watch.
     void applyChange(const Cursor& cursor, const StoreChange& change);
-    /// Replaces everything that is known of the kind.
-    void applyListing(const Cursor& cursor, const std::vector<StoreObject>& objects, StoreRevision revision);
-    /// Empty if the entry cannot be read, which is logged once for each error of an endpoint.
-    std::optional<EndpointEntry> parseEndpoint(const StoreObject& object);
+    /// Replaces all endpoints that are known.
+    void applyEndpoints(EndpointReader::Listing listing, StoreRevision revision);
     void publishEndpoints(const Cursor& cursor);
 
     asio::io_context& m_io;
@@ -88,7 +88,7 @@
     BootTime m_entriesKnownAt {}; ///< The entries were those of the store at this time.
     StoreRevision m_entriesRevision; ///< Revision at which the entries last changed.
     nlohmann::json m_configContent; ///< For peers: without keys.
-    std::map<std::string, std::string> m_skippedEntries; ///< Entries that cannot be read, and why, by name.
+    EndpointReader m_reader;
 };
 
 } // namespace kumquatbank
--- a/scripts/pooler_fleet.sh
+++ b/scripts/pooler_fleet.sh
@@ -16,6 +16,8 @@
 pooler_regions=1
 pooler_store_ports=() # of hosts whose settings name another port than the first one
 pooler_seeds=() # of hosts that have others than the first two
+# Memory of the machine of each proxy, in MB: that of the smallest in use.
+pooler_memory_mb=160
 # Grace period of the proxies, in seconds.
 pooler_grace_seconds=4
 pooler_pids=()
@@ -37,7 +39,7 @@
   "seeds": [${pooler_seeds[$1]:-$seeds}],
   "storeAddress": "$pooler_ip:${pooler_store_ports[$1]:-$((emulator_port + fault_offset))}",
   "promotionAddress": "$pooler_ip:$((emulator_port + 1 + fault_offset))",
-  "graceSeconds": $pooler_grace_seconds }
+  "memoryMb": $pooler_memory_mb, "graceSeconds": $pooler_grace_seconds }
 SETTINGS
 }
 
--- a/scripts/pooler_soak.sh
+++ b/scripts/pooler_soak.sh
@@ -80,11 +80,18 @@
     >"$pooler_dir/load.txt" &
 load_pid=$!
 
+# A host that exceeds the memory of its machine would be ended there.
+check_memory() { # host
+    local kilobytes
+    kilobytes=$(sed -n 's/^VmHWM:[^0-9]*\([0-9]*\).*/\1/p' "/proc/${pooler_pids[$1]}/status" 2>/dev/null) || return 0
+    [ "${kilobytes:-0}" -le $((pooler_memory_mb * 1024)) ] || { echo "violation: host-$1 took $((kilobytes / 1024)) MB, its machine has $pooler_memory_mb"; status=1; }
+}
+
 # Ends a fault of a host once it is due.
 recover() { # host, tick
     local pid=${pooler_pids[$1]}
     case ${host_state[$1]} in
-    up) kill -0 "$pid" 2>/dev/null || { echo "host-$1 ended by itself"; status=1; pooler_start "$1"; } ;;
+    up) check_memory "$1"; kill -0 "$pid" 2>/dev/null || { echo "host-$1 ended by itself"; status=1; pooler_start "$1"; } ;;
     frozen) [ "$2" -lt "${due_tick[$1]}" ] || { kill -CONT "$pid"; host_state[$1]=up; } ;;
     killed) [ "$2" -lt "${due_tick[$1]}" ] || { pooler_start "$1"; host_state[$1]=up; } ;;
     stopping) kill -0 "$pid" 2>/dev/null || { wait "$pid" || { echo "violation: host-$1 exited with $?"; status=1; }; pooler_start "$1"; host_state[$1]=up; [ -z "$orders" ] || order_after_start "$1"; } ;;
--- a/tools/emulator/EmulatedStore.cpp
+++ b/tools/emulator/EmulatedStore.cpp
@@ -11,6 +11,10 @@
     /// Key of a spec that is sent as text; see putText().
     constexpr const char* specText = "specText";
 
+    /// Limits of one page of a listing. A page has one object at least.
+    constexpr std::size_t maxPageItems = 500;
+    constexpr std::size_t maxPageBytes = 1 << 20;
+
     std::string objectText(const Json& object)
     {
         if (!object.contains(specText))
@@ -186,10 +190,24 @@
         const auto revision = std::stoull(std::string((*since).value));
         co_return co_await watch(kind, revision, wait);
     }
+    const auto after = parameters.find("after");
+    co_return listPage(m_objects[kind], after == parameters.end() ? std::string() : std::string((*after).value));
+}
+
+HttpResponse EmulatedStore::listPage(const std::map<std::string, Json>& objects, const std::string& after) const
+{
     std::vector<std::string> items;
-    for (const auto& [objectName, object] : m_objects[kind])
-        items.push_back(objectText(object));
-    co_return HttpResponse { 200, R"({"items":)" + joinTexts(items) + R"(,"More":false,"AsOf":)" + std::to_string(m_revision) + "}" };
+    std::size_t bytes = 0;
+    auto it = after.empty() ? objects.begin() : objects.upper_bound(after);
+    for (; it != objects.end() && items.size() < maxPageItems; ++it) {
+        auto text = objectText(it->second);
+        if (!items.empty() && bytes + text.size() > maxPageBytes)
+            break;
+        bytes += text.size();
+        items.push_back(std::move(text));
+    }
+    const auto* more = it == objects.end() ? "false" : "true";
+    return { 200, R"({"items":)" + joinTexts(items) + R"(,"More":)" + more + R"(,"AsOf":)" + std::to_string(m_revision) + "}" };
 }
 
 } // namespace kumquatbank
--- a/tools/emulator/EmulatedStore.h
+++ b/tools/emulator/EmulatedStore.h
@@ -60,6 +60,8 @@
     Task<HttpResponse> answerLate(HttpRequest request, std::chrono::milliseconds delay);
     Task<HttpResponse> process(HttpRequest request);
     Task<HttpResponse> watch(std::string kind, std::uint64_t revision, std::chrono::milliseconds wait);
+    /// The objects behind @p after, as many as one page holds.
+    HttpResponse listPage(const std::map<std::string, nlohmann::json>& objects, const std::string& after) const;
     HttpResponse change(const std::string& method, const std::string& kind, const std::string& name, const std::string& body);
     void store(const std::string& kind, const std::string& name, nlohmann::json object);
 
--- a/tools/emulator/OddEntries.cpp
+++ b/tools/emulator/OddEntries.cpp
@@ -9,6 +9,8 @@
 
     /// Levels that overflow the stack of a reader that descends into each of them.
     constexpr int deepLevels = 120'000;
+    /// Just below what the store accepts for one object.
+    constexpr std::size_t longEntryBytes = 1'000'000;
     /// Levels that no stack of usual size minds.
     constexpr int fewLevels = 5000;
 
@@ -31,8 +33,35 @@
         return "{" + text + (isKnown ? std::string() : fmt::format(R"(,"{}":{})", key, value)) + "}";
     }
 
+    /// An array of about @p bytes with the same element again and again.
+    std::string arrayOf(std::string_view element, std::size_t bytes)
+    {
+        std::string text = "[" + std::string(element);
+        while (text.size() + element.size() + 2 <= bytes)
+            text.append(",").append(element);
+        return text + "]";
+    }
+
 } // namespace
 
+std::string entryWithLongNote(const std::string& service, std::size_t bytes) { return entryWith(service, "Note", arrayOf("{}", bytes)); }
+
+std::vector<OddEntry> longEntries(const std::string& service, std::size_t bytes)
+{
+    std::string members = R"({"0":0)";
+    for (int n = 1; members.size() < bytes; ++n)
+        members += fmt::format(R"(,"{}":{{}})", n);
+    return {
+        { "a long array of objects", arrayOf("{}", bytes) },
+        { "a long array of numbers", arrayOf("1", bytes) },
+        { "a long array of nested arrays", arrayOf("[[[[]]]]", bytes) },
+        { "many members", members + "}" },
+        { "a long string", '"' + std::string(bytes, 'x') + '"' },
+        { "a long name of a service", entryWith(service, "Service", '"' + std::string(bytes, 's') + '"') },
+        { "a long array in a field that is used", entryWith(service, "Zone", arrayOf("{}", bytes)) },
+    };
+}
+
 std::vector<OddEntry> oddEntries(const std::string& service)
 {
     std::vector<OddEntry> found {
@@ -50,6 +79,8 @@
         { "null", "null" },
         { "a string", R"("entry")" },
     };
+    for (auto& entry : longEntries(service, longEntryBytes))
+        found.push_back(std::move(entry));
     for (const auto* port : { "0", "-1", "65536", "99999999999999999999", "" })
         found.push_back({ fmt::format("port '{}'", port), entryWith(service, "Address", fmt::format(R"("127.0.0.9:{}")", port)) });
     for (const auto* slots : { "0", "-3", "2147483648", "4294967297", "18446744073709551615", "18446744073709551616", "3.5", "\"3\"", "true" })
--- a/tools/emulator/OddEntries.h
+++ b/tools/emulator/OddEntries.h
@@ -15,4 +15,11 @@
 /// bytes that are not UTF-8, lone surrogates, fields of other types. @p service: of the databases beside them.
 std::vector<OddEntry> oddEntries(const std::string& service);
 
+/// Entries whose text is about @p bytes long: empty objects, members, numbers, strings and nested arrays, where the parsed
+/// form takes many times the memory of the text.
+std::vector<OddEntry> longEntries(const std::string& service, std::size_t bytes);
+
+/// A readable entry of a database with a further member of about @p bytes.
+std::string entryWithLongNote(const std::string& service, std::size_t bytes);
+
 } // namespace kumquatbank
