Replicas that were stopped for a promotion are let go on without the primary's slots

Cause: the way back asked the primary for its STATUS, which takes a slot, while the stalled commits held all slots and the hosts sent more of them. Where the primary had no connection left either, no write could be sent, and no host noticed the stall. A write that was refused with BUSY counted as an answered commit.

Evidence: status_refused every 3 s on each host and members_resumed never, with the slots of the replicas free. Ruled out: the promote call, the store, the final fault (docs/incidents/replicas-stay-stopped.md).

Change: nextResumeStep() (routing, without network) decides the steps; any host follows it that sees no commit confirmed. The lead is confirmed by the primary, which takes no slot, or by all other members. The fence is followed by the time in which an accepted promotion takes effect, and by another look at lead and token. A token that was taken to resume is a lease: no host begins a promotion meanwhile, and nothing is sent after its end. While commits are stalled, writes are refused at once with when to return, and one a second is tried. PromotionController.cpp is split: tokens, and the way back, have files of their own.

Tests that failed before, with the new emulator on: Promotion.StalledCommitsDoNotKeepReplicasStopped, AFullPrimaryDoesNotKeepReplicasStopped, WritesThatCannotBeConfirmedAreRefusedAtOnce. ResumePolicyTest visits all 6,656 states of a model and finds a lost change without each of the token, the fence, the wait and the lease.

--- a/packages/pooler/src/DatabaseService.cpp
+++ b/packages/pooler/src/DatabaseService.cpp
@@ -16,9 +16,6 @@
     /// Answer time recorded for a statement that a full endpoint refused; longer than that of an endpoint with a short
     /// queue, so that the scheduler prefers the latter.
     constexpr milliseconds refusedAnswerTime { 200 };
-    /// Commits count as stalled if so many in a row were not answered, the first of them sent this long ago.
-    constexpr int stalledCommitThreshold = 2;
-    constexpr milliseconds stalledCommitAge { 2000 };
 
 } // namespace
 
@@ -172,6 +169,8 @@
     m_primarySince = BootClock::now();
     if (m_pacer && !id.empty() && id != m_lastPrimary)
         m_pacer->restart(id);
+    if (!id.empty() && id != m_lastPrimary)
+        m_commits = {};
     if (!id.empty())
         m_lastPrimary = id;
     if (const auto endpoint = find(id)) {
@@ -212,22 +211,10 @@
     return std::chrono::duration_cast<milliseconds>(endpoint.servesUntil - BootClock::now());
 }
 
-void DatabaseService::recordCommitAnswer(bool wasAnswered, BootTime sentAt)
-{
-    if (wasAnswered)
-        m_unansweredCommits = 0;
-    else if (++m_unansweredCommits == 1)
-        m_firstUnansweredCommit = sentAt;
-}
-
-bool DatabaseService::hasStalledCommits() const
-{
-    return m_limits.syncReplicas > 0 && m_unansweredCommits >= stalledCommitThreshold && BootClock::now() - m_firstUnansweredCommit >= stalledCommitAge;
-}
-
 void DatabaseService::recordPrimary(Endpoint& endpoint, std::optional<LogPosition> position, BootTime sentAt)
 {
     setPrimary(endpoint.entry.id, "accepted as primary");
+    m_primaryConfirmedAt = std::max(m_primaryConfirmedAt, sentAt);
     if (position)
         addFloorSample(*position, sentAt);
 }
--- a/packages/pooler/src/DatabaseService.h
+++ b/packages/pooler/src/DatabaseService.h
@@ -8,6 +8,7 @@
 #include "PoolerMetrics.h"
 #include "PositionSample.h"
 #include "kumquatbank/engine/AutoResetEvent.h"
+#include "kumquatbank/routing/CommitProgress.h"
 #include "kumquatbank/routing/ConnectionSharing.h"
 #include "kumquatbank/routing/ReadFloor.h"
 #include "kumquatbank/routing/RoutingConfig.h"
@@ -120,10 +121,15 @@
     /// time.
     std::chrono::milliseconds servingTime(const Endpoint& endpoint) const;
 
-    /// Records whether the primary answered a write or a COMMIT with writes. @p sentAt: when it was sent.
-    void recordCommitAnswer(bool wasAnswered, BootTime sentAt);
-    /// Returns true if the primary leaves commits unanswered, as it does while no replica receives them.
-    bool hasStalledCommits() const;
+    /// Whether the primary confirms what clients write; to be used only where replicas have to receive commits.
+    CommitProgress& commits() { return m_commits; }
+    bool hasSynchronousReplicas() const { return m_limits.syncReplicas > 0; }
+    /// Returns true if no write is confirmed, as while the replicas are stopped.
+    bool lacksCommits() const { return hasSynchronousReplicas() && m_commits.lacksConfirmation(BootClock::now()); }
+    /// Returns how long a write has to wait because it could not be confirmed; empty if it may be sent.
+    std::optional<std::chrono::milliseconds> commitWait() const { return hasSynchronousReplicas() ? m_commits.wait(BootClock::now()) : std::nullopt; }
+    /// When the newest request was sent whose answer only the primary can give.
+    BootTime primaryConfirmedAt() const { return m_primaryConfirmedAt; }
     /// Refuses requests for the primary at once until then, because no endpoint can become primary before.
     void refuseWritesUntil(BootTime until) { m_writesRefusedUntil = until; }
     PoolerMetrics& metrics() { return m_metrics; }
@@ -196,8 +202,8 @@
     std::chrono::milliseconds m_memberRetention { 0 };
     std::map<std::string, DepartedEndpoint> m_departed; ///< Endpoints that disappeared recently, by id.
     std::optional<BootTime> m_followedSince; ///< When the entries of this service were first received.
-    int m_unansweredCommits = 0; ///< Since the last one that was answered.
-    BootTime m_firstUnansweredCommit {};
+    CommitProgress m_commits;
+    BootTime m_primaryConfirmedAt {};
     BootTime m_writesRefusedUntil {};
     std::set<std::string> m_probesInProgress;
 };
--- a/packages/pooler/src/MemberSurvey.cpp
+++ b/packages/pooler/src/MemberSurvey.cpp
@@ -23,13 +23,15 @@
 
 } // namespace
 
-Task<MemberSurvey::Reply> MemberSurvey::ask(std::shared_ptr<DatabaseService> service, std::shared_ptr<Endpoint> endpoint, std::string command)
+Task<MemberSurvey::Reply> MemberSurvey::ask(std::shared_ptr<DatabaseService> service, std::shared_ptr<Endpoint> endpoint, std::string command, BootTime sendUntil)
 {
     Reply reply;
     auto lease = co_await service->acquireProbe(endpoint, statusTimeout);
     if (!lease)
         co_return reply;
     const auto sentAt = BootClock::now();
+    if (sentAt > sendUntil)
+        co_return reply;
     CommandBatch batch;
     batch.addControl(command);
     std::vector<DatabaseReply> replies;
@@ -51,7 +53,7 @@
     co_return reply;
 }
 
-Task<std::vector<MemberSurvey::Reply>> MemberSurvey::askEach(std::shared_ptr<DatabaseService> service, Endpoints endpoints, std::string command)
+Task<std::vector<MemberSurvey::Reply>> MemberSurvey::askEach(std::shared_ptr<DatabaseService> service, Endpoints endpoints, std::string command, BootTime sendUntil)
 {
     // Concurrently, because an endpoint that does not answer takes the whole timeout.
     std::vector<Reply> replies(endpoints.size());
@@ -59,7 +61,7 @@
     const auto waiter = std::make_shared<AutoResetEvent>(m_io);
     const auto askOne = [&, waiter](std::size_t n) -> Task<void> {
         auto text = command;
-        auto reply = co_await ask(service, endpoints[n], std::move(text));
+        auto reply = co_await ask(service, endpoints[n], std::move(text), sendUntil);
         replies[n] = std::move(reply);
         if (--missing == 0)
             waiter->wake();
@@ -131,7 +133,7 @@
     co_return asked;
 }
 
-Task<bool> MemberSurvey::resumeAll(std::shared_ptr<DatabaseService> service, std::set<std::string> ids)
+Task<bool> MemberSurvey::resumeAll(std::shared_ptr<DatabaseService> service, std::set<std::string> ids, BootTime sendUntil)
 {
     Endpoints endpoints;
     for (const auto& id : ids) {
@@ -139,7 +141,7 @@
             endpoints.push_back(endpoint);
     }
     const auto command = WireDialect::resume();
-    const auto replies = co_await askEach(service, endpoints, command);
+    const auto replies = co_await askEach(service, endpoints, command, sendUntil);
     // One that refuses the command other than for lack of a slot does not know it and is not stopped.
     const bool areResumed = std::ranges::all_of(replies, [](const Reply& reply) { return reply.status || (reply.refusal && reply.refusal != ErrorCode::Busy); });
     EventLog::info("members_resumed", { { "service", service->name() }, { "endpoints", endpoints.size() }, { "all", areResumed } });
--- a/packages/pooler/src/MemberSurvey.h
+++ b/packages/pooler/src/MemberSurvey.h
@@ -20,7 +20,8 @@
     };
 
     /// @p command: of WireDialect, with the status as its answer.
-    Task<Reply> ask(std::shared_ptr<DatabaseService> service, std::shared_ptr<Endpoint> endpoint, std::string command);
+    /// @p sendUntil: the command is not sent later, also if the process was suspended meanwhile.
+    Task<Reply> ask(std::shared_ptr<DatabaseService> service, std::shared_ptr<Endpoint> endpoint, std::string command, BootTime sendUntil = BootTime::max());
 
     /// Returns the statuses of the listed endpoints that answer, but for the endpoint @p except.
     Task<std::vector<EndpointStatus>> askAll(std::shared_ptr<DatabaseService> service, std::string except);
@@ -30,14 +31,15 @@
     /// answer is returned as asked.
     Task<std::vector<EndpointStatus>> stopAll(std::shared_ptr<DatabaseService> service, std::vector<EndpointStatus> asked, bool mayRestOnWaiting);
 
-    /// Lets the endpoints receive commits again. Returns true if all of them that are still listed have confirmed it.
-    Task<bool> resumeAll(std::shared_ptr<DatabaseService> service, std::set<std::string> ids);
+    /// Lets the endpoints receive commits again. Returns true if all of them that are still listed have confirmed it. Nothing
+    /// is sent after @p sendUntil.
+    Task<bool> resumeAll(std::shared_ptr<DatabaseService> service, std::set<std::string> ids, BootTime sendUntil);
 
 private:
     using Endpoints = std::vector<std::shared_ptr<Endpoint>>;
 
     /// Sends the command to all endpoints concurrently. The replies are in the order of the endpoints.
-    Task<std::vector<Reply>> askEach(std::shared_ptr<DatabaseService> service, Endpoints endpoints, std::string command);
+    Task<std::vector<Reply>> askEach(std::shared_ptr<DatabaseService> service, Endpoints endpoints, std::string command, BootTime sendUntil = BootTime::max());
 
     asio::io_context& m_io;
 };
--- a/packages/pooler/src/PoolerMetrics.cpp
+++ b/packages/pooler/src/PoolerMetrics.cpp
@@ -42,6 +42,7 @@
     , m_borrowed(family(m_registry, prometheus::BuildCounter(), "kumquatbank_borrowed_connections_total", "Connections that other hosts were asked for, by outcome"))
     , m_storeCalls(family(m_registry, prometheus::BuildCounter(), "kumquatbank_store_calls_total", "Calls to the platform's store"))
     , m_promotions(family(m_registry, prometheus::BuildCounter(), "kumquatbank_promotions_total", "Promotion calls by outcome"))
+    , m_resumptions(family(m_registry, prometheus::BuildCounter(), "kumquatbank_resumptions_total", "Attempts to let endpoints resume that were stopped for a promotion, by outcome"))
     , m_retries(family(m_registry, prometheus::BuildCounter(), "kumquatbank_retries_total", "Statements that were sent again after nothing ran"))
     , m_limitDecisions(family(m_registry, prometheus::BuildCounter(), "kumquatbank_limit_decisions_total", "Operations of limited accounts by outcome"))
     , m_limitRequests(family(m_registry, prometheus::BuildCounter(), "kumquatbank_limit_requests_total", "Requests to the coordinator of limits by outcome"))
@@ -140,6 +141,7 @@
 }
 
 void PoolerMetrics::promotionCompleted(std::string_view outcome) { m_promotions.Add({ { "outcome", std::string(outcome) } }).Increment(); }
+void PoolerMetrics::resumeCompleted(std::string_view outcome) { m_resumptions.Add({ { "outcome", std::string(outcome) } }).Increment(); }
 void PoolerMetrics::statementRetried(std::string_view reason) { m_retries.Add({ { "reason", std::string(reason) } }).Increment(); }
 void PoolerMetrics::limitDecided(std::string_view outcome) { m_limitDecisions.Add({ { "outcome", std::string(outcome) } }).Increment(); }
 void PoolerMetrics::limitRequestCompleted(std::string_view outcome) { m_limitRequests.Add({ { "outcome", std::string(outcome) } }).Increment(); }
--- a/packages/pooler/src/PoolerMetrics.h
+++ b/packages/pooler/src/PoolerMetrics.h
@@ -50,6 +50,9 @@
     void loanRequestCompleted(std::string_view outcome);
     void storeCall(std::string_view call, std::string_view status);
     void promotionCompleted(std::string_view outcome);
+    /// Records an attempt to let endpoints resume that were stopped for a promotion. @p outcome: "resumed", "not_confirmed",
+    /// or the step after which it was given up.
+    void resumeCompleted(std::string_view outcome);
     void sessionOpened();
     void sessionClosed();
     void statementRetried(std::string_view reason);
@@ -102,6 +105,7 @@
     prometheus::Family<prometheus::Counter>& m_borrowed;
     prometheus::Family<prometheus::Counter>& m_storeCalls;
     prometheus::Family<prometheus::Counter>& m_promotions;
+    prometheus::Family<prometheus::Counter>& m_resumptions;
     prometheus::Family<prometheus::Counter>& m_retries;
     prometheus::Family<prometheus::Counter>& m_limitDecisions;
     prometheus::Family<prometheus::Counter>& m_limitRequests;
--- a/packages/pooler/src/PromotionController.cpp
+++ b/packages/pooler/src/PromotionController.cpp
@@ -3,7 +3,6 @@
 #include "kumquatbank/engine/EventLog.h"
 #include "kumquatbank/engine/KeepRunning.h"
 #include "kumquatbank/engine/Random.h"
-#include "kumquatbank/routing/FencingToken.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -15,7 +14,6 @@
 
 namespace {
 
-    constexpr ObjectKind promotionKind { "kumquatbank-promotions", AnswerReader::Promotions, PromotionDecision::fields, {}, true };
     constexpr milliseconds checkInterval { 100 };
     /// A primary is suspected after this time without an answer and primaryFailureThreshold failed attempts to reach
     /// it.
@@ -23,22 +21,18 @@
     constexpr int primaryFailureThreshold = 2;
     /// A replacement starts when no endpoint has been primary for this time.
     constexpr milliseconds noPrimaryThreshold { 1200 };
-    constexpr milliseconds storeTimeout { 700 };
     constexpr milliseconds promoteTimeout { 1500 };
     /// An older decision is dropped before the call, because the process may have been paused in between.
     constexpr milliseconds decisionLifetime { 1500 };
     /// Time for a promotion to take effect before the next attempt.
     constexpr milliseconds attemptInterval { 2200 };
     constexpr milliseconds retryDelay { 400 };
-    /// Time for another host's decision to take effect and to be observed here.
-    constexpr milliseconds peerDecisionTimeout { 2500 };
     /// Delay before such a decision is read again; every read is a call to the store.
     constexpr milliseconds peerDecisionRecheckDelay { 1200 };
     /// Where connections are lent, the next holders in rank replace a leaving primary after this time per rank, in case
     /// the holders before them do not.
     constexpr milliseconds leavingRankDelay { 1500 };
     constexpr std::size_t leavingRankCount = 3;
-    constexpr int tokenAttempts = 4;
     /// Random delay that spreads the hosts' attempts, so that most find the decision already made.
     constexpr milliseconds maxStartJitter { 150 };
     /// For a planned change: time for the successor to receive the rest of the log.
@@ -46,8 +40,6 @@
     constexpr milliseconds catchUpPollInterval { 20 };
     /// Suggested retry delay for requests to the primary while no endpoint can be promoted.
     constexpr milliseconds blockedRetryAfter { 1000 };
-    /// Between two attempts to let endpoints resume after a promotion that was not carried out.
-    constexpr milliseconds resumeInterval { 3000 };
     /// For a planned change, in log positions. Writes are not stopped while the successor is further behind.
     constexpr std::uint64_t maxHandOverLag = 50;
 
@@ -55,12 +47,12 @@
 
 PromotionController::PromotionController(asio::io_context& io, std::shared_ptr<ObjectStore> store, const PoolerSettings& settings, ServiceRegistry& registry, PeerService& peers, PoolerMetrics& metrics)
     : m_io(io)
-    , m_store(std::move(store))
     , m_settings(settings)
     , m_registry(registry)
     , m_peers(peers)
     , m_metrics(metrics)
     , m_survey(io)
+    , m_tokens(std::move(store), settings.host, metrics)
     , m_call(std::make_shared<PromotionClient>(io, settings.promotionAddress))
     , m_pausedUntil(BootClock::now())
 {
@@ -115,7 +107,7 @@
 
 bool PromotionController::hasStoppedMembers(const DatabaseService& service) const
 {
-    if (service.hasStalledCommits())
+    if (service.lacksCommits())
         return true;
     const auto it = m_progress.find(service.name());
     return it != m_progress.end() && it->second.stoppedFor.has_value();
@@ -131,90 +123,13 @@
     m_progress[service->name()].isBusy = false;
 }
 
-bool PromotionController::leavesToPeer(const std::string& service, const PromotionDecision& decision, StoreRevision revision, const std::string& lost)
+Task<std::optional<std::uint64_t>> PromotionController::takeToken(PromotionTokens::Purpose purpose)
 {
-    auto& progress = m_progress[service];
-    if (progress.peerDecisionRevision != revision) {
-        progress.peerDecisionRevision = revision;
-        progress.peerDecisionSeenAt = BootClock::now();
-    }
-    // One of an earlier era is older than the copy from which the store has come back.
-    const bool isOfThisEra = decision.era == revision.era;
-    // A decision for an endpoint other than the one that this host considers lost is newer than the recorded state of
-    // this host, or has not taken effect yet.
-    const bool namesOtherEndpoint = !decision.endpoint.empty() && decision.endpoint != lost;
-    if (decision.run == m_runId || !isOfThisEra || !namesOtherEndpoint || BootClock::now() - progress.peerDecisionSeenAt >= peerDecisionTimeout)
-        return false;
-    EventLog::info("promotion_left_to_peer", { { "service", service }, { "peer", decision.holder }, { "token", decision.token }, { "era", decision.era } });
-    progress.notBefore = BootClock::now() + peerDecisionRecheckDelay;
-    return true;
-}
-
-std::optional<std::uint64_t> PromotionController::reuseToken(const std::string& service, const std::string& storeDetail, bool mayReuse) const
-{
-    const auto held = m_progress.at(service).heldToken;
-    if (held != 0 && mayReuse) {
-        EventLog::warn("promotion_token_reused", { { "service", service }, { "token", held }, { "store", storeDetail } });
-        return held;
-    }
-    EventLog::warn("promotion_without_store", { { "service", service }, { "store", storeDetail }, { "held_token", held } });
-    return std::nullopt;
-}
-
-Task<std::optional<std::uint64_t>> PromotionController::takeToken(const std::string& service, const std::string& lost, const std::string& candidate, bool mayReuse)
-{
-    auto& progress = m_progress[service];
-    std::uniform_int_distribution<std::uint64_t> stepDistribution(1, FencingToken::maxStep);
-    std::uint64_t unconfirmedToken = 0; // Of a write whose answer is missing; 0 if there is none.
-    for (int n = 0; n < tokenAttempts; ++n) {
-        const auto current = co_await m_store->get(promotionKind, service, storeTimeout);
-        m_metrics.storeCall("get_promotion", storeStatusName(current.status));
-        const auto era = current.revision.era;
-        const bool isPresent = current.status == StoreStatus::Ok && !current.objects.empty();
-        if (!isPresent && current.status != StoreStatus::NotFound)
-            co_return reuseToken(service, current.detail, mayReuse);
-        const auto known = isPresent ? PromotionDecision::parse(current.objects.front().content, era) : std::nullopt;
-        // Written by another writer. It is replaced, because no primary could be promoted otherwise.
-        const bool isUnreadable = isPresent && !known;
-        if (known) {
-            EventLog::info("promotion_object_read", { { "service", service }, { "token", known->token }, { "token_era", known->era }, { "revision", current.revision.number }, { "era", era }, { "by", known->holder } });
-            if (leavesToPeer(service, *known, current.revision, lost))
-                co_return std::nullopt;
-            progress.newestToken = std::max(progress.newestToken, known->token);
-            if (known->run == m_runId && known->era == era && known->token == unconfirmedToken) {
-                progress.heldToken = unconfirmedToken;
-                co_return unconfirmedToken;
-            }
-        } else if (isUnreadable) {
-            EventLog::error("promotion_object_unreadable", { { "service", service }, { "revision", current.revision.number }, { "newest_token", progress.newestToken } });
-        } else {
-            EventLog::info("promotion_object_absent", { { "service", service }, { "era", era }, { "newest_token", progress.newestToken } });
-        }
-        const auto step = stepDistribution(randomEngine());
-        PromotionDecision decision;
-        decision.token = isUnreadable ? FencingToken::afterUnknown(progress.newestToken, era, step) : FencingToken::next(progress.newestToken, era, step);
-        decision.era = era;
-        decision.run = m_runId;
-        decision.holder = m_settings.host;
-        decision.lost = lost;
-        decision.endpoint = candidate;
-        StoreObject object;
-        object.name = service;
-        object.revision = current.revision;
-        object.content = decision.toJson();
-        const auto written = co_await m_store->put(promotionKind, object, storeTimeout);
-        m_metrics.storeCall("take_promotion", storeStatusName(written.status));
-        progress.newestToken = decision.token;
-        if (written.status == StoreStatus::Ok) {
-            progress.heldToken = decision.token;
-            co_return decision.token;
-        }
-        if (written.status == StoreStatus::Unknown)
-            unconfirmedToken = decision.token;
-        EventLog::info("promotion_token_not_confirmed", { { "service", service }, { "token", decision.token }, { "era", era }, { "status", storeStatusName(written.status) } });
-    }
-    EventLog::warn("promotion_token_not_taken", { { "service", service }, { "attempts", tokenAttempts } });
-    co_return std::nullopt;
+    const auto service = purpose.service;
+    const auto result = co_await m_tokens.take(std::move(purpose));
+    if (result.isLeftToPeer)
+        m_progress[service].notBefore = BootClock::now() + peerDecisionRecheckDelay;
+    co_return result.token;
 }
 
 Task<std::optional<EndpointStatus>> PromotionController::handOver(std::shared_ptr<DatabaseService> service, EndpointStatus successor)
@@ -324,7 +239,8 @@
         co_return;
     }
     const auto decidedAt = BootClock::now();
-    const auto token = co_await takeToken(service->name(), lost, successor->id, true);
+    PromotionTokens::Purpose purpose { service->name(), lost, successor->id, true };
+    const auto token = co_await takeToken(std::move(purpose));
     if (!token)
         co_return;
     const auto chosen = co_await handOver(service, *successor);
@@ -356,15 +272,19 @@
         co_return;
     }
     auto decidedAt = BootClock::now();
-    const auto token = co_await takeToken(service->name(), lost, choice.candidate->id, opinion.mayReuseToken);
+    PromotionTokens::Purpose purpose { service->name(), lost, choice.candidate->id, opinion.mayReuseToken };
+    const auto token = co_await takeToken(std::move(purpose));
     if (!token)
         co_return;
     if (service->syncReplicas() > 0) {
         progress.stoppedFor = lost;
         decidedAt = BootClock::now();
         answered = co_await m_survey.stopAll(service, std::move(answered), opinion.isSeenByNone);
-        if (co_await findOtherPrimary(service, answered))
+        if (co_await findOtherPrimary(service, answered)) {
+            // The endpoints that were stopped after that promotion stay so under the new primary.
+            progress.stoppedFor = service->lastPrimary();
             co_return;
+        }
         const auto stopped = situationOf(*service, answered);
         choice = choosePromotionCandidate(stopped);
         if (!choice.candidate) {
@@ -399,31 +319,4 @@
     co_return true;
 }
 
-Task<void> PromotionController::resumeMembers(std::shared_ptr<DatabaseService> service)
-{
-    auto& progress = m_progress[service->name()];
-    progress.notBefore = BootClock::now() + resumeInterval;
-    const auto primary = service->primary();
-    const auto command = WireDialect::status();
-    const auto leading = co_await m_survey.ask(service, primary, command);
-    if (!leading.status || !leading.status->isPrimary)
-        co_return;
-    const auto token = co_await takeToken(service->name(), "", primary->entry.id, false);
-    if (!token)
-        co_return;
-    // Promoting the present primary changes nothing, but a call with an older token is refused from then on. Without it, a
-    // promotion that was decided while the endpoints were stopped could still be carried out after they have resumed.
-    const bool isFenced = co_await order(service, primary->entry.id, *token);
-    progress.notBefore = BootClock::now() + resumeInterval;
-    if (!isFenced)
-        co_return;
-    std::set<std::string> ids;
-    for (const auto& [id, endpoint] : service->endpoints()) {
-        if (id != primary->entry.id)
-            ids.insert(id);
-    }
-    if (co_await m_survey.resumeAll(service, std::move(ids)))
-        progress.stoppedFor.reset();
-}
-
 } // namespace kumquatbank
--- a/packages/pooler/src/PromotionController.h
+++ b/packages/pooler/src/PromotionController.h
@@ -3,8 +3,9 @@
 #include "HostDirectory.h"
 #include "MemberSurvey.h"
 #include "PeerService.h"
-#include "PromotionDecision.h"
+#include "PromotionTokens.h"
 #include "kumquatbank/adapter/PromotionClient.h"
+#include "kumquatbank/routing/ResumePolicy.h"
 
 namespace kumquatbank {
 
@@ -16,7 +17,7 @@
     PromotionController(asio::io_context& io, std::shared_ptr<ObjectStore> store, const PoolerSettings& settings, ServiceRegistry& registry, PeerService& peers, PoolerMetrics& metrics);
 
     void start();
-    void setStore(std::shared_ptr<ObjectStore> store) { m_store = std::move(store); }
+    void setStore(std::shared_ptr<ObjectStore> store) { m_tokens.setStore(std::move(store)); }
     void setPromotionAddress(const HostAddress& address) { m_call = std::make_shared<PromotionClient>(m_io, address); }
 
     /// Records that this process was paused, so that silence of endpoints before now is not counted as their failure.
@@ -26,10 +27,6 @@
     struct ServiceProgress {
         bool isBusy = false;
         BootTime notBefore {}; ///< Earliest next attempt, so that the previous one can take effect.
-        std::uint64_t heldToken = 0; ///< Newest token obtained by this run; 0 if none.
-        std::uint64_t newestToken = 0; ///< Newest token read or obtained by this run; 0 if none.
-        StoreRevision peerDecisionRevision; ///< Store revision of the last decision read from the store.
-        BootTime peerDecisionSeenAt {};
         std::optional<std::string> stoppedFor; ///< The lost primary for whose replacement this run has stopped endpoints; empty once they go on.
     };
 
@@ -56,8 +53,11 @@
     Task<void> replaceLeaving(std::shared_ptr<DatabaseService> service, std::string lost);
     /// Chooses an endpoint that has every acknowledged commit of a lost primary, and promotes it.
     Task<void> replaceLost(std::shared_ptr<DatabaseService> service, std::string lost);
-    /// Rules out a promotion that has not been carried out yet, and lets the endpoints that were stopped for it resume.
+    /// Rules out a promotion that has not been carried out yet, and lets the endpoints that were stopped for it resume. Any
+    /// host does so, whichever has stopped them; see nextResumeStep().
     Task<void> resumeMembers(std::shared_ptr<DatabaseService> service);
+    /// Asks who leads the service.
+    Task<Lead> askLead(std::shared_ptr<DatabaseService> service, std::shared_ptr<Endpoint> primary);
     bool hasStoppedMembers(const DatabaseService& service) const;
     /// Demotes the primary and waits until the successor has its whole log. Returns the endpoint to be promoted: the
     /// successor, or the former primary if the successor does not catch up; empty if the primary goes on.
@@ -72,23 +72,19 @@
     static bool isTooOld(const DatabaseService& service, BootTime decidedAt, std::chrono::milliseconds lifetime);
     /// Calls the platform. Returns true if the call was accepted.
     Task<bool> order(std::shared_ptr<DatabaseService> service, std::string endpoint, std::uint64_t token);
-    /// True if another host's decision has to be waited for, because it may not have taken effect yet.
-    bool leavesToPeer(const std::string& service, const PromotionDecision& decision, StoreRevision revision, const std::string& lost);
-    /// The token that this run holds, for use while the store does not answer.
-    std::optional<std::uint64_t> reuseToken(const std::string& service, const std::string& storeDetail, bool mayReuse) const;
-    Task<std::optional<std::uint64_t>> takeToken(const std::string& service, const std::string& lost, const std::string& candidate, bool mayReuse);
+    /// Takes a token. If it is left to another host, the next attempt is put off.
+    Task<std::optional<std::uint64_t>> takeToken(PromotionTokens::Purpose purpose);
 
     asio::io_context& m_io;
-    std::shared_ptr<ObjectStore> m_store;
     const PoolerSettings& m_settings;
     ServiceRegistry& m_registry;
     PeerService& m_peers;
     PoolerMetrics& m_metrics;
     MemberSurvey m_survey;
+    PromotionTokens m_tokens;
     std::shared_ptr<PromotionClient> m_call;
     std::map<std::string, ServiceProgress> m_progress;
     BootTime m_pausedUntil {};
-    std::uint64_t m_runId = std::random_device {}(); ///< Distinguishes this run's writes from those of an earlier one.
 };
 
 } // namespace kumquatbank
--- a/packages/pooler/src/StatementRunner.cpp
+++ b/packages/pooler/src/StatementRunner.cpp
@@ -1,6 +1,6 @@
 #include "StatementRunner.h"
 
-#include "StatementExchange.h"
+#include "CommitRecord.h"
 
 namespace kumquatbank {
 
@@ -185,13 +185,19 @@
 
 Task<AttemptResult> StatementRunner::attempt(const Route& route, const std::string& account, const std::string& id, const Statement& statement, bool writes, std::set<std::string>& excluded, BootTime until, StatementAnswer& answer)
 {
+    const auto service = m_registry.find(route.service);
+    if (writes && service && CommitRecord::refuses(*service, ErrorCode::Busy, answer))
+        co_return AttemptResult::Done;
     const bool needsPrimary = writes || route.policy == ReadPolicy::Primary;
     const auto eligibility = needsPrimary ? Eligibility::PrimaryOnly : Eligibility::Any;
     // The time must suffice for this attempt and for one on another endpoint.
     const bool isRepeatable = !needsPrimary && answer.attempts == 1 && until - BootClock::now() >= 2 * minAttemptTimeout;
     auto lease = co_await m_context.acquire(route, account, eligibility, excluded, until, answer, isRepeatable);
-    if (!lease)
+    if (!lease) {
+        if (writes && service)
+            service->commits().recordRefused(BootClock::now(), false);
         co_return AttemptResult::Done;
+    }
     // The configuration may have changed while the request was queued.
     const auto* current = m_registry.config()->findRoute(route.database);
     if (current == nullptr || current->service != route.service) {
@@ -252,13 +258,19 @@
             co_return AttemptResult::Retry;
         }
     }
+    // Commits may have stalled while the request was queued.
+    if (writes && CommitRecord::refuses(service, ErrorCode::Busy, answer))
+        co_return AttemptResult::Done;
+    std::optional<CommitRecord> record;
+    if (writes)
+        record.emplace(service.shared_from_this());
     auto exchange = co_await exchangeStatement(lease, m_context.state(), id, statement, answer.floor, isPrimaryRead, attemptUntil);
+    if (record)
+        record->finish(exchange);
     if (exchange.status == ExchangeStatus::Refused)
         co_return refuseUnprepared(lease, needsPrimary, excluded, answer);
     if (!exchange.wasSent())
         co_return refuseAttempt(lease, excluded, answer);
-    if (writes)
-        service.recordCommitAnswer(exchange.status != ExchangeStatus::TimedOut, exchange.sentAt);
     if (exchange.status != ExchangeStatus::Ok) {
         if (writes) {
             answer.setError(exchange.status == ExchangeStatus::TimedOut ? ErrorCode::Timeout : ErrorCode::InDoubt, "the write was sent and its answer was lost");
--- a/packages/pooler/src/TransactionRunner.cpp
+++ b/packages/pooler/src/TransactionRunner.cpp
@@ -1,6 +1,6 @@
 #include "TransactionRunner.h"
 
-#include "StatementExchange.h"
+#include "CommitRecord.h"
 
 namespace kumquatbank {
 
@@ -250,10 +250,18 @@
     answer.endpoint = lease.endpointId();
     StatementExchange exchange;
     const auto replayed = co_await replaySession(lease, m_context.state(), id, until);
+    // The connection is rolled back when it is returned.
+    if (hasWritten && CommitRecord::refuses(lease.service(), ErrorCode::Aborted, answer)) {
+        m_isCommittingWrites = false;
+        co_return answer;
+    }
+    std::optional<CommitRecord> record;
+    if (hasWritten)
+        record.emplace(lease.service().shared_from_this());
     if (replayed == ExchangeStatus::Ok)
         exchange = co_await exchangeStatement(lease, m_context.state(), id, statement, std::nullopt, false, until);
-    if (exchange.wasSent() && hasWritten)
-        lease.service().recordCommitAnswer(exchange.status != ExchangeStatus::TimedOut, exchange.sentAt);
+    if (record)
+        record->finish(exchange);
     if (exchange.status != ExchangeStatus::Ok) {
         if (exchange.wasSent() && hasWritten)
             answer.setError(exchange.status == ExchangeStatus::TimedOut ? ErrorCode::Timeout : ErrorCode::InDoubt, "COMMIT was sent and its answer was lost");
--- a/packages/pooler/tests/failures/PromotionTest.cpp
+++ b/packages/pooler/tests/failures/PromotionTest.cpp
@@ -13,6 +13,10 @@
 /// Bound on the writes of one client, far above what a test makes.
 constexpr int maxWrites = 100'000;
 
+/// In which replicas have to receive again once the platform and the primary can be reached: the time in which the users
+/// expect service after a failure.
+constexpr std::chrono::seconds resumeLimit { 12 };
+
 /// Fails the test if two hosts used one token, or if the accepted tokens of a service decreased.
 void checkTokens(const EmulatedPlatform& platform)
 {
@@ -382,6 +386,134 @@
     checkTokens(fixture.platform());
 }
 
+// Guards against replicas that stay stopped for good, after a promotion without an answer whose primary is back: the commits that
+// nobody confirms hold all slots of the primary, so that it cannot be asked for its status.
+TEST(Promotion, StalledCommitsDoNotKeepReplicasStopped)
+{
+    PoolerFixture fixture(synchronousShape(), 3, 3, true, 1, shortenRetention);
+    fixture.run([](PoolerFixture& f) -> Task<void> {
+        co_await f.sleep(milliseconds(1700));
+        Writers writers(f, { 0, 0, 0, 1, 1, 1, 2, 2, 2 });
+        co_await f.sleep(milliseconds(500));
+        auto& primary = f.platform().primary(0);
+        f.platform().promotionBehaviour().isSilent = true;
+        primary.crash();
+        co_await f.sleep(milliseconds(3000));
+        CHECK_TRUE(f.platform().service(0).log("i-0-1").isPaused);
+        primary.restart();
+        f.platform().announce(primary, false);
+        co_await f.sleep(milliseconds(4000));
+        f.platform().promotionBehaviour().isSilent = false;
+        const auto from = BootClock::now();
+        const auto before = writers.acknowledged();
+        while (writers.acknowledged() < before + 50)
+            co_await f.sleep(milliseconds(20));
+        CHECK_TRUE(BootClock::now() - from < resumeLimit);
+        co_await writers.stop();
+        writers.checkNoneLost();
+    }(fixture),
+        std::chrono::seconds(40));
+    STRCMP_EQUAL("i-0-0", fixture.platform().service(0).primary().c_str());
+    CHECK_FALSE(fixture.platform().service(0).log("i-0-1").isPaused);
+    LONGS_EQUAL(0, fixture.platform().violations().size());
+    checkTokens(fixture.platform());
+}
+
+// Guards against replicas that stay stopped because the primary accepts no connection: those of the stalled commits count, also
+// of hosts that have ended, and the host that stopped the replicas is one of these.
+TEST(Promotion, AFullPrimaryDoesNotKeepReplicasStopped)
+{
+    PoolerFixture fixture(synchronousShape(), 2, 3, true, 1, shortenRetention);
+    fixture.run([](PoolerFixture& f) -> Task<void> {
+        co_await f.writeUntilSuccess(primaryDb, "WRITE item before");
+        for (const auto* id : { "i-0-1", "i-0-2" })
+            f.platform().service(0).log(id).isPaused = true;
+        f.platform().database(0, 0).behaviour().maxConnections = 0;
+        // Hosts that have started since then have no connection to the primary.
+        f.startHost(2);
+        co_await f.waitUntilReady(2);
+        const auto from = BootClock::now();
+        Writers writers(f, { 0, 1, 2, 2, 2 });
+        while (f.platform().service(0).log("i-0-1").isPaused)
+            co_await f.sleep(milliseconds(20));
+        CHECK_TRUE(BootClock::now() - from < resumeLimit);
+        f.platform().database(0, 0).behaviour().maxConnections = 21;
+        co_await f.writeUntilSuccess(primaryDb, "WRITE item after", 2);
+        co_await writers.stop();
+        writers.checkNoneLost();
+    }(fixture),
+        std::chrono::seconds(40));
+    STRCMP_EQUAL("i-0-0", fixture.platform().service(0).primary().c_str());
+}
+
+// Guards against a confirmed change that is lost: replicas resume while a promotion that got no answer may still be carried out.
+TEST(Promotion, APromotionThatIsCarriedOutLateLosesNoAcknowledgedCommit)
+{
+    for (const int lateBy : { 300, 1500, 3500 }) {
+        PoolerFixture fixture(synchronousShape(), 3, 3, true, 1, shortenRetention);
+        fixture.run([](PoolerFixture& f, milliseconds late) -> Task<void> {
+            co_await f.sleep(milliseconds(1700));
+            Writers writers(f, { 0, 1, 2 });
+            co_await f.sleep(milliseconds(300));
+            auto& primary = f.platform().primary(0);
+            f.platform().promotionBehaviour() = { true, late };
+            primary.crash();
+            co_await f.sleep(milliseconds(1600));
+            primary.restart();
+            f.platform().announce(primary, false);
+            co_await f.sleep(milliseconds(700));
+            f.platform().promotionBehaviour().isSilent = false;
+            co_await f.sleep(milliseconds(6000));
+            co_await f.writeUntilSuccess(primaryDb, "WRITE item after");
+            co_await writers.stop();
+            writers.checkNoneLost();
+        }(fixture, milliseconds(lateBy)),
+            std::chrono::seconds(40));
+        LONGS_EQUAL(0, fixture.platform().violations().size());
+        checkTokens(fixture.platform());
+    }
+}
+
+// Guards against writes that wait until their time-out though it is known that nobody confirms them: while the platform does not
+// answer the call that rules out older promotions, they are refused at once, and reads are served.
+TEST(Promotion, WritesThatCannotBeConfirmedAreRefusedAtOnce)
+{
+    auto shape = synchronousShape();
+    // Stalled commits leave slots, so that nothing but the missing confirmation delays a write.
+    shape.slots = 40;
+    shape.maxConnections = 80;
+    PoolerFixture fixture(shape, 1, 3, true, 1, shortenRetention);
+    fixture.run([](PoolerFixture& f) -> Task<void> {
+        co_await f.writeUntilSuccess(primaryDb, "WRITE item before");
+        f.platform().promotionBehaviour().isSilent = true;
+        for (const auto* id : { "i-0-1", "i-0-2" })
+            f.platform().service(0).log(id).isPaused = true;
+        Writers writers(f, { 0, 0, 0 });
+        co_await f.sleep(milliseconds(3500));
+        int refused = 0;
+        for (int n = 0; n < 20; ++n) {
+            TestClient client(f.io());
+            co_await client.start(f.clientAddress(0), primaryDb);
+            const auto from = BootClock::now();
+            const auto begun = co_await client.query("BEGIN");
+            CHECK_TRUE(begun.isSuccess());
+            const auto write = co_await client.query("WRITE item kept-never");
+            auto committed = write;
+            if (write.isSuccess())
+                committed = co_await client.query("COMMIT");
+            const bool isPromise = committed.code() == "BUSY" || committed.code() == "ABORTED";
+            if (isPromise && committed.result.find("retry after") != std::string::npos && BootClock::now() - from < milliseconds(300))
+                ++refused;
+            co_await f.sleep(milliseconds(50));
+        }
+        CHECK_TRUE(refused >= 15);
+        f.platform().promotionBehaviour().isSilent = false;
+        co_await f.writeUntilSuccess(primaryDb, "WRITE item after");
+        co_await writers.stop();
+    }(fixture),
+        std::chrono::seconds(40));
+}
+
 // Guards against a planned change that promotes a successor without the last commits: it stops receiving just before.
 TEST(Promotion, AHandOverToASuccessorThatDoesNotCatchUpIsTakenBack)
 {
--- a/tools/emulator/EmulatedDatabase.cpp
+++ b/tools/emulator/EmulatedDatabase.cpp
@@ -59,6 +59,21 @@
     std::map<std::string, Statement> earlierPrepared;
 };
 
+/// Frees a slot that was taken. A commit keeps its slot until it is confirmed.
+class EmulatedDatabase::SlotHolder {
+public:
+    explicit SlotHolder(EmulatedDatabase& database)
+        : m_database(database)
+    {
+    }
+    ~SlotHolder() { m_database.freeSlot(); }
+    SlotHolder(const SlotHolder&) = delete;
+    SlotHolder& operator=(const SlotHolder&) = delete;
+
+private:
+    EmulatedDatabase& m_database;
+};
+
 EmulatedDatabase::EmulatedDatabase(asio::io_context& io, EndpointEntry entry, std::shared_ptr<EmulatedService> service)
     : m_io(io)
     , m_entry(std::move(entry))
@@ -184,6 +199,9 @@
 
 std::string EmulatedDatabase::runOwnCommand(Session& session, std::string_view word, std::string_view rest)
 {
+    const bool takesSlot = word == "STATUS" || word == "DEMOTE" || word == "PAUSE" || word == "RESUME";
+    if (takesSlot && m_busySlots >= m_entry.slots)
+        return refuse(session, "BUSY");
     if (word == "STATUS")
         return statusRow();
     if (word == "RESET") {
@@ -296,8 +314,8 @@
     const auto receivedAt = BootClock::now();
     if (!co_await takeSlot())
         co_return refuse(session, "BUSY");
+    const SlotHolder slot(*this);
     co_await sleepFor(m_io, m_behaviour.work);
-    freeSlot();
     const bool inPlainTransaction = session.state == TransactionState::Open && !session.isReadOnly;
     const bool commitsNothing = statement.kind == StatementKind::Commit && session.changes.empty();
     const bool needsLead = (writes && session.state == TransactionState::None) || inPlainTransaction;
--- a/tools/emulator/EmulatedDatabase.h
+++ b/tools/emulator/EmulatedDatabase.h
@@ -83,6 +83,7 @@
 
 private:
     struct Session;
+    class SlotHolder;
 
     void listen();
     Task<void> serve(asio::ip::tcp::socket socket);
--- a/tools/emulator/EmulatedPlatform.cpp
+++ b/tools/emulator/EmulatedPlatform.cpp
@@ -1,6 +1,5 @@
 #include "EmulatedPlatform.h"
 
-#include "kumquatbank/adapter/PromotionClient.h"
 #include "kumquatbank/adapter/StoreCodec.h"
 
 #include <fmt/format.h>
@@ -9,6 +8,9 @@
 
 namespace {
 
+    /// Longer than callers wait for an answer.
+    constexpr std::chrono::seconds silentCallTime { 5 };
+
     constexpr std::array<ReadPolicy, 3> policies { ReadPolicy::Primary, ReadPolicy::Bounded, ReadPolicy::ReadYourWrites };
 
     std::string serviceName(int n) { return fmt::format("service-{}", n); }
@@ -245,21 +247,37 @@
     const auto order = PromotionClient::parseRequest(request.headers, request.body);
     if (!order)
         co_return HttpResponse { 400, "{}" };
-    auto& highest = m_tokens[order->service];
-    const auto service = std::ranges::find(m_services, order->service, [](const auto& known) { return known->name(); });
-    const auto database = std::ranges::find_if(m_databases, [&](const auto& known) { return known->entry().id == order->endpoint; });
-    int status = 200;
-    if (service == m_services.end() || database == m_databases.end())
-        status = 404;
-    else if (order->token < highest || !(*database)->isRunning())
-        status = 409;
-    m_promotions.push_back({ order->service, order->endpoint, order->holder, order->token, status });
-    if (status == 200) {
-        highest = order->token;
-        if (!(*service)->isPrimary(order->endpoint))
-            asio::co_spawn(m_io, takeEffect(*service, order->endpoint), asio::detached);
+    if (m_promotionBehaviour.isSilent) {
+        m_promotions.push_back({ order->service, order->endpoint, order->holder, order->token, 0 });
+        if (m_promotionBehaviour.lateBy)
+            asio::co_spawn(m_io, executeLate(*order, *m_promotionBehaviour.lateBy), asio::detached);
+        co_await sleepFor(m_io, silentCallTime);
+        co_return HttpResponse { HttpResponse::closeConnection, "" };
     }
+    const int status = execute(*order);
+    m_promotions.push_back({ order->service, order->endpoint, order->holder, order->token, status });
     co_return HttpResponse { status, "{}" };
 }
 
+int EmulatedPlatform::execute(const PromotionRequest& order)
+{
+    auto& highest = m_tokens[order.service];
+    const auto service = std::ranges::find(m_services, order.service, [](const auto& known) { return known->name(); });
+    const auto database = std::ranges::find_if(m_databases, [&](const auto& known) { return known->entry().id == order.endpoint; });
+    if (service == m_services.end() || database == m_databases.end())
+        return 404;
+    if (order.token < highest || !(*database)->isRunning())
+        return 409;
+    highest = order.token;
+    if (!(*service)->isPrimary(order.endpoint))
+        asio::co_spawn(m_io, takeEffect(*service, order.endpoint), asio::detached);
+    return 200;
+}
+
+Task<void> EmulatedPlatform::executeLate(PromotionRequest order, std::chrono::milliseconds delay)
+{
+    co_await sleepFor(m_io, delay);
+    execute(order);
+}
+
 } // namespace kumquatbank
--- a/tools/emulator/EmulatedPlatform.h
+++ b/tools/emulator/EmulatedPlatform.h
@@ -2,6 +2,7 @@
 
 #include "EmulatedDatabase.h"
 #include "EmulatedStore.h"
+#include "kumquatbank/adapter/PromotionClient.h"
 #include "kumquatbank/routing/RoutingConfig.h"
 
 namespace kumquatbank {
@@ -12,7 +13,14 @@
     std::string endpoint;
     std::string holder;
     std::uint64_t token = 0;
-    int status = 0; ///< HTTP status that it got.
+    int status = 0; ///< HTTP status that it got; 0 if it got no answer.
+};
+
+/// How the promote call behaves; may change at any time.
+struct PromotionBehaviour {
+    bool isSilent = false; ///< Calls get no answer.
+    /// When what was called without an answer is carried out, if its token is still good then; empty: not at all.
+    std::optional<std::chrono::milliseconds> lateBy {};
 };
 
 /// Everything that the platform provides, on loopback: groups of databases that register in the store, and the call
@@ -42,6 +50,7 @@
     HostAddress storeAddress() const { return { m_shape.ip, m_shape.basePort }; }
     HostAddress promotionAddress() const { return { m_shape.ip, static_cast<std::uint16_t>(m_shape.basePort + 1) }; }
     EmulatedStore& store() { return m_store; }
+    PromotionBehaviour& promotionBehaviour() { return m_promotionBehaviour; }
     EmulatedService& service(int n) { return *m_services.at(static_cast<std::size_t>(n)); }
     /// Database @p n of service @p service, as they were created.
     EmulatedDatabase& database(int service, int n) { return *m_databases.at(static_cast<std::size_t>(service * m_shape.databasesPerService + n)); }
@@ -83,6 +92,9 @@
     static constexpr const char* valueItemPrefix = "valued-";
 
     Task<HttpResponse> promote(HttpRequest request);
+    /// Carries out an order and returns the status of its answer.
+    int execute(const PromotionRequest& order);
+    Task<void> executeLate(PromotionRequest order, std::chrono::milliseconds delay);
     Task<void> takeEffect(std::shared_ptr<EmulatedService> service, std::string id);
     /// A time in which a database was leaving.
     struct DrainingPeriod {
@@ -110,6 +122,7 @@
     std::vector<DrainingPeriod> m_drainingPeriods;
     std::map<std::string, std::int64_t> m_sequences; ///< Entries written so far, by database.
     std::vector<OrderedPromotion> m_promotions;
+    PromotionBehaviour m_promotionBehaviour;
     RoutingConfig m_config;
     std::map<std::string, std::set<std::string>> m_accountKeys;
     HttpListener m_promotionListener;
--- a/tools/emulator/platform_emulator.cpp
+++ b/tools/emulator/platform_emulator.cpp
@@ -30,7 +30,7 @@
     {
         // Where commits are confirmed by replicas, also troubles of replicas that concern what they have received.
         if (shape.syncReplicas > 0)
-            m_kinds.insert(m_kinds.end(), { keepsDeaf, leavesReplica });
+            m_kinds.insert(m_kinds.end(), { keepsDeaf, leavesReplica, silencesPromotions, silencesPromotions });
     }
 
     /// Also draws entries of another writer.
@@ -124,6 +124,9 @@
                 if (const auto moved = m_disturbances->moveLead(); !moved.empty())
                     report(moved);
                 break;
+            case silencesPromotions:
+                asio::co_spawn(m_io, silencePromotions(), asio::detached);
+                break;
             case leavesInTurn:
                 asio::co_spawn(m_io, leaveInTurn(), asio::detached);
                 break;
@@ -157,6 +160,7 @@
     static constexpr unsigned withdrawsKey = 15;
     static constexpr unsigned disturbsCommand = 16;
     static constexpr unsigned movesLead = 17;
+    static constexpr unsigned silencesPromotions = 18;
 
     int anyService() { return static_cast<int>(m_random() % static_cast<unsigned>(m_shape.services)); }
     int anyDatabase() { return static_cast<int>(m_random() % static_cast<unsigned>(m_shape.databasesPerService)); }
@@ -201,12 +205,16 @@
     Task<void> crash()
     {
         const int service = anyService();
-        auto& database = m_platform.database(service, anyDatabase());
+        co_await crash(service, m_platform.database(service, anyDatabase()), milliseconds(5000));
+    }
+
+    Task<void> crash(int service, EmulatedDatabase& database, milliseconds duration)
+    {
         if (!m_crashedServices.insert(service).second)
             co_return;
-        report("the database " + database.entry().id + " crashes for 5 s");
+        report(fmt::format("the database {} crashes for {} ms", database.entry().id, duration.count()));
         database.crash();
-        co_await sleepFor(m_io, seconds(5));
+        co_await sleepFor(m_io, duration);
         database.restart();
         m_crashedServices.erase(service);
     }
@@ -256,6 +264,24 @@
         report("another writer leaves the entry " + name + ": " + odd.description);
     }
 
+    /// A primary crashes while promote calls get no answer; it is back first. Some of the calls are carried out late.
+    Task<void> silencePromotions()
+    {
+        auto& behaviour = m_platform.promotionBehaviour();
+        if (behaviour.isSilent)
+            co_return;
+        behaviour.isSilent = true;
+        if (m_random() % 2 == 0)
+            behaviour.lateBy = milliseconds(500 + m_random() % 4000);
+        report(behaviour.lateBy ? fmt::format("promote calls get no answer, and are carried out {} ms late", behaviour.lateBy->count()) : std::string("promote calls get no answer"));
+        const int service = anyService();
+        if (!m_platform.service(service).primary().empty())
+            asio::co_spawn(m_io, crash(service, m_platform.primary(service), milliseconds(3000)), asio::detached);
+        co_await sleepFor(m_io, milliseconds(4000 + m_random() % 2000));
+        behaviour = {};
+        report("promote calls are answered again");
+    }
+
     /// Announces that a database will leave, which may be a replica.
     void leaveReplica() { leave(m_platform.database(anyService(), anyDatabase())); }
 
