Emulated replicas receive what they lack while a commit waits

Trace: a replica that could receive again got what it lacked with the next commit only, and since the commits that wait for it hold all slots of the emulated primary, so that there was no next one. On the platform a replica receives as soon as it can. The emulated members that receive now get what they lack while a commit waits.

--- a/tools/emulator/EmulatedDatabase.cpp
+++ b/tools/emulator/EmulatedDatabase.cpp
@@ -241,6 +241,7 @@
         if (m_service->isRolledBack(at, id) || !m_listener)
             co_return false;
         co_await sleepFor(m_io, confirmationCheckInterval);
+        m_service->deliver();
     }
     if (m_service->isRolledBack(at, id))
         co_return false;
--- a/tools/emulator/EmulatedService.cpp
+++ b/tools/emulator/EmulatedService.cpp
@@ -28,11 +28,16 @@
 {
     const LogPosition position { m_term, m_commits.size() + 1 };
     m_commits.push_back({ position, std::move(changes), statementId });
+    deliver();
+    return position;
+}
+
+void EmulatedService::deliver()
+{
     for (const auto& [id, log] : m_logs) {
         if ((!log.isDeaf && !log.isPaused) || id == m_primary)
             catchUp(id);
     }
-    return position;
 }
 
 void EmulatedService::catchUp(const std::string& id)
--- a/tools/emulator/EmulatedService.h
+++ b/tools/emulator/EmulatedService.h
@@ -53,6 +53,8 @@
 
     /// Appends a commit at the primary and sends it to the members that receive.
     LogPosition commit(std::map<std::string, std::string> changes, const std::string& statementId);
+    /// All members that receive get what they lack.
+    void deliver();
     /// A member receives what it missed while it was deaf.
     void catchUp(const std::string& id);
     /// Makes a member the primary of the next term; commits that it has not received are rolled back everywhere.
