What a host was told while it was frozen is not knowledge of its waking up

Cause: StoreSync dated the entries, and the last answer of the store, by when an answer was handled. The one that had waited in the socket while the host was frozen counted as knowledge of the moment of waking up (endpoint_draining with known_ready_ms near 0). Ruled out: the margin for requests in transit, and the answers of peers, which are dated by their request.

Change: ArrivalBound dates an answer by the tick of the event loop before the last one, and not before its request; a listing is dated by its request. Tests with hosts as processes of their own are one program now (tests/processes).

--- a/packages/pooler/src/PoolerProcess.cpp
+++ b/packages/pooler/src/PoolerProcess.cpp
@@ -207,6 +207,7 @@
         while (true) {
             co_await sleepFor(m_io, maintenanceInterval);
             const auto now = BootClock::now();
+            m_sync.recordTick(now);
             if (now - last > maintenanceInterval + pauseThreshold) {
                 EventLog::warn("process_paused", { { "for_ms", toMs(now - last) } });
                 m_promotions.recordProcessPause();
--- a/packages/pooler/src/StoreSync.cpp
+++ b/packages/pooler/src/StoreSync.cpp
@@ -110,7 +110,7 @@
     }
 }
 
-bool StoreSync::recordOutcome(Cursor& cursor, std::string_view call, StoreStatus status, const std::string& detail)
+bool StoreSync::recordOutcome(Cursor& cursor, std::string_view call, StoreStatus status, const std::string& detail, BootTime requestedAt)
 {
     m_metrics.storeCall(call, storeStatusName(status));
     const auto now = BootClock::now();
@@ -120,7 +120,7 @@
             EventLog::info("store_regained", { { "kind", cursor.kind }, { "away_ms", toMs(now - cursor.lostSince) }, { "revision", cursor.revision.number }, { "revision_era", cursor.revision.era }, { "era", m_store->era() } });
         cursor.isLost = false;
         cursor.failures = 0;
-        cursor.lastAnswer = now;
+        cursor.lastAnswer = m_arrivals.at(requestedAt);
         return status == StoreStatus::Ok;
     }
     ++cursor.failures;
@@ -145,8 +145,9 @@
             return m_reader.addTo(entries, object);
         };
     }
+    const auto requestedAt = BootClock::now();
     const auto listing = co_await m_store->list(*cursor.objects, false, callTimeout, visit);
-    if (!recordOutcome(cursor, "list", listing.status, listing.detail))
+    if (!recordOutcome(cursor, "list", listing.status, listing.detail, requestedAt))
         co_return false;
     EventLog::info("store_listed", { { "kind", cursor.kind }, { "objects", objects + listing.objects.size() }, { "revision", listing.revision.number }, { "era", listing.revision.era } });
     cursor.revision = listing.revision;
@@ -157,7 +158,7 @@
         applyChange(cursor, { object, false });
     publishEndpoints(cursor);
     if (isEndpoints)
-        m_entriesKnownAt = cursor.lastAnswer;
+        m_entriesKnownAt = requestedAt; // The first of several pages may be that old.
     co_return true;
 }
 
@@ -165,8 +166,9 @@
 {
     const auto since = cursor.revision;
     const auto wait = m_role == Role::Follower ? followerWatchWait : watchWait;
+    const auto requestedAt = BootClock::now();
     auto changes = co_await m_store->watch(*cursor.objects, since, wait, wait + watchAnswerTimeout);
-    const bool isOk = recordOutcome(cursor, "watch", changes.status, changes.detail);
+    const bool isOk = recordOutcome(cursor, "watch", changes.status, changes.detail, requestedAt);
     // Changes that find no room are read as a listing, page by page.
     const bool isOutdated = changes.status == StoreStatus::HistoryGone || changes.status == StoreStatus::Restored || changes.status == StoreStatus::NoRoom || (changes.status == StoreStatus::Ok && changes.revision < since);
     if (cursor.revision == since && isOutdated) {
@@ -194,7 +196,7 @@
     if (!changes.changes.empty() || &cursor == &m_endpoints)
         publishEndpoints(cursor);
     if (&cursor == &m_endpoints)
-        m_entriesKnownAt = now;
+        m_entriesKnownAt = cursor.lastAnswer;
     if (isBurst)
         co_await sleepFor(m_io, batchInterval);
     co_return true;
--- a/packages/pooler/src/StoreSync.h
+++ b/packages/pooler/src/StoreSync.h
@@ -3,6 +3,7 @@
 #include "EndpointReader.h"
 #include "ServiceRegistry.h"
 #include "kumquatbank/adapter/ObjectStore.h"
+#include "kumquatbank/core/ArrivalBound.h"
 #include "kumquatbank/routing/EndpointTable.h"
 
 namespace kumquatbank {
@@ -39,6 +40,9 @@
     };
     void setRole(Role role) { m_role = role; }
 
+    /// Records that the event loop runs; see ArrivalBound.
+    void recordTick(BootTime now) { m_arrivals.recordTick(now); }
+
     /// Records a complete update from a peer. @p requestedAt: when the request was sent. @p peerSilence: time since the
     /// peer last had an answer from the store. While such an update is recent, this process makes no watches of its
     /// own.
@@ -55,7 +59,7 @@
         std::string kind; ///< For logs.
         const ObjectKind* objects = nullptr;
         StoreRevision revision; ///< To watch from; number 0 requests a listing.
-        BootTime lastAnswer {};
+        BootTime lastAnswer {}; ///< Latest time at which the store is known to have been as answered.
         bool isLost = false;
         BootTime lostSince {};
         int failures = 0;
@@ -68,7 +72,8 @@
     void requestListing(Cursor& cursor) { cursor.revision = { std::max(cursor.revision.era, m_store->era()), 0 }; }
     Task<bool> listOnce(Cursor& cursor);
     Task<bool> watchOnce(Cursor& cursor);
-    bool recordOutcome(Cursor& cursor, std::string_view call, StoreStatus status, const std::string& detail);
+    /// @p requestedAt: when the call was sent whose answer is recorded.
+    bool recordOutcome(Cursor& cursor, std::string_view call, StoreStatus status, const std::string& detail, BootTime requestedAt);
     void applyConfig(const nlohmann::json& content, std::string_view source);
     /// Applies one change reported by a watch.
     void applyChange(const Cursor& cursor, const StoreChange& change);
@@ -89,6 +94,7 @@
     StoreRevision m_entriesRevision; ///< Revision at which the entries last changed.
     nlohmann::json m_configContent; ///< For peers: without keys.
     EndpointReader m_reader;
+    ArrivalBound m_arrivals;
 };
 
 } // namespace kumquatbank
--- a/packages/pooler/tests/memory/AnswerMemoryTest.cpp
+++ b/packages/pooler/tests/processes/AnswerMemoryTest.cpp
@@ -1,94 +1,21 @@
+#include "HostProcess.h"
 #include "OddEntries.h"
 #include "PoolerFixture.h"
 #include "kumquatbank/adapter/StoreCodec.h"
 #include "kumquatbank/engine/MemoryBudget.h"
 
 #include <CppUTest/TestHarness.h>
-#include <csignal>
-#include <cstdlib>
 #include <fmt/format.h>
-#include <fstream>
-#include <spawn.h>
-#include <sys/wait.h>
-#include <unistd.h>
 
 using namespace kumquatbank;
 using std::chrono::milliseconds;
 
-extern char** environ; // NOLINT(readability-identifier-naming): name of POSIX
-
 namespace {
 
 const std::string primaryDb = EmulatedPlatform::databaseName(0, ReadPolicy::Primary);
 
-/// The smallest host in use.
-constexpr int hostMemoryMb = 160;
 constexpr std::size_t longEntryBytes = 1'000'000;
 
-/// A host that runs as a process of its own, so that its memory can be measured.
-class HostProcess {
-public:
-    /// @p ip: of the fixture; the host uses ports there that no host of the fixture has.
-    HostProcess(const EmulatedPlatform& platform, const std::string& ip)
-        : m_client { ip, clientPort }
-        , m_ready { ip, clientPort + 1 }
-    {
-        std::string path = "/tmp/kumquatbank-host-XXXXXX";
-        const int file = ::mkstemp(path.data());
-        CHECK_TRUE(file >= 0);
-        ::close(file);
-        m_settings = path;
-        const nlohmann::json settings { { "host", "measured" }, { "dataCentre", "dc-0" }, { "region", "region" }, { "memoryMb", hostMemoryMb }, { "clientAddress", m_client.toString() }, { "readyAddress", m_ready.toString() }, { "peerAddress", HostAddress { ip, clientPort + 2 }.toString() }, { "metricsAddress", HostAddress { ip, clientPort + 3 }.toString() }, { "storeAddress", platform.storeAddress().toString() }, { "promotionAddress", platform.promotionAddress().toString() }, { "failureLinesPerSecond", 0 }, { "logLinesPerSecond", 0 } };
-        std::ofstream(m_settings) << settings.dump();
-        const char* other = std::getenv("KUMQUATBANK_PROXY");
-        std::string program = other != nullptr ? other : KUMQUATBANK_POOLER_PROGRAM;
-        std::string option = "--settings";
-        std::array<char*, 4> arguments { program.data(), option.data(), m_settings.data(), nullptr };
-        posix_spawn_file_actions_t actions {};
-        ::posix_spawn_file_actions_init(&actions);
-        ::posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, "/dev/null", O_WRONLY, 0);
-        LONGS_EQUAL(0, ::posix_spawn(&m_pid, program.c_str(), &actions, nullptr, arguments.data(), environ));
-        ::posix_spawn_file_actions_destroy(&actions);
-    }
-
-    ~HostProcess()
-    {
-        ::kill(m_pid, SIGKILL);
-        ::waitpid(m_pid, nullptr, 0);
-        ::unlink(m_settings.c_str());
-    }
-
-    HostProcess(const HostProcess&) = delete;
-    HostProcess& operator=(const HostProcess&) = delete;
-
-    HostAddress clientAddress() const { return m_client; }
-    HostAddress readyAddress() const { return m_ready; }
-    HostAddress metricsAddress() const { return { m_client.ip, clientPort + 3 }; }
-
-    /// Greatest resident memory so far, in MB.
-    double peakMb() const
-    {
-        std::ifstream status(fmt::format("/proc/{}/status", m_pid));
-        std::string word;
-        while (status >> word) {
-            if (word == "VmHWM:") {
-                double kilobytes = 0;
-                status >> kilobytes;
-                return kilobytes / 1024;
-            }
-        }
-        return 0;
-    }
-
-private:
-    static constexpr std::uint16_t clientPort = 39000;
-
-    HostAddress m_client;
-    HostAddress m_ready;
-    std::string m_settings;
-    pid_t m_pid = 0;
-};
-
 Task<std::string> get(PoolerFixture& f, HostAddress address, std::string target)
 {
     HttpClient client(f.io(), address);
@@ -125,7 +52,7 @@
 {
     PoolerFixture fixture({}, 0);
     putEntries(fixture, std::string(StoreCodec::endpointKind), count, longEntries("service-0", bytes));
-    const HostProcess host(fixture.platform(), fixture.platform().storeAddress().ip);
+    const HostProcess host(fixture.platform());
     fixture.run([](PoolerFixture& f, const HostProcess& measured) -> Task<void> {
         co_await awaitService(f, measured);
         f.platform().store().forgetHistory();
@@ -148,7 +75,7 @@
     for (const auto& [count, bytes] : { std::pair(7, longEntryBytes), std::pair(42, longEntryBytes), std::pair(700, std::size_t { 10'000 }), std::pair(7000, std::size_t { 300 }) }) {
         const auto peak = measure(count, bytes);
         UT_PRINT(fmt::format("{} entries of {} bytes: peak {:.1f} MB, {:.1f} MB without", count, bytes, peak, base).c_str());
-        CHECK_TRUE_TEXT(peak < hostMemoryMb, fmt::format("{:.1f} MB for {} entries of {} bytes", peak, count, bytes).c_str());
+        CHECK_TRUE_TEXT(peak < HostProcess::memoryMb, fmt::format("{:.1f} MB for {} entries of {} bytes", peak, count, bytes).c_str());
     }
 }
 
@@ -158,13 +85,13 @@
     PoolerFixture fixture({}, 0);
     const auto entry = StoreCodec::formatEndpoint({ "", "service-of-others", { "127.0.0.9", 9 }, "dc-0", 1, false, EndpointRole::Replica, 1, 1 }).dump();
     putEntries(fixture, std::string(StoreCodec::endpointKind), 60'000, { { "", entry } });
-    const HostProcess host(fixture.platform(), fixture.platform().storeAddress().ip);
+    const HostProcess host(fixture.platform());
     fixture.run([](PoolerFixture& f, const HostProcess& measured) -> Task<void> {
         co_await awaitService(f, measured);
     }(fixture, host),
         std::chrono::seconds(60));
     UT_PRINT(fmt::format("60,000 entries: peak {:.1f} MB", host.peakMb()).c_str());
-    CHECK_TRUE(host.peakMb() < hostMemoryMb);
+    CHECK_TRUE(host.peakMb() < HostProcess::memoryMb);
 }
 
 // Guards against a database that is not used, because its entry is long.
@@ -192,7 +119,7 @@
     for (const auto* kind : { "kumquatbank-hosts", "config" })
         putEntries(fixture, kind, 21, entries);
     fixture.platform().store().putText("kumquatbank-promotions", "service-0", entries.front().spec);
-    const HostProcess host(fixture.platform(), fixture.platform().storeAddress().ip);
+    const HostProcess host(fixture.platform());
     fixture.run([](PoolerFixture& f, const HostProcess& measured) -> Task<void> {
         co_await awaitService(f, measured);
         f.platform().primary(0).crash();
@@ -200,14 +127,14 @@
     }(fixture, host),
         std::chrono::seconds(30));
     UT_PRINT(fmt::format("hosts, configuration and decisions: peak {:.1f} MB", host.peakMb()).c_str());
-    CHECK_TRUE(host.peakMb() < hostMemoryMb);
+    CHECK_TRUE(host.peakMb() < HostProcess::memoryMb);
 }
 
 // Guards against a watch that brings more than there is memory for, again and again: the changes are then read as a listing.
 TEST(AnswerMemory, AWatchWithoutRoomIsReplacedByAListing)
 {
     PoolerFixture fixture({}, 0);
-    const HostProcess host(fixture.platform(), fixture.platform().storeAddress().ip);
+    const HostProcess host(fixture.platform());
     fixture.run([](PoolerFixture& f, const HostProcess& measured) -> Task<void> {
         co_await awaitService(f, measured);
         // 110 MB of changes in one answer. The emulated store counts it in the budget of this process.
@@ -228,7 +155,7 @@
     }(fixture, host),
         std::chrono::seconds(30));
     UT_PRINT(fmt::format("a watch of 110 MB: peak {:.1f} MB", host.peakMb()).c_str());
-    CHECK_TRUE(host.peakMb() < hostMemoryMb);
+    CHECK_TRUE(host.peakMb() < HostProcess::memoryMb);
 }
 
 // Guards against a peer whose answer takes more memory than a host has.
@@ -244,7 +171,7 @@
         co_return HttpResponse { 200, body };
     });
     fixture.platform().store().put("kumquatbank-hosts", "long-peer", { { "peerAddress", peer.toString() }, { "dataCentre", "dc-0" }, { "region", "region" } });
-    const HostProcess host(fixture.platform(), ip);
+    const HostProcess host(fixture.platform());
     fixture.run([](PoolerFixture& f, const HostProcess& measured, const int& answers) -> Task<void> {
         co_await awaitService(f, measured);
         // Until the host has listed the hosts.
@@ -256,5 +183,5 @@
     }(fixture, host, answered),
         std::chrono::seconds(30));
     UT_PRINT(fmt::format("answers of a peer: peak {:.1f} MB", host.peakMb()).c_str());
-    CHECK_TRUE(host.peakMb() < hostMemoryMb);
+    CHECK_TRUE(host.peakMb() < HostProcess::memoryMb);
 }
