The kernel keeps a bounded amount of unread input for each client

Cause: bytes that were received and not read count toward the memory of a host. The budget bounds what the process reads, and what then waits in the kernel had the kernel's default, at 2,562 clients. Ruled out: answers that wait (23 MB resident), and the connections of other hosts (docs/incidents/unread-input.md).

Change: a quarter of the memory is divided among the clients that are admitted, and the kernel gets that as the bound of an accepted connection: 16 KiB with 160 MB and 4,300 descriptors.

--- a/packages/engine/include/kumquatbank/engine/TcpListener.h
+++ b/packages/engine/include/kumquatbank/engine/TcpListener.h
@@ -7,6 +7,7 @@
 #include <boost/asio/detached.hpp>
 #include <functional>
 #include <memory>
+#include <optional>
 
 namespace kumquatbank {
 
@@ -17,7 +18,8 @@
     using AcceptHandler = std::function<void(asio::ip::tcp::socket)>;
 
     /// Throws boost::system::system_error if the address cannot be bound.
-    TcpListener(asio::io_context& io, const HostAddress& address, AcceptHandler onAccept);
+    /// @param unreadBytes  that the kernel keeps at most for an accepted connection until they are read; empty for its default.
+    TcpListener(asio::io_context& io, const HostAddress& address, AcceptHandler onAccept, std::optional<std::size_t> unreadBytes = std::nullopt);
     ~TcpListener() { close(); }
 
     TcpListener(const TcpListener&) = delete;
--- a/packages/engine/src/TcpListener.cpp
+++ b/packages/engine/src/TcpListener.cpp
@@ -20,13 +20,16 @@
     BootTime failuresLoggedAt {};
 };
 
-TcpListener::TcpListener(asio::io_context& io, const HostAddress& address, AcceptHandler onAccept)
+TcpListener::TcpListener(asio::io_context& io, const HostAddress& address, AcceptHandler onAccept, std::optional<std::size_t> unreadBytes)
     : m_state(std::make_shared<State>(State { io, asio::ip::tcp::acceptor(io), std::move(onAccept), 0, {} }))
 {
     const auto endpoint = toEndpoint(address);
     auto& acceptor = m_state->acceptor;
     acceptor.open(endpoint.protocol());
     acceptor.set_option(asio::ip::tcp::acceptor::reuse_address(true));
+    // Accepted sockets inherit the size. The kernel doubles the value, for its own bookkeeping.
+    if (unreadBytes)
+        acceptor.set_option(asio::socket_base::receive_buffer_size(static_cast<int>(*unreadBytes / 2)));
     acceptor.bind(endpoint);
     acceptor.listen(acceptBacklog);
     asio::co_spawn(io, acceptLoop(m_state), asio::detached);
--- a/packages/engine/tests/TcpListenerTest.cpp
+++ b/packages/engine/tests/TcpListenerTest.cpp
@@ -44,3 +44,27 @@
     io.run();
     LONGS_EQUAL(2, accepted);
 }
+
+// Guards against clients that send ahead and take no answer: what waits for them in the kernel counts toward the memory of the host.
+TEST(TcpListener, TheKernelKeepsABoundedAmountForAConnection)
+{
+    constexpr std::size_t unreadBytes = 16 << 10;
+    asio::io_context io(1);
+    const auto address = freeAddress();
+    std::vector<asio::ip::tcp::socket> accepted;
+    const TcpListener listener(
+        io, address, [&](asio::ip::tcp::socket socket) { accepted.push_back(std::move(socket)); }, unreadBytes);
+    asio::ip::tcp::socket client(io);
+    client.connect(toEndpoint(address));
+    client.non_blocking(true);
+    const std::string text(4096, 'x');
+    boost::system::error_code ec; // The send fails once the buffers are full.
+    const auto until = BootClock::now() + std::chrono::milliseconds(500);
+    while (BootClock::now() < until) {
+        io.run_for(std::chrono::milliseconds(5));
+        while (client.send(asio::buffer(text), 0, ec) > 0) { }
+    }
+    LONGS_EQUAL(1, accepted.size());
+    CHECK_TRUE(accepted.front().available() > 0);
+    CHECK_TRUE(accepted.front().available() <= unreadBytes);
+}
--- a/packages/pooler/src/DescriptorPlan.h
+++ b/packages/pooler/src/DescriptorPlan.h
@@ -19,6 +19,18 @@
     std::size_t loans = 0; ///< Accepted from borrowers.
     std::size_t probes = 0; ///< Accepted at the address of the ready probe, and as many at that of metrics.
 
+    /// Part of the process's memory, in percent, that bytes of clients may take which the kernel has received and nobody has
+    /// read: they count toward the memory of the host. Half of the memory is the MemoryBudget.
+    static constexpr std::size_t unreadPercent = 25;
+
+    /// Bytes that the kernel may keep for each client, if all of them send without reading answers.
+    std::size_t unreadBytesPerClient(std::size_t memoryMb) const
+    {
+        constexpr std::size_t leastBytes = 4096;
+        constexpr std::size_t mostBytes = 128 << 10;
+        return std::clamp((memoryMb << 20) * unreadPercent / 100 / std::max<std::size_t>(1, clients), leastBytes, mostBytes);
+    }
+
     /// Descriptors that this process may open: the setting, but no more than the system grants.
     static int processLimit(std::optional<int> setting);
 
--- a/packages/pooler/src/PoolerProcess.cpp
+++ b/packages/pooler/src/PoolerProcess.cpp
@@ -73,9 +73,11 @@
         const int descriptors = DescriptorPlan::processLimit(m_settings.maxDescriptors);
         m_plan = DescriptorPlan::of(descriptors);
         m_lender.setChannelLimit(m_plan.loans);
-        EventLog::info("limits", { { "memory_mb", m_settings.memoryMb }, { "memory_budget", MemoryBudget::ofProcess().total() }, { "descriptors", descriptors }, { "clients", m_plan.clients }, { "peers", m_plan.peers }, { "loans", m_plan.loans }, { "probes", m_plan.probes } });
+        EventLog::info("limits", { { "memory_mb", m_settings.memoryMb }, { "memory_budget", MemoryBudget::ofProcess().total() }, { "descriptors", descriptors }, { "clients", m_plan.clients }, { "unread_bytes_per_client", m_plan.unreadBytesPerClient(static_cast<std::size_t>(m_settings.memoryMb)) }, { "peers", m_plan.peers }, { "loans", m_plan.loans }, { "probes", m_plan.probes } });
         EventLog::info("start", { { "version", KUMQUATBANK_VERSION }, { "data_centre", m_settings.dataCentre }, { "clients", m_settings.clientAddress.toString() }, { "ready", m_settings.readyAddress.toString() }, { "peers", m_settings.peerAddress.toString() }, { "metrics", m_settings.metricsAddress.toString() }, { "store", m_settings.storeAddress.toString() }, { "promotions", m_settings.promotionAddress.toString() }, { "grace_s", m_settings.grace.count() } });
-        m_clients.emplace(m_io, m_settings.clientAddress, [this](asio::ip::tcp::socket socket) { accept(std::move(socket)); });
+        const auto unreadBytes = m_plan.unreadBytesPerClient(static_cast<std::size_t>(m_settings.memoryMb));
+        m_clients.emplace(
+            m_io, m_settings.clientAddress, [this](asio::ip::tcp::socket socket) { accept(std::move(socket)); }, unreadBytes);
         m_ready.emplace(
             m_io, m_settings.readyAddress, [this](HttpRequest request) { return answerReady(std::move(request)); }, httpLimits(m_plan.probes));
         m_peerListener.emplace(
--- a/packages/pooler/tests/DescriptorPlanTest.cpp
+++ b/packages/pooler/tests/DescriptorPlanTest.cpp
@@ -26,3 +26,14 @@
         CHECK_TRUE(plan.clients > 0 && plan.peers > 0 && plan.loans > 0 && plan.probes > 0);
     }
 }
+
+// Guards against a crowd whose unread input exceeds the memory of the smallest host.
+TEST(DescriptorPlan, UnreadInputOfAllClientsFitsIntoAQuarterOfTheMemory)
+{
+    for (const auto& [limit, memoryMb] : { std::pair(4300, std::size_t { 160 }), std::pair(4200, std::size_t { 260 }), std::pair(264, std::size_t { 160 }) }) {
+        const auto plan = DescriptorPlan::of(limit);
+        const auto bytes = plan.unreadBytesPerClient(memoryMb);
+        CHECK_TRUE(bytes * plan.clients <= (memoryMb << 20) / 4);
+        CHECK_TRUE(bytes >= 4096);
+    }
+}
